--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'results/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'results/**', 'target/**'] }),
   {
     rules: {
       '@stylistic/max-len': ['error', { code: 160, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true }],
--- a/packages/entry/src/lib/FleetManager.ts
+++ b/packages/entry/src/lib/FleetManager.ts
@@ -20,7 +20,7 @@
 import type { DrainConfirmation, DrainState } from './DrainConfirmation.js'
 import { reportName, zoneHostsName, type FleetView } from './FleetView.js'
 import type { HostList } from './HostList.js'
-import type { LeaseHolder } from './LeaseHolder.js'
+import type { LeaseHolder } from '@quillscale/leases'
 import { PermitDesk, type PermitPurpose } from './PermitDesk.js'
 import type { ServiceRegistry } from './ServiceRegistry.js'
 import type { StateStore } from './StateStore.js'
--- a/packages/entry/src/lib/JobManager.ts
+++ b/packages/entry/src/lib/JobManager.ts
@@ -17,7 +17,7 @@
 } from '@quillscale/jobs'
 import type { PeerMesh } from '@quillscale/membership'
 import { JobStore, type CommitResult } from './JobStore.js'
-import type { LeaseHolder } from './LeaseHolder.js'
+import type { LeaseHolder } from '@quillscale/leases'
 import type { ServiceRegistry } from './ServiceRegistry.js'
 
 /** What it works on. @public */
--- a/packages/entry/src/lib/LeaseHolder.ts
+++ b/packages/leases/src/lib/LeaseHolder.ts
@@ -4,12 +4,12 @@
  * @module
  */
 import { delay, type Clock } from '@quillscale/utils'
-import type { KeyValueStore } from '@quillscale/ports'
+import type { KeyValueStore, PlatformError } from '@quillscale/ports'
 
 /** How a lease is held. @public */
 export interface LeaseHolderOptions {
   readonly key: string
-  /** Written under the key, so that operators see who holds it. */
+  /** Written under the key with a number behind it, so that operators see who holds it. */
   readonly value: string
   readonly ttlMs: number
   readonly store: KeyValueStore
@@ -18,6 +18,10 @@
   readonly mayTry: () => boolean
   /** Called when it becomes held and when it is lost. */
   readonly onChange?: (isHeld: boolean) => void
+  /** Called with the fencing token when the lease is taken, with `undefined` once it is over for good; not when a grant pauses. */
+  readonly onTenure?: (fencingToken: number | undefined) => void
+  /** Called when the store did not do what was asked. */
+  readonly onStoreError?: (what: string, error: PlatformError) => void
 }
 
 /** A right to act, to be checked right before each act. @public */
@@ -26,7 +30,12 @@
   readonly fencingToken: number
 }
 
+/** Share of the lease that is used: the rest covers a store whose clock runs ahead of this host's. */
 const SAFETY_SHARE = 0.9
+/** Renewals in each lease, so that one lost answer does not end it. */
+const RENEWALS_A_LEASE = 4
+/** Looks at a vacant duty in each lease, besides those that {@link LeaseHolder.wake} asks for. */
+const TRIES_A_LEASE = 6
 
 /** Takes, renews and gives up one lease. @public */
 export class LeaseHolder {
@@ -36,6 +45,8 @@
   /** On the monotonic clock, counted from before the renewal was sent: a pause of this process counts against it. */
   #validUntilMs = -Infinity
   #wasHeld = false
+  #tries = 0
+  #wakeUp: () => void = () => {}
 
   /** @param options - which lease and how */
   constructor (options: LeaseHolderOptions) {
@@ -58,20 +69,47 @@
       if (this.#leaseId === undefined) await this.#tryTake()
       else await this.#renew()
       this.#report()
-      const pauseMs = this.#leaseId === undefined ? this.#options.ttlMs / 6 : this.#options.ttlMs / 3
-      await delay(pauseMs * (0.8 + Math.random() * 0.4), signal)
+      await this.#pause(signal)
     }
-    if (this.#leaseId !== undefined) await this.#options.store.revokeLease(this.#leaseId)
+    await this.abandon()
+  }
+
+  /** Looks at once whether the lease can be taken; for callers that saw it become vacant. */
+  wake (): void {
+    if (this.#leaseId === undefined) this.#wakeUp()
+  }
+
+  /** Gives the lease up, so that another may take it at once. */
+  async abandon (): Promise<void> {
+    const leaseId = this.#leaseId
     this.#drop()
     this.#report()
+    if (leaseId === undefined) return
+    const revoked = await this.#options.store.revokeLease(leaseId)
+    if (revoked.err) this.#options.onStoreError?.('the lease could not be ended and will lapse', revoked.val)
+  }
+
+  async #pause (signal: AbortSignal): Promise<void> {
+    const pauseMs = this.#options.ttlMs / (this.#leaseId === undefined ? TRIES_A_LEASE : RENEWALS_A_LEASE)
+    const woken = new AbortController()
+    this.#wakeUp = () => woken.abort()
+    const stop = (): void => woken.abort()
+    signal.addEventListener('abort', stop, { once: true })
+    await delay(signal.aborted ? 0 : pauseMs * (0.8 + Math.random() * 0.4), woken.signal)
+    signal.removeEventListener('abort', stop)
   }
 
   async #tryTake (): Promise<void> {
-    const { store, clock, key, value, ttlMs, mayTry } = this.#options
+    const { store, clock, key, ttlMs, mayTry } = this.#options
     if (!mayTry()) return
     const startedMs = clock.monotonicMs()
     const lease = await store.grantLease(ttlMs)
-    if (lease.err) return
+    if (lease.err) {
+      this.#options.onStoreError?.('no lease was granted', lease.val)
+      return
+    }
+    // Each try writes another value: a key of an earlier try is not taken for this one's.
+    const value = `${this.#options.value}#${++this.#tries}`
     const swap = await store.compareAndSwap({ key, expectedModRevision: 0, value, leaseId: lease.val })
     if (swap.ok && swap.val.swapped) {
       this.#hold(lease.val, swap.val.modRevision, startedMs)
@@ -85,21 +123,29 @@
   }
 
   async #renew (): Promise<void> {
+    const leaseId = this.#leaseId as string
     const startedMs = this.#options.clock.monotonicMs()
-    const renewed = await this.#options.store.renewLease(this.#leaseId as string)
+    const renewed = await this.#options.store.renewLease(leaseId)
+    // It may have been given up meanwhile.
+    if (this.#leaseId !== leaseId) return
     if (renewed.ok && renewed.val) this.#validUntilMs = startedMs + this.#options.ttlMs * SAFETY_SHARE
-    else if (renewed.ok || this.#options.clock.monotonicMs() > this.#validUntilMs) this.#drop()
+    else if (renewed.ok) this.#drop()
+    // Without an answer the lease is kept: the grant ends by itself, and comes back if the lease turns out to have waited.
+    else this.#options.onStoreError?.('the lease was not renewed', renewed.val)
   }
 
   #hold (leaseId: string, fencingToken: number, startedMs: number): void {
     this.#leaseId = leaseId
     this.#fencingToken = fencingToken
     this.#validUntilMs = startedMs + this.#options.ttlMs * SAFETY_SHARE
+    this.#options.onTenure?.(fencingToken)
   }
 
   #drop (): void {
+    const wasHolder = this.#leaseId !== undefined
     this.#leaseId = undefined
     this.#validUntilMs = -Infinity
+    if (wasHolder) this.#options.onTenure?.(undefined)
   }
 
   #report (): void {
--- /dev/null
+++ b/packages/leases/src/lib/PrefixReplica.ts
@@ -0,0 +1,120 @@
+/**
+ * A copy of all keys below a prefix, kept current by a watch.
+ *
+ * A watch may be cut, hear nothing, or find its history gone; then the prefix is listed anew. Lists are linearizable, so a key
+ * never goes back to an older value.
+ *
+ * @module
+ */
+import { backOff, type Clock } from '@quillscale/utils'
+import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
+
+/** What changed since the last call, each key once. @public */
+export interface PrefixChange {
+  readonly changed: readonly KeyValue[]
+  readonly removed: readonly string[]
+}
+
+/** How a prefix is followed. @public */
+export interface PrefixReplicaOptions {
+  readonly store: KeyValueStore
+  readonly prefix: string
+  readonly clock: Clock
+  /** How long one watch waits: a connection that went silent is noticed that much later. */
+  readonly watchMs: number
+  /** The prefix is listed again after this long, in case a watch missed something. */
+  readonly relistMs: number
+  /** Called with each change; also once after the first list, even if it is empty. */
+  readonly onChange: (change: PrefixChange) => void
+  /** Called when the store does not answer, and with `undefined` when it does again. */
+  readonly onContact?: (error: PlatformError | undefined) => void
+}
+
+/** Pauses stay below a second, so that a copy is current again soon after the store is back. */
+const MAX_BACK_OFF_STEP = 2
+
+/** The copy. @public */
+export class PrefixReplica {
+  readonly items = new Map<string, KeyValue>()
+  readonly #options: PrefixReplicaOptions
+  #revision = 0
+  #isListed = false
+  #isInContact = true
+  #confirmedAtMs = -Infinity
+  #listedMs = -Infinity
+
+  /** @param options - what is followed and how */
+  constructor (options: PrefixReplicaOptions) {
+    this.#options = options
+  }
+
+  /** Whether the prefix was listed at least once. */
+  get isListed (): boolean {
+    return this.#isListed
+  }
+
+  /** @param nowMs - the present monotonic time @returns how old the copy may be */
+  ageMs (nowMs: number): number {
+    return nowMs - this.#confirmedAtMs
+  }
+
+  /** @param signal - ends the task */
+  async run (signal: AbortSignal): Promise<void> {
+    let failures = 0
+    let mustList = true
+    while (!signal.aborted) {
+      const error: PlatformError | undefined = await (mustList ? this.#list() : this.#watch())
+      if (signal.aborted) return
+      this.#noteContact(error)
+      mustList = error !== undefined || this.#options.clock.monotonicMs() - this.#listedMs > this.#options.relistMs
+      failures = error === undefined || error.kind === 'history-gone' ? 0 : failures + 1
+      if (failures > 0) await backOff(Math.min(failures - 1, MAX_BACK_OFF_STEP), signal)
+    }
+  }
+
+  async #list (): Promise<PlatformError | undefined> {
+    const askedMs = this.#options.clock.monotonicMs()
+    const listed = await this.#options.store.list(this.#options.prefix)
+    if (listed.err) return listed.val
+    const { items, revision } = listed.val
+    const present = new Set(items.map(({ key }) => key))
+    const changed = items.filter(({ key, modRevision }) => (this.items.get(key)?.modRevision ?? 0) < modRevision)
+    const removed = [...this.items.keys()].filter((key) => !present.has(key))
+    this.#apply(changed, removed)
+    this.#revision = revision
+    this.#confirmedAtMs = askedMs
+    this.#listedMs = askedMs
+    const isFirst = !this.#isListed
+    this.#isListed = true
+    if (isFirst || changed.length + removed.length > 0) this.#options.onChange({ changed, removed })
+    return undefined
+  }
+
+  async #watch (): Promise<PlatformError | undefined> {
+    const askedMs = this.#options.clock.monotonicMs()
+    const watched = await this.#options.store.watch(this.#options.prefix, this.#revision, this.#options.watchMs)
+    if (watched.err) return watched.val
+    this.#confirmedAtMs = askedMs
+    const last = new Map<string, KeyValue | undefined>()
+    for (const { key, value, modRevision } of watched.val.events) {
+      if ((this.items.get(key)?.modRevision ?? 0) < modRevision) last.set(key, value === undefined ? undefined : { key, value, modRevision })
+    }
+    const changed = [...last.values()].filter((item) => item !== undefined)
+    const removed = [...last].filter(([key, item]) => item === undefined && this.items.has(key)).map(([key]) => key)
+    this.#apply(changed, removed)
+    this.#revision = Math.max(this.#revision, watched.val.revision)
+    if (changed.length + removed.length > 0) this.#options.onChange({ changed, removed })
+    return undefined
+  }
+
+  #apply (changed: readonly KeyValue[], removed: readonly string[]): void {
+    for (const key of removed) this.items.delete(key)
+    for (const item of changed) this.items.set(item.key, item)
+  }
+
+  #noteContact (error: PlatformError | undefined): void {
+    const isInContact = error === undefined || error.kind === 'history-gone'
+    if (isInContact !== this.#isInContact) this.#options.onContact?.(isInContact ? undefined : error)
+    this.#isInContact = isInContact
+  }
+}
--- a/packages/platform-http/src/lib/HttpKeyValueStore.ts
+++ b/packages/platform-http/src/lib/HttpKeyValueStore.ts
@@ -5,7 +5,7 @@
  */
 import { z } from 'zod'
 import { Err, Ok, type Result } from '@quillscale/utils'
-import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, WatchEvents } from '@quillscale/ports'
+import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from '@quillscale/ports'
 import type { PlatformClient } from './PlatformClient.js'
 
 const count = z.coerce.number().int()
@@ -61,18 +61,35 @@
   }
 
   async compareAndSwap (swap: CompareAndSwap): Promise<Result<SwapOutcome, PlatformError>> {
-    const key = encode(swap.key)
-    const lease = swap.leaseId === undefined ? {} : { lease: swap.leaseId }
-    const write = swap.value === undefined ? { request_delete_range: { key } } : { request_put: { key, value: encode(swap.value), ...lease } }
-    const answer = await this.#client.call('compareAndSwap', '/v3/kv/txn', {
-      compare: [{ key, target: 'MOD', result: 'EQUAL', mod_revision: swap.expectedModRevision }],
-      success: [write],
-      failure: [{ request_range: { key } }]
-    }, txnSchema)
-    return answer.map((txn): SwapOutcome => {
-      if (txn.succeeded) return { swapped: true, modRevision: txn.header.revision }
-      return { swapped: false, current: txn.responses[0]?.response_range?.kvs.map(toKeyValue)[0] }
+    const { key, value, leaseId, expectedModRevision: modRevision } = swap
+    const answer = await this.#transact('compareAndSwap', {
+      conditions: [{ key, modRevision }],
+      puts: value === undefined ? [] : [{ key, value, leaseId }],
+      removals: value === undefined ? [key] : []
     })
+    return answer.map((outcome): SwapOutcome => outcome.committed
+      ? { swapped: true, modRevision: outcome.modRevision }
+      : { swapped: false, current: outcome.current[0] })
+  }
+
+  transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
+    return this.#transact('transact', transaction)
+  }
+
+  async #transact (kind: string, { conditions, puts, removals }: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
+    const answer = await this.#client.call(kind, '/v3/kv/txn', {
+      compare: conditions.map(({ key, modRevision }) => ({ key: encode(key), target: 'MOD', result: 'EQUAL', mod_revision: modRevision })),
+      success: [
+        ...puts.map(({ key, value, leaseId }) => ({
+          request_put: { key: encode(key), value: encode(value), ...(leaseId === undefined ? {} : { lease: leaseId }) }
+        })),
+        ...removals.map((key) => ({ request_delete_range: { key: encode(key) } }))
+      ],
+      failure: conditions.map(({ key }) => ({ request_range: { key: encode(key) } }))
+    }, txnSchema)
+    return answer.map((txn): TransactionOutcome => txn.succeeded
+      ? { committed: true, modRevision: txn.header.revision }
+      : { committed: false, current: txn.responses.flatMap(({ response_range: range }) => (range?.kvs ?? []).map(toKeyValue)) })
   }
 
   async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
--- a/packages/platform-memory/src/lib/MemoryKeyValueStore.ts
+++ b/packages/platform-memory/src/lib/MemoryKeyValueStore.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Ok, systemClock, type Clock, type Result } from '@quillscale/utils'
-import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, WatchEvents } from '@quillscale/ports'
+import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from '@quillscale/ports'
 
 interface StoredValue { value: string, modRevision: number, leaseId?: string | undefined }
 interface Lease { ttlMs: number, expiresAtMs: number }
@@ -46,13 +46,18 @@
   }
 
   async compareAndSwap (swap: CompareAndSwap): Promise<Result<SwapOutcome, PlatformError>> {
-    this.#expireLeases()
-    const current = this.#read(swap.key)
-    const tooLarge = swap.value !== undefined && Buffer.byteLength(swap.value) > MAX_VALUE_BYTES
-    const leaseGone = swap.leaseId !== undefined && !this.#leases.has(swap.leaseId)
-    if ((current?.modRevision ?? 0) !== swap.expectedModRevision || tooLarge || leaseGone) return Ok({ swapped: false, current })
-    this.#write(swap.key, swap.value, swap.leaseId)
-    return Ok({ swapped: true, modRevision: this.#revision })
+    const { key, value, leaseId, expectedModRevision: modRevision } = swap
+    const outcome = this.#apply({
+      conditions: [{ key, modRevision }],
+      puts: value === undefined ? [] : [{ key, value, leaseId }],
+      removals: value === undefined ? [key] : []
+    })
+    if (outcome.committed) return Ok({ swapped: true, modRevision: outcome.modRevision })
+    return Ok({ swapped: false, current: outcome.current[0] })
+  }
+
+  async transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
+    return Ok(this.#apply(transaction))
   }
 
   async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
@@ -95,6 +100,17 @@
     for (const { key, value } of snapshot) this.#write(key, value)
   }
 
+  #apply ({ conditions, puts, removals }: Transaction): TransactionOutcome {
+    this.#expireLeases()
+    const holds = conditions.every(({ key, modRevision }) => (this.#read(key)?.modRevision ?? 0) === modRevision)
+    const areFit = puts.every(({ value, leaseId }) => Buffer.byteLength(value) <= MAX_VALUE_BYTES && (leaseId === undefined || this.#leases.has(leaseId)))
+    if (!holds || !areFit) return { committed: false, current: conditions.flatMap(({ key }) => this.#read(key) ?? []) }
+    this.#revision++
+    for (const { key, value, leaseId } of puts) this.#store(key, value, leaseId)
+    for (const key of removals) this.#store(key, undefined)
+    return { committed: true, modRevision: this.#revision }
+  }
+
   #read (key: string): KeyValue | undefined {
     const stored = this.#values.get(key)
     return stored === undefined ? undefined : { key, value: stored.value, modRevision: stored.modRevision }
@@ -102,6 +118,11 @@
 
   #write (key: string, value: string | undefined, leaseId?: string): void {
     this.#revision++
+    this.#store(key, value, leaseId)
+  }
+
+  /** Writes under the present revision. */
+  #store (key: string, value: string | undefined, leaseId?: string): void {
     if (value === undefined) this.#values.delete(key)
     else this.#values.set(key, { value, modRevision: this.#revision, leaseId })
     this.#events.push({ key, value, modRevision: this.#revision })
--- a/packages/ports/src/lib/KeyValueStore.ts
+++ b/packages/ports/src/lib/KeyValueStore.ts
@@ -13,10 +13,16 @@
   readonly modRevision: number
 }
 
-/** Why a call failed. `unknown-effect`: no answer came, a write may have taken effect. @public */
-export type PlatformError =
-  | { readonly kind: 'unknown-effect', readonly detail: string }
-  | { readonly kind: 'unavailable', readonly detail: string }
+/**
+ * Why a call failed. `unknown-effect`: no answer came, a write may have taken effect, now or seconds later. `unavailable`:
+ * nothing was done. `history-gone`: a watch asked for changes that the service no longer keeps; list again.
+ *
+ * @public
+ */
+export interface PlatformError {
+  readonly kind: 'unknown-effect' | 'unavailable' | 'history-gone'
+  readonly detail: string
+}
 
 /** A write that happens only when the key was not changed meanwhile. @public */
 export interface CompareAndSwap {
@@ -34,6 +40,22 @@
   | { readonly swapped: true, readonly modRevision: number }
   | { readonly swapped: false, readonly current: KeyValue | undefined }
 
+/** A write of several keys that happens whole or not at all. @public */
+export interface Transaction {
+  /** What must hold: each key's `modRevision`; 0 expects that the key does not exist. */
+  readonly conditions: ReadonlyArray<{ readonly key: string, readonly modRevision: number }>
+  readonly puts: ReadonlyArray<{ readonly key: string, readonly value: string, readonly leaseId?: string | undefined }>
+  readonly removals: readonly string[]
+}
+
+/** The most conditions, puts and removals together in one transaction: the smallest limit among the platforms served. @public */
+export const MAX_TRANSACTION_ENTRIES = 32
+
+/** What became of a transaction; when its conditions did not hold, `current` has the keys among them that exist. @public */
+export type TransactionOutcome =
+  | { readonly committed: true, readonly modRevision: number }
+  | { readonly committed: false, readonly current: readonly KeyValue[] }
+
 /** The changes since a revision; `value` is `undefined` for a deleted key. @public */
 export interface WatchEvents {
   readonly events: ReadonlyArray<{ readonly key: string, readonly value: string | undefined, readonly modRevision: number }>
@@ -49,6 +71,8 @@
   list(prefix: string): Promise<Result<{ readonly items: readonly KeyValue[], readonly revision: number }, PlatformError>>
   /** @param swap - the write @returns whether it took effect */
   compareAndSwap(swap: CompareAndSwap): Promise<Result<SwapOutcome, PlatformError>>
+  /** @param transaction - the writes and their conditions @returns whether they took effect */
+  transact(transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>>
   /**
    * Waits for changes below a prefix.
    *
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * Jobs of steps and tasks: accepted at any entry host, run by one holder a service.
+ *
+ * @module
+ */
+export { JobDesk, type JobDeskOptions, type SubmitOutcome, type StatusOutcome, type CancelOutcome, type WaitingOutcome } from './lib/JobDesk.js'
+export { isJobId, jobSpecSchema, stepProblem, stepSpecSchema, type JobId, type JobSpec, type StepSpec } from './lib/JobSpec.js'
+export type { JobStatus } from './lib/JobState.js'
+export type { EventLog } from './lib/EventLog.js'
+export { SchedulerMetrics } from './lib/SchedulerMetrics.js'
+export { DutyRoster, type DutyRosterOptions } from './lib/DutyRoster.js'
+export type { SchedulerBounds } from './lib/ServiceScheduler.js'
+export { ConfigurationFollower, type ConfigurationFollowerOptions } from './lib/ConfigurationFollower.js'
+export { matchQueue } from './lib/matchQueue.js'
+export { MachineUpkeep, type MachineUpkeepOptions } from './lib/MachineUpkeep.js'
+export { ServiceScheduler, type ServiceSchedulerOptions } from './lib/ServiceScheduler.js'
+export { serviceDutyKey, UPKEEP_DUTY_KEY } from './lib/storeKeys.js'
--- /dev/null
+++ b/packages/scheduler/src/lib/CommitLog.ts
@@ -0,0 +1,158 @@
+/**
+ * Writes a scheduler's records in batches, one transaction at a time.
+ *
+ * Each transaction carries the duty's revision, so that a deposed scheduler cannot write, and replaces the number of the one
+ * before, so that one whose answer was lost can be sent again without taking effect twice or over a newer one.
+ *
+ * @module
+ */
+import { delay, type Clock } from '@quillscale/utils'
+import { MAX_TRANSACTION_ENTRIES, type KeyValueStore, type PlatformError, type Transaction } from '@quillscale/ports'
+
+/** What a commit log writes under. @public */
+export interface CommitLogOptions {
+  readonly store: KeyValueStore
+  readonly clock: Clock
+  readonly dutyKey: string
+  readonly dutyRevision: number
+  readonly chainKey: string
+  readonly chainRevision: number
+  /** Called when another holder has taken over: nothing of this log will be written any more. */
+  readonly onDeposed: () => void
+  /** Called for each try that failed. */
+  readonly onStoreError: (error: PlatformError, transactionNumber: number) => void
+  /** Called for each transaction that took effect. */
+  readonly onCommit?: (entries: number, latencyMs: number) => void
+}
+
+/** A value to be written, encoded when its transaction is made; `undefined` removes the key. @public */
+export type RecordSource = () => string | undefined
+
+/** Two conditions and the chain's own put. */
+const BOOKKEEPING_ENTRIES = 3
+/** Between transactions: four schedulers at this pace stay within two thirds of 400 writes a second, the smallest store served. */
+const MIN_SPACING_MS = 15
+const RETRY_FIRST_MS = 60
+const RETRY_MAX_MS = 500
+
+interface Waiter { readonly sequence: number, readonly resolve: (isDurable: boolean) => void }
+interface Dirty { readonly sequence: number, readonly source: RecordSource }
+
+/** The log. @public */
+export class CommitLog {
+  readonly #options: CommitLogOptions
+  readonly #dirty = new Map<string, Dirty>()
+  readonly #waiters: Waiter[] = []
+  #sequence = 0
+  #inFlightSequence = Infinity
+  #chainRevision: number
+  #number = 0
+  #isClosed = false
+  #wake: () => void = () => {}
+
+  /** @param options - where and under which duty */
+  constructor (options: CommitLogOptions) {
+    this.#options = options
+    this.#chainRevision = options.chainRevision
+  }
+
+  /** @param key - to be written soon @param source - gives its value then */
+  put (key: string, source: RecordSource): void {
+    const sequence = this.#dirty.get(key)?.sequence ?? ++this.#sequence
+    this.#dirty.set(key, { sequence, source })
+    this.#wake()
+  }
+
+  /** @returns true once all that was put so far is durable, false if it never will be by this log */
+  flushed (): Promise<boolean> {
+    if (this.#isClosed) return Promise.resolve(false)
+    if (this.#oldestPending() === Infinity) return Promise.resolve(true)
+    return new Promise((resolve) => this.#waiters.push({ sequence: this.#sequence, resolve }))
+  }
+
+  /** Writes nothing more. */
+  close (): void {
+    this.#isClosed = true
+    for (const { resolve } of this.#waiters.splice(0)) resolve(false)
+    this.#wake()
+  }
+
+  /** Writes until closed. */
+  async run (): Promise<void> {
+    while (!this.#isClosed) {
+      if (this.#dirty.size === 0) {
+        await new Promise<void>((resolve) => { this.#wake = resolve })
+        continue
+      }
+      const startedMs = this.#options.clock.monotonicMs()
+      await this.#commitBatch()
+      const tookMs = this.#options.clock.monotonicMs() - startedMs
+      if (tookMs < MIN_SPACING_MS) await delay(MIN_SPACING_MS - tookMs)
+    }
+  }
+
+  async #commitBatch (): Promise<void> {
+    const batch = [...this.#dirty].slice(0, MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES)
+    for (const [key] of batch) this.#dirty.delete(key)
+    this.#inFlightSequence = Math.min(...batch.map(([, { sequence }]) => sequence))
+    const transaction = this.#transactionOf(batch, ++this.#number)
+    const startedMs = this.#options.clock.monotonicMs()
+    const isDurable = await this.#send(transaction)
+    this.#inFlightSequence = Infinity
+    if (!isDurable) return
+    this.#options.onCommit?.(batch.length, this.#options.clock.monotonicMs() - startedMs)
+    this.#release()
+  }
+
+  #transactionOf (batch: ReadonlyArray<[string, Dirty]>, number: number): Transaction {
+    const { dutyKey, dutyRevision, chainKey } = this.#options
+    const values = batch.map(([key, { source }]) => ({ key, value: source() }))
+    return {
+      conditions: [{ key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision }],
+      puts: [{ key: chainKey, value: this.#chainValue(number) }, ...values.flatMap(({ key, value }) => value === undefined ? [] : [{ key, value }])],
+      removals: values.flatMap(({ key, value }) => value === undefined ? [key] : [])
+    }
+  }
+
+  #chainValue (number: number): string {
+    return `${this.#options.dutyRevision}.${number}`
+  }
+
+  /** Sends until it is known to have taken effect, by this try or an earlier one, or never to do so. */
+  async #send (transaction: Transaction): Promise<boolean> {
+    const { store, chainKey, dutyKey, dutyRevision, onStoreError, onDeposed } = this.#options
+    for (let pauseMs = RETRY_FIRST_MS; !this.#isClosed; pauseMs = Math.min(RETRY_MAX_MS, pauseMs * 2)) {
+      const outcome = await store.transact(transaction)
+      if (outcome.err) {
+        onStoreError(outcome.val, this.#number)
+        await delay(pauseMs)
+        continue
+      }
+      if (outcome.val.committed) {
+        this.#chainRevision = outcome.val.modRevision
+        return true
+      }
+      const isHolder = outcome.val.current.some(({ key, modRevision }) => key === dutyKey && modRevision === dutyRevision)
+      const chain = outcome.val.current.find(({ key }) => key === chainKey)
+      if (isHolder && chain?.value === this.#chainValue(this.#number)) {
+        this.#chainRevision = chain.modRevision
+        return true
+      }
+      this.close()
+      onDeposed()
+    }
+    return false
+  }
+
+  #oldestPending (): number {
+    const first = this.#dirty.values().next()
+    return Math.min(this.#inFlightSequence, first.done === true ? Infinity : first.value.sequence)
+  }
+
+  #release (): void {
+    const oldest = this.#oldestPending()
+    const done = this.#waiters.filter(({ sequence }) => sequence < oldest)
+    this.#waiters.splice(0, this.#waiters.length, ...this.#waiters.filter(({ sequence }) => sequence >= oldest))
+    for (const { resolve } of done) resolve(true)
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/ConfigurationFollower.ts
@@ -0,0 +1,101 @@
+/**
+ * Follows the operators' configuration and wave requests; a version once in force is never replaced by an older one.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { FleetConfiguration, KeyValue, KeyValueStore, WaveRequest } from '@quillscale/ports'
+import { PrefixReplica } from '@quillscale/leases'
+import type { EventLog } from './EventLog.js'
+
+/** What the follower works with. @public */
+export interface ConfigurationFollowerOptions {
+  readonly store: KeyValueStore
+  readonly clock: Clock
+  readonly log: EventLog
+  /** Below which the operators write. */
+  readonly prefix: string
+  /** The key of the configuration. */
+  readonly configurationKey: string
+  readonly decodeConfiguration: (item: KeyValue) => FleetConfiguration | undefined
+  readonly decodeWave: (item: KeyValue) => WaveRequest | undefined
+  /** Called when another version or other waves are in force. */
+  readonly onChange: () => void
+}
+
+/** A version must be in force within 2 s of its writing: a silent connection is noticed in half of that. */
+const WATCH_MS = 1000
+/** What a watch missed is found after so long. */
+const RELIST_MS = 3000
+
+/** The follower. @public */
+export class ConfigurationFollower {
+  readonly waves = new Map<string, WaveRequest>()
+  #configuration: FleetConfiguration | undefined
+  readonly #options: ConfigurationFollowerOptions
+  readonly #replica: PrefixReplica
+  #refreshing: Promise<void> | undefined
+
+  /** @param options - what it works with */
+  constructor (options: ConfigurationFollowerOptions) {
+    this.#options = options
+    const { store, clock, log, prefix } = options
+    this.#replica = new PrefixReplica({
+      store,
+      clock,
+      prefix,
+      watchMs: WATCH_MS,
+      relistMs: RELIST_MS,
+      onChange: ({ changed, removed }) => {
+        for (const item of changed) this.#read(item)
+        for (const key of removed) this.waves.delete(key)
+        options.onChange()
+      },
+      onContact: (error) => log.warn({ prefix, error }, error === undefined ? 'store answers again' : 'store does not answer')
+    })
+  }
+
+  /** The newest version seen, `undefined` before the first. */
+  get current (): FleetConfiguration | undefined {
+    return this.#configuration
+  }
+
+  /** @param nowMs - monotonic @returns how old the knowledge may be */
+  ageMs (nowMs: number): number {
+    return this.#replica.ageMs(nowMs)
+  }
+
+  /** @param signal - ends the task */
+  run (signal: AbortSignal): Promise<void> {
+    return this.#replica.run(signal)
+  }
+
+  /** Reads the configuration now; callers that come meanwhile share the reading. */
+  refresh (): Promise<void> {
+    this.#refreshing ??= this.#options.store.get(this.#options.configurationKey).then((read) => {
+      this.#refreshing = undefined
+      if (read.ok && read.val !== undefined) this.#read(read.val)
+      else if (read.err) this.#options.log.warn({ error: read.val }, 'configuration not read again')
+    })
+    return this.#refreshing
+  }
+
+  #read (item: KeyValue): void {
+    if (item.key === this.#options.configurationKey) return this.#adopt(item)
+    const wave = this.#options.decodeWave(item)
+    if (wave === undefined) return
+    this.waves.set(item.key, wave)
+    this.#options.log.info({ wave: wave.wave, machines: wave.machineIds.length, deadlineMs: wave.deadlineMs, maxAtOnce: wave.maxAtOnce, revision: item.modRevision }, 'wave requested')
+  }
+
+  #adopt (item: KeyValue): void {
+    const next = this.#options.decodeConfiguration(item)
+    if (next === undefined) {
+      this.#options.log.warn({ revision: item.modRevision }, 'a configuration cannot be read; the one in force stays')
+      return
+    }
+    if (this.#configuration !== undefined && next.version <= this.#configuration.version) return
+    this.#options.log.info({ version: next.version, before: this.#configuration?.version, revision: item.modRevision, queues: next.queues.length, services: next.services.length }, 'configuration in force')
+    this.#configuration = next
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -0,0 +1,195 @@
+/**
+ * Takes duties on this host: the scheduling of services and the upkeep of machines, each by one host at a time.
+ *
+ * There is no assignment: whoever sees a duty vacant tries to take it, later the more duties it has already and the smaller
+ * the host is, so that duties spread over the hosts.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { KeyValueStore } from '@quillscale/ports'
+import { LeaseHolder, PrefixReplica } from '@quillscale/leases'
+import type { EventLog } from './EventLog.js'
+import { DUTY_PREFIX } from './storeKeys.js'
+
+/** What does a duty while it is held. @public */
+export interface DutyTask {
+  /** Works until closed. */
+  run(): Promise<void>
+  /** Stops at once. */
+  close(): void
+  /** Writes what is known, for a planned hand-over. */
+  flush(timeoutMs: number): Promise<void>
+}
+
+/** What a task is given. @public */
+export interface DutyGrant {
+  readonly dutyKey: string
+  readonly fencingToken: number
+  /** Whether the duty is held at this moment; to be asked right before each act. */
+  readonly mayOrder: () => boolean
+  /** To be called when another holder was seen. */
+  readonly onDeposed: () => void
+}
+
+/** What the roster works with. @public */
+export interface DutyRosterOptions {
+  readonly hostName: string
+  /** Share of a core that this host has. */
+  readonly cpuShare: number
+  readonly store: KeyValueStore
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly ttlMs: number
+  /** A number from 0 to 1, fresh at each call. */
+  readonly random: () => number
+}
+
+/** A vacant duty is left to hosts with fewer duties for so long a duty. */
+const WAIT_A_DUTY_MS = 250
+/** And to larger hosts for so long for each core that is missing. */
+const WAIT_A_CORE_MS = 200
+/** So that not all hosts of a kind try at once. */
+const SPREAD_MS = 120
+const WATCH_MS = 3000
+const RELIST_MS = 5000
+/** A host that was deposed lets others try first. */
+const DEPOSED_PAUSE_MS = 1000
+/** For what is not written yet at a planned stop. */
+const FLUSH_MS = 600
+
+interface Duty { readonly holder: LeaseHolder, readonly stop: AbortController, readonly done: Promise<void>, task: DutyTask | undefined }
+
+/** The roster. @public */
+export class DutyRoster {
+  readonly #options: DutyRosterOptions
+  readonly #replica: PrefixReplica
+  readonly #duties = new Map<string, Duty>()
+  readonly #tryFromMs = new Map<string, number>()
+  readonly #stop = new AbortController()
+
+  /** @param options - what it works with */
+  constructor (options: DutyRosterOptions) {
+    this.#options = options
+    const { store, clock, log } = options
+    this.#replica = new PrefixReplica({
+      store,
+      clock,
+      prefix: DUTY_PREFIX,
+      watchMs: WATCH_MS,
+      relistMs: RELIST_MS,
+      onChange: () => this.#lookForVacancies(),
+      onContact: (error) => log.warn({ prefix: DUTY_PREFIX, error }, error === undefined ? 'store answers again' : 'store does not answer')
+    })
+  }
+
+  /** How many duties this host has. */
+  get heldCount (): number {
+    return [...this.#duties.values()].filter(({ task }) => task !== undefined).length
+  }
+
+  /** Follows who holds which duty, until stopped. */
+  run (): Promise<void> {
+    return this.#replica.run(this.#stop.signal)
+  }
+
+  /**
+   * Competes for a duty, once.
+   *
+   * @param dutyKey - which
+   * @param createTask - makes what does it, each time it is taken
+   */
+  compete (dutyKey: string, createTask: (grant: DutyGrant) => DutyTask): void {
+    if (this.#duties.has(dutyKey) || this.#stop.signal.aborted) return
+    const { store, clock, log, ttlMs, hostName } = this.#options
+    const stop = new AbortController()
+    const holder: LeaseHolder = new LeaseHolder({
+      key: dutyKey,
+      value: hostName,
+      ttlMs,
+      store,
+      clock,
+      mayTry: () => this.#mayTry(dutyKey),
+      onTenure: (fencingToken) => this.#changeTenure(dutyKey, fencingToken, createTask),
+      onStoreError: (what, error) => log.warn({ dutyKey, error }, what)
+    })
+    this.#duties.set(dutyKey, { holder, stop, done: holder.run(stop.signal), task: undefined })
+    this.#lookForVacancies()
+  }
+
+  /** Gives up a duty that does not exist any more. @param dutyKey - which */
+  withdraw (dutyKey: string): void {
+    const duty = this.#duties.get(dutyKey)
+    if (duty === undefined) return
+    this.#duties.delete(dutyKey)
+    duty.task?.close()
+    duty.stop.abort()
+  }
+
+  /** @returns the keys competed for */
+  keys (): string[] {
+    return [...this.#duties.keys()]
+  }
+
+  /** Hands all duties over. */
+  async stop (): Promise<void> {
+    this.#stop.abort()
+    await Promise.all([...this.#duties.values()].map(async ({ task, stop, done }) => {
+      await task?.flush(FLUSH_MS)
+      task?.close()
+      stop.abort()
+      await done
+    }))
+  }
+
+  #changeTenure (dutyKey: string, fencingToken: number | undefined, createTask: (grant: DutyGrant) => DutyTask): void {
+    const duty = this.#duties.get(dutyKey)
+    if (duty === undefined) return
+    duty.task?.close()
+    duty.task = undefined
+    this.#options.log.info({ dutyKey, fencingToken }, fencingToken === undefined ? 'duty given up' : 'duty taken')
+    if (fencingToken === undefined) return
+    const { clock, log } = this.#options
+    duty.task = createTask({
+      dutyKey,
+      fencingToken,
+      mayOrder: () => duty.holder.grantAt(clock.monotonicMs())?.fencingToken === fencingToken,
+      onDeposed: () => {
+        this.#tryFromMs.set(dutyKey, clock.monotonicMs() + DEPOSED_PAUSE_MS)
+        void duty.holder.abandon()
+      }
+    })
+    duty.task.run().catch((error: unknown) => {
+      log.warn({ dutyKey, err: error }, 'duty failed and is given up')
+      duty.task?.close()
+      void duty.holder.abandon()
+    })
+  }
+
+  #lookForVacancies (): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const [dutyKey, { holder }] of this.#duties) {
+      if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) {
+        this.#tryFromMs.delete(dutyKey)
+        continue
+      }
+      const waitMs = this.#waitMs()
+      const fromMs = Math.max(this.#tryFromMs.get(dutyKey) ?? 0, nowMs + waitMs)
+      this.#tryFromMs.set(dutyKey, fromMs)
+      setTimeout(() => holder.wake(), fromMs - nowMs + 1).unref()
+    }
+  }
+
+  #waitMs (): number {
+    const { cpuShare, random } = this.#options
+    return WAIT_A_DUTY_MS * this.heldCount + WAIT_A_CORE_MS * Math.max(0, 1 - cpuShare) + SPREAD_MS * random()
+  }
+
+  #mayTry (dutyKey: string): boolean {
+    if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) return false
+    const nowMs = this.#options.clock.monotonicMs()
+    const fromMs = this.#tryFromMs.get(dutyKey)
+    // What this host took meanwhile lets the others go first.
+    return fromMs !== undefined && nowMs >= fromMs + WAIT_A_DUTY_MS * this.heldCount
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/JobDesk.ts
@@ -0,0 +1,166 @@
+/**
+ * What an entry host does for clients: takes jobs in, cancels them, tells their state and how many wait.
+ *
+ * Every answer rests on a linearizable read or an acknowledged write of the store; nothing is kept here.
+ *
+ * @module
+ */
+import { delay, type Clock, type Result } from '@quillscale/utils'
+import type { KeyValueStore, PlatformError } from '@quillscale/ports'
+import { z } from 'zod'
+import type { EventLog } from './EventLog.js'
+import type { JobId, JobSpec } from './JobSpec.js'
+import { decodeProgress } from './jobProgress.js'
+import type { JobStatus } from './JobState.js'
+import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from './storeKeys.js'
+
+/** What the desk works with. @public */
+export interface JobDeskOptions {
+  readonly store: KeyValueStore
+  readonly clock: Clock
+  readonly log: EventLog
+}
+
+/** `refused`: surely not written by this try, now or later. `unknown`: it may be. @public */
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown'
+/** `unavailable`: the store gave no answer in time. @public */
+export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
+/** What became of a cancel. @public */
+export type CancelOutcome = 'accepted' | 'no-such-job' | 'unavailable'
+/** How many jobs wait. @public */
+export type WaitingOutcome = number | 'unavailable'
+
+/** Kept short of the deadline, so that the answer still arrives. */
+const DEADLINE_MARGIN_MS = 150
+/** While the store says that it did nothing, a request is tried for so long: overload passes or it does not. */
+const REFUSED_TRIES_MS = 400
+const RETRY_FIRST_MS = 40
+const RETRY_MAX_MS = 250
+/** A count of waiting jobs that is older is made anew from the records: its scheduler is being replaced. */
+const COUNT_FRESH_MS = 2500
+
+const waitingSchema = z.object({ atMs: z.number(), counts: z.record(z.string(), z.number()) })
+
+/** The desk. @public */
+export class JobDesk {
+  readonly #options: JobDeskOptions
+
+  /** @param options - what it works with */
+  constructor (options: JobDeskOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Takes a job in. The same job again is the same job: the write happens only where there is none.
+   *
+   * @param spec - the job
+   * @param service - whose workers run it
+   * @param deadlineMs - monotonic, when the client stops waiting
+   * @returns what became of it
+   */
+  async submit (spec: JobSpec, service: string, deadlineMs: number): Promise<SubmitOutcome> {
+    const { store, log } = this.#options
+    const key = jobKey(service, spec.jobId)
+    const transaction = { conditions: [{ key, modRevision: 0 }], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }
+    const written = await this.#retry(deadlineMs, () => store.transact(transaction))
+    const outcome: SubmitOutcome = written.result.ok ? 'accepted' : written.mayHaveEffect ? 'unknown' : 'refused'
+    const fields = { jobId: spec.jobId, queue: spec.queue, service, outcome, tries: written.tries }
+    if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
+    else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.length, tasks: spec.steps.reduce((sum, step) => sum + step.taskCount, 0) }, 'job taken in')
+    return outcome
+  }
+
+  /** @param jobId - any @param services - where it may be, the likeliest first @param deadlineMs - monotonic @returns its state */
+  async status (jobId: JobId, services: readonly string[], deadlineMs: number): Promise<StatusOutcome> {
+    const [likeliest, ...others] = services
+    for (const service of likeliest === undefined ? [] : [likeliest, ...others]) {
+      const status = await this.#statusIn(jobId, service, deadlineMs)
+      if (status !== 'no-such-job') return status
+    }
+    this.#options.log.info({ jobId, services }, 'no such job')
+    return 'no-such-job'
+  }
+
+  async #statusIn (jobId: JobId, service: string, deadlineMs: number): Promise<StatusOutcome> {
+    const { store } = this.#options
+    const progress = await this.#retry(deadlineMs, () => store.get(progressKey(service, jobId)))
+    if (progress.result.err) return this.#unavailable(jobId, progress.result.val)
+    if (progress.result.val !== undefined) return decodeProgress(progress.result.val.value).status
+    const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
+    if (job.result.err) return this.#unavailable(jobId, job.result.val)
+    return job.result.val === undefined ? 'no-such-job' : 'queued'
+  }
+
+  #unavailable (jobId: JobId, error: PlatformError): 'unavailable' {
+    this.#options.log.warn({ jobId, error }, 'state not read')
+    return 'unavailable'
+  }
+
+  /** @param jobId - any @param services - where it may be, the likeliest first @param deadlineMs - monotonic @returns what became of it */
+  async cancel (jobId: JobId, services: readonly string[], deadlineMs: number): Promise<CancelOutcome> {
+    const { store, log } = this.#options
+    for (const service of services) {
+      const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
+      if (job.result.err) return this.#unavailable(jobId, job.result.val)
+      if (job.result.val === undefined) continue
+      const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: '1' }], removals: [] }
+      const written = await this.#retry(deadlineMs, () => store.transact(put))
+      if (written.result.err) return this.#unavailable(jobId, written.result.val)
+      log.info({ jobId, service }, 'cancel taken in')
+      return 'accepted'
+    }
+    log.info({ jobId, services }, 'cancel of a job that does not exist')
+    return 'no-such-job'
+  }
+
+  /** @param queue - by name @param service - its service @param deadlineMs - monotonic @returns how many of its jobs have not begun */
+  async waiting (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
+    const { store, clock, log } = this.#options
+    const read = await this.#retry(deadlineMs, () => store.get(waitingKey(service)))
+    if (read.result.err) {
+      log.warn({ queue, error: read.result.val }, 'count of waiting jobs not read')
+      return 'unavailable'
+    }
+    const counts = read.result.val === undefined ? undefined : waitingSchema.parse(JSON.parse(read.result.val.value))
+    if (counts !== undefined && Math.abs(clock.wallMs() - counts.atMs) < COUNT_FRESH_MS) return counts.counts[queue] ?? 0
+    return this.#countWaiting(queue, service, deadlineMs)
+  }
+
+  async #countWaiting (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
+    const { store, log } = this.#options
+    const [inbox, progress] = await Promise.all([
+      this.#retry(deadlineMs, () => store.list(inboxPrefix(service))), this.#retry(deadlineMs, () => store.list(progressPrefix(service)))
+    ])
+    if (inbox.result.err || progress.result.err) {
+      log.warn({ queue, service }, 'waiting jobs not counted')
+      return 'unavailable'
+    }
+    const begun = new Set(progress.result.val.items.map(({ key }) => key.slice(progressPrefix(service).length)))
+    return inbox.result.val.items.filter(({ key, value }) => {
+      const subject = parseInboxKey(key, inboxPrefix(service))
+      if (subject.kind !== 'job' || begun.has(subject.jobId)) return false
+      const spec = JSON.parse(value) as JobSpec
+      return spec.queue === queue && spec.schedule === undefined
+    }).length
+  }
+
+  /** Tries until an answer, the deadline, or a short while of plain refusals. */
+  async #retry<T> (deadlineMs: number, call: () => Promise<Result<T, PlatformError>>): Promise<Tried<T>> {
+    const { clock } = this.#options
+    const beganMs = clock.monotonicMs()
+    const untilMs = deadlineMs - DEADLINE_MARGIN_MS
+    let mayHaveEffect = false
+    let pauseMs = RETRY_FIRST_MS
+    for (let tries = 1; ; tries++) {
+      const result = await call()
+      if (result.ok) return { result, mayHaveEffect, tries }
+      mayHaveEffect ||= result.val.kind === 'unknown-effect'
+      const giveUpMs = mayHaveEffect ? untilMs : Math.min(untilMs, beganMs + REFUSED_TRIES_MS)
+      if (clock.monotonicMs() + pauseMs >= giveUpMs) return { result, mayHaveEffect, tries }
+      await delay(pauseMs)
+      pauseMs = Math.min(RETRY_MAX_MS, pauseMs * 2)
+    }
+  }
+}
+
+interface Tried<T> { readonly result: Result<T, PlatformError>, readonly mayHaveEffect: boolean, readonly tries: number }
--- /dev/null
+++ b/packages/scheduler/src/lib/MachineVacator.ts
@@ -0,0 +1,65 @@
+/**
+ * Empties machines on request, and says so once nothing runs there any more.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { RecordSource } from './CommitLog.js'
+import type { EventLog } from './EventLog.js'
+import type { Run } from './JobState.js'
+import { planVacate } from './planVacate.js'
+import { vacatedKey } from './storeKeys.js'
+import type { WorkerLink } from './WorkerLink.js'
+
+/** What the vacator works with. @public */
+export interface MachineVacatorOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly put: (key: string, source: RecordSource) => void
+  readonly stop: (run: Run) => void
+}
+
+interface Request { readonly value: string, readonly sinceMs: number, isVacated: boolean }
+
+/** Machines of one service that are to be emptied. @public */
+export class MachineVacator {
+  readonly #options: MachineVacatorOptions
+  readonly #requests = new Map<string, Request>()
+
+  /** @param options - what it works with */
+  constructor (options: MachineVacatorOptions) {
+    this.#options = options
+  }
+
+  /** @param machineId - to be emptied @param value - names the request, repeated in the answer */
+  request (machineId: string, value: string): void {
+    if (this.#requests.get(machineId)?.value === value) return
+    this.#requests.set(machineId, { value, sinceMs: this.#options.clock.monotonicMs(), isVacated: false })
+    this.#options.log.info({ machineId, request: value }, 'machine is being emptied')
+  }
+
+  /** @param machineId - may take work again */
+  withdraw (machineId: string): void {
+    if (!this.#requests.delete(machineId)) return
+    this.#options.put(vacatedKey(machineId), () => undefined)
+    this.#options.log.info({ machineId }, 'machine takes work again')
+  }
+
+  /** @param machineId - any @returns whether it takes no work */
+  isVacating (machineId: string): boolean {
+    return this.#requests.has(machineId)
+  }
+
+  /** Stops what is to be stopped now, and reports machines that are empty. @param links - all workers @param nowMs - monotonic */
+  step (links: readonly WorkerLink[], nowMs: number): void {
+    for (const [machineId, request] of this.#requests) {
+      if (request.isVacated) continue
+      const runs = links.filter(({ instance }) => instance.machineId === machineId).flatMap((link) => [...link.runs.values()])
+      for (const run of planVacate(runs, request.sinceMs, nowMs)) this.#options.stop(run)
+      if (runs.length > 0) continue
+      request.isVacated = true
+      this.#options.put(vacatedKey(machineId), () => request.value)
+      this.#options.log.info({ machineId, request: request.value, tookMs: nowMs - request.sinceMs }, 'machine is empty')
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -0,0 +1,190 @@
+/**
+ * One round of placing: gathers what waits and who has room, decides, and makes the runs.
+ *
+ * @module
+ */
+import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
+import type { AdviceBook } from './AdviceBook.js'
+import { hasEnded, openSteps, stepOf, type Job, type Run, type Task } from './JobState.js'
+import type { MachineVacator } from './MachineVacator.js'
+import { cpuDemandOf, occupy, placeTasks, spreadKeyOf, type Placement, type PlacementGroup, type WorkerRoom } from './placeTasks.js'
+import { compareRanks, rankStep, type StepRank } from './rankJobs.js'
+import type { RunTimes } from './RunTimes.js'
+import type { WorkerLink } from './WorkerLink.js'
+
+/** What a round sees. @public */
+export interface PlacementRoundOptions {
+  readonly configuration: FleetConfiguration
+  readonly jobs: Iterable<Job>
+  readonly links: readonly WorkerLink[]
+  readonly times: RunTimes
+  readonly advice: AdviceBook
+  readonly vacating: MachineVacator
+  /** Monotonic. */
+  readonly nowMs: number
+  readonly wallMs: number
+}
+
+/** A lasting task that waited so long for room displaces others: its users are served by nobody meanwhile. */
+const DISPLACE_AFTER_MS = 700
+/** A run whose progress stood still so long is stopped and placed elsewhere. */
+const STALLED_MS = 3000
+
+interface Waiting { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueConfiguration | undefined }
+
+/** The round. @public */
+export class PlacementRound {
+  /** Runs to be stopped, found while placing. */
+  readonly toStop: Run[] = []
+  readonly #options: PlacementRoundOptions
+  readonly #queues: ReadonlyMap<string, QueueConfiguration>
+
+  /** @param options - what it sees */
+  constructor (options: PlacementRoundOptions) {
+    this.#options = options
+    this.#queues = new Map(options.configuration.queues.map((queue) => [queue.name, queue]))
+  }
+
+  /** @returns new runs in phase `recording`, entered at their tasks */
+  place (): Run[] {
+    const rooms = this.#rooms()
+    const groups = this.#waiting().map((waiting) => this.#groupOf(waiting, rooms)).filter((group) => group !== undefined)
+    const placements = placeTasks(groups, rooms)
+    this.#displace(groups, placements)
+    this.#findStalled()
+    return this.#runsOf(placements)
+  }
+
+  #waiting (): Waiting[] {
+    const waiting: Waiting[] = []
+    for (const job of this.#options.jobs) {
+      if (hasEnded(job)) continue
+      const queue = this.#queues.get(job.spec.queue)
+      for (const step of openSteps(job, this.#options.wallMs)) {
+        const tasks = this.#placeable(step)
+        const first = tasks[0]
+        if (first === undefined) continue
+        for (const task of tasks) task.waitingSinceMs ??= this.#options.nowMs
+        waiting.push({ tasks, queue, rank: rankStep(first, queue, this.#options.times, this.#options.wallMs) })
+      }
+    }
+    return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
+  }
+
+  /** Members of a gang are placed only together, so none may still be running. */
+  #placeable (step: readonly Task[]): readonly Task[] {
+    const first = step[0]
+    if (first !== undefined && stepOf(first).isGang && step.some(({ runs }) => runs.length > 0)) return []
+    return step.filter(({ isDone, runs }) => !isDone && runs.length === 0)
+  }
+
+  #groupOf ({ tasks, rank, queue }: Waiting, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
+    const mayReserve = rank.tier === 0
+    if (queue?.advice === undefined) return { tasks, mayReserve }
+    const byRoom = [...rooms].sort((a, b) => b.cpuMillis - a.cpuMillis).map(({ instanceId }) => instanceId)
+    const tickets = this.#options.advice.ticketsFor(tasks[0] as Task, byRoom, this.#options.nowMs)
+    return tickets === undefined ? undefined : { tasks, mayReserve, tickets }
+  }
+
+  #rooms (): WorkerRoom[] {
+    return this.#options.links.filter((link) => this.#isOpen(link)).map(roomOf)
+  }
+
+  #isOpen (link: WorkerLink): boolean {
+    const { nowMs, vacating } = this.#options
+    return link.isListed && link.instance.state === 'ready' && link.clock.isKnown && link.isAnswering(nowMs) &&
+      nowMs >= link.refusingUntilMs && !link.health.isApart(nowMs) && !vacating.isVacating(link.instance.machineId)
+  }
+
+  /** Stops runs that do not last, the least advanced first, until a lasting task fits beside the rest. */
+  #displace (groups: readonly PlacementGroup[], placements: readonly Placement[]): void {
+    const placed = new Set(placements.map(({ task }) => task))
+    for (const { tasks } of groups) {
+      for (const task of tasks) {
+        const step = stepOf(task)
+        const waitedMs = this.#options.nowMs - (task.waitingSinceMs ?? this.#options.nowMs)
+        if (placed.has(task) || !step.isLasting || step.isFiller || waitedMs < DISPLACE_AFTER_MS) continue
+        this.#displaceFor(task)
+        return
+      }
+    }
+  }
+
+  #displaceFor (task: Task): void {
+    const step = stepOf(task)
+    const choices = this.#options.links.filter((link) => this.#isOpen(link)).map((link) => {
+      const room = roomOf(link)
+      const victims: Run[] = []
+      const movable = [...link.runs.values()].filter((run) => run.phase === 'running' && !stepOf(run.task).isLasting).sort((a, b) => a.percent - b.percent)
+      for (const run of movable) {
+        if (room.cpuMillis >= step.cpuMillis && room.memoryMb >= step.memoryMb) break
+        victims.push(run)
+        room.cpuMillis += cpuDemandOf(stepOf(run.task))
+        room.memoryMb += stepOf(run.task).memoryMb
+      }
+      const isEnough = room.cpuMillis >= step.cpuMillis && room.memoryMb >= step.memoryMb
+      const hasPlace = step.maxPerWorker === 0 || (room.runsByStep.get(spreadKeyOf(task)) ?? 0) < step.maxPerWorker
+      return { victims, isEnough: isEnough && hasPlace }
+    })
+    const best = choices.filter(({ isEnough }) => isEnough).sort((a, b) => a.victims.length - b.victims.length)[0]
+    if (best !== undefined) this.toStop.push(...best.victims)
+  }
+
+  #findStalled (): void {
+    const { nowMs, links } = this.#options
+    for (const link of links) {
+      for (const run of link.runs.values()) {
+        if (run.phase !== 'running' || stepOf(run.task).isLasting || nowMs - run.progressMs < STALLED_MS) continue
+        run.task.avoid.add(run.instanceId)
+        this.toStop.push(run)
+      }
+    }
+  }
+
+  #runsOf (placements: readonly Placement[]): Run[] {
+    const gangNumbers = new Map<readonly Task[], number>()
+    return placements.map(({ task, instanceId, ticket }) => {
+      const members = task.job.times.get(task.time)?.[task.stepIndex] ?? [task]
+      const next = stepOf(task).isGang
+        ? gangNumbers.get(members) ?? Math.max(...members.map(({ lastRunNumber }) => lastRunNumber)) + 1
+        : task.lastRunNumber + 1
+      gangNumbers.set(members, next)
+      task.lastRunNumber = next
+      task.waitingSinceMs = undefined
+      const run: Run = {
+        task,
+        taskKey: task.key,
+        runNumber: next,
+        instanceId,
+        ticket,
+        phase: 'recording',
+        startedMs: undefined,
+        stopConfirmedMs: undefined,
+        isUncertain: false,
+        percent: 0,
+        progressMs: this.#options.nowMs,
+        pacePercent: 100,
+        load: 0
+      }
+      task.runs.push(run)
+      return run
+    })
+  }
+}
+
+function roomOf (link: WorkerLink): WorkerRoom {
+  const { instanceId, labels, capacity } = link.instance
+  const room: WorkerRoom = {
+    instanceId,
+    labels,
+    capacity,
+    cpuMillis: capacity.cpuMillis,
+    memoryMb: capacity.memoryMb,
+    gpus: capacity.gpus,
+    servingTasks: 0,
+    fillers: 0,
+    runsByStep: new Map()
+  }
+  for (const run of link.runs.values()) occupy(room, run.task)
+  return room
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/RunBook.ts
@@ -0,0 +1,124 @@
+/**
+ * Keeps a scheduler's jobs, and applies what becomes known of runs to tasks and jobs.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { EndReport, RunEnd } from '@quillscale/ports'
+import type { EventLog } from './EventLog.js'
+import type { JobId } from './JobSpec.js'
+import { allTasks, hasEnded, isWholeJobDone, stepOf, type Job, type JobStatus, type Run, type Task } from './JobState.js'
+import type { RunTimes } from './RunTimes.js'
+import { runKey, type WorkerLink } from './WorkerLink.js'
+
+/** Why a run is over: as its worker reported, or as was concluded without it. @public */
+export type RunOutcome = RunEnd | 'not-started' | 'lost'
+
+/** What the book needs of its scheduler. @public */
+export interface RunBookOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly times: RunTimes
+  /** Failed runs after which a task of this job has failed. */
+  readonly attemptsOf: (job: Job) => number
+  /** Where a run is. */
+  readonly linkOf: (run: Run) => WorkerLink | undefined
+  /** Called for each job whose progress is to be written. */
+  readonly onChanged: (job: Job) => void
+  /** Called for each run that is not needed any more. */
+  readonly onUnneeded: (run: Run) => void
+}
+
+/** The book. @public */
+export class RunBook {
+  readonly jobs = new Map<JobId, Job>()
+  readonly #options: RunBookOptions
+
+  /** @param options - its scheduler's part */
+  constructor (options: RunBookOptions) {
+    this.#options = options
+  }
+
+  /** Takes note that a run is over. @param run - that was placed @param outcome - how @param checkpoint - that it left */
+  close (run: Run, outcome: RunOutcome, checkpoint = ''): void {
+    const { task } = run
+    const at = task.runs.indexOf(run)
+    if (at < 0) return
+    task.runs.splice(at, 1)
+    this.#options.linkOf(run)?.runs.delete(runKey(run))
+    if (checkpoint !== '' && stepOf(task).isCheckpointing) task.checkpoint = checkpoint
+    const { job } = task
+    this.#noteHealth(run, outcome)
+    if (!hasEnded(job)) this.#applyOutcome(run, outcome)
+    this.#logEnd(run, outcome)
+    this.#options.onChanged(job)
+  }
+
+  /** @param link - of the worker @param end - as listed @returns whether it was new */
+  noteEnd (link: WorkerLink, end: EndReport): boolean {
+    if (end.sequence <= link.processedSequence) return false
+    link.processedSequence = end.sequence
+    const run = link.runs.get(runKey(end))
+    if (run === undefined) {
+      this.#options.log.debug({ taskKey: end.taskKey, runNumber: end.runNumber, end: end.end, instanceId: link.instance.instanceId }, 'end of a run that is not ours')
+      return true
+    }
+    this.close(run, end.end, end.checkpoint)
+    return true
+  }
+
+  /** Ends a job: what still runs is stopped. @param job - that has not ended @param status - its end */
+  end (job: Job, status: JobStatus): void {
+    job.status = status
+    job.endedMs = this.#options.clock.wallMs()
+    this.#options.log.info({ jobId: job.spec.jobId, queue: job.spec.queue, status, tookMs: job.endedMs - job.spec.submittedMs }, 'job ended')
+    for (const task of allTasks(job)) for (const run of [...task.runs]) this.#options.onUnneeded(run)
+    this.#options.onChanged(job)
+  }
+
+  #applyOutcome (run: Run, outcome: RunOutcome): void {
+    const { task } = run
+    const { job } = task
+    const step = stepOf(task)
+    if (outcome === 'done' && !step.isLasting) {
+      for (const member of step.isGang ? this.#gangOf(task) : [task]) this.#markDone(member)
+      if (isWholeJobDone(job)) this.end(job, 'succeeded')
+      return
+    }
+    if (outcome === 'failed' && !step.isLasting) {
+      task.failures++
+      const failures = step.isGang ? Math.max(...this.#gangOf(task).map((member) => member.failures)) : task.failures
+      if (failures >= this.#options.attemptsOf(job)) return this.end(job, 'failed')
+    }
+    if (outcome === 'failed' || outcome === 'lost') task.avoid.add(run.instanceId)
+  }
+
+  #gangOf (task: Task): readonly Task[] {
+    return task.job.times.get(task.time)?.[task.stepIndex] ?? [task]
+  }
+
+  #markDone (task: Task): void {
+    task.isDone = true
+    for (const other of [...task.runs]) this.#options.onUnneeded(other)
+  }
+
+  #noteHealth (run: Run, outcome: RunOutcome): void {
+    const link = this.#options.linkOf(run)
+    const nowMs = this.#options.clock.monotonicMs()
+    if (outcome === 'done') {
+      link?.health.succeeded()
+      if (run.startedMs !== undefined) this.#options.times.note(stepOf(run.task), nowMs - run.startedMs)
+    }
+    if (outcome !== 'failed' || link === undefined || stepOf(run.task).isLasting) return
+    const failedElsewhere = allTasks(run.task.job).some((task) => [...task.avoid].some((instanceId) => instanceId !== run.instanceId))
+    if (link.health.failed(run.task.job.spec.jobId, failedElsewhere, nowMs)) {
+      this.#options.log.warn({ instanceId: run.instanceId, taskKey: run.taskKey }, 'worker set apart: runs of several jobs failed there')
+    }
+  }
+
+  #logEnd (run: Run, outcome: RunOutcome): void {
+    if (outcome === 'done' || outcome === 'stopped') return
+    const { taskKey, runNumber, instanceId, task } = run
+    this.#options.log.info({ jobId: task.job.spec.jobId, taskKey, runNumber, instanceId, outcome, failures: task.failures }, 'run ended early')
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/WorkerClock.ts
@@ -0,0 +1,51 @@
+/**
+ * What is known of a worker's steady clock, which may run slow, and of the leases that end by it.
+ *
+ * @module
+ */
+
+/** A worker's clock may run this much slow against ours; from the users' protocol page. @public */
+export const CLOCK_DRIFT_SHARE = 0.02
+
+/** Bounds of one worker's clock. @public */
+export class WorkerClock {
+  #readMs: number | undefined
+  #readAtMs = 0
+  #latestLeaseEndMs = -Infinity
+
+  /** @param clockMs - as the worker answered @param nowMs - monotonic, when the answer was here */
+  note (clockMs: number, nowMs: number): void {
+    if (this.#readMs !== undefined && clockMs < this.#earliestMs(nowMs)) return
+    this.#readMs = clockMs
+    this.#readAtMs = nowMs
+  }
+
+  /** Whether it was ever read. */
+  get isKnown (): boolean {
+    return this.#readMs !== undefined
+  }
+
+  /**
+   * Makes the end of a lease, and remembers it as the latest that the worker may hold.
+   *
+   * @param leaseMs - how long from now, at most
+   * @param nowMs - monotonic
+   * @returns a time on the worker's clock, in whole ms; `undefined` while the clock was never read
+   */
+  extend (leaseMs: number, nowMs: number): number | undefined {
+    if (this.#readMs === undefined) return undefined
+    const endMs = Math.floor(this.#earliestMs(nowMs) + leaseMs)
+    this.#latestLeaseEndMs = Math.max(this.#latestLeaseEndMs, endMs)
+    return endMs
+  }
+
+  /** @param nowMs - monotonic @param slackMs - for what is still being stopped @returns whether all leases that were ever given have ended */
+  haveLeasesEnded (nowMs: number, slackMs: number): boolean {
+    return this.#readMs !== undefined && this.#earliestMs(nowMs) > this.#latestLeaseEndMs + slackMs
+  }
+
+  /** The least that the clock shows now. */
+  #earliestMs (nowMs: number): number {
+    return (this.#readMs ?? 0) + (nowMs - this.#readAtMs) * (1 - CLOCK_DRIFT_SHARE)
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/WorkerHealth.ts
@@ -0,0 +1,53 @@
+/**
+ * Judges a worker by how the runs on it end, so that one that fails or stalls everything gets no more work for a while.
+ *
+ * @module
+ */
+
+/** Different jobs that must fail on it in a row: a single bad job fails on every worker. */
+const FAILED_JOBS_IN_ROW = 2
+/** First time apart; twice as long each further time. The troubles seen at the users' sites last 5 to 8 seconds. */
+const FIRST_APART_MS = 2000
+const MAX_APART_MS = 8000
+
+/** One worker's record. @public */
+export class WorkerHealth {
+  readonly #failedJobs = new Set<string>()
+  #apartUntilMs = -Infinity
+  #nextApartMs = FIRST_APART_MS
+
+  /** A run ended `done` there. */
+  succeeded (): void {
+    this.#failedJobs.clear()
+    this.#nextApartMs = FIRST_APART_MS
+    this.#apartUntilMs = -Infinity
+  }
+
+  /**
+   * A run failed there.
+   *
+   * @param jobId - whose
+   * @param failedElsewhere - the job has failed on other workers too, so that it says little about this one
+   * @param nowMs - monotonic
+   * @returns whether the worker is set apart by it
+   */
+  failed (jobId: string, failedElsewhere: boolean, nowMs: number): boolean {
+    if (failedElsewhere) return false
+    this.#failedJobs.add(jobId)
+    if (this.#failedJobs.size < FAILED_JOBS_IN_ROW) return false
+    this.setApart(nowMs)
+    return true
+  }
+
+  /** @param nowMs - monotonic; no work for a while from now on */
+  setApart (nowMs: number): void {
+    this.#failedJobs.clear()
+    this.#apartUntilMs = nowMs + this.#nextApartMs
+    this.#nextApartMs = Math.min(MAX_APART_MS, this.#nextApartMs * 2)
+  }
+
+  /** @param nowMs - monotonic @returns whether it gets no work */
+  isApart (nowMs: number): boolean {
+    return nowMs < this.#apartUntilMs
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -0,0 +1,221 @@
+/**
+ * One task a worker: holds what runs there, learns of ends, and sends orders until their outcome is known.
+ *
+ * @module
+ */
+import { delay, type Clock } from '@quillscale/utils'
+import type { HoldReport, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
+import type { Run } from './JobState.js'
+import { WorkerClock } from './WorkerClock.js'
+import { WorkerHealth } from './WorkerHealth.js'
+
+/** What a link needs of its scheduler. @public */
+export interface WorkerLinkOptions {
+  readonly orders: RunOrders
+  readonly clock: Clock
+  readonly fencingToken: number
+  /** How long a lease lasts from each hold or start. */
+  readonly leaseMs: number
+  /** Whether the duty is held at this moment; checked right before each start and extension. */
+  readonly mayOrder: () => boolean
+  /** Called with each answer. @param askedMs - monotonic, when the question was sent */
+  readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
+  /** Called when a start is known to have happened, or never to happen. */
+  readonly onStarted: (run: Run) => void
+  readonly onNotStarted: (run: Run, error: RunOrderError) => void
+  /** Resolves once the ends reported so far are durable; false if this scheduler was deposed. */
+  readonly ensureDurable: () => Promise<boolean>
+  /** Called when that lifetime of the worker is over. */
+  readonly onInstanceOver: (link: WorkerLink) => void
+  /** Called when a newer holder was there. */
+  readonly onFencedOff: (link: WorkerLink) => void
+  /** Called when the worker stops answering, with `undefined` when it answers again. */
+  readonly onContact: (link: WorkerLink, error: RunOrderError | undefined) => void
+  /** How long a hold may wait for an end. */
+  readonly holdWaitMs: () => number
+}
+
+/** Without an answer for so long, a worker gets no new work: two holds and a retry. */
+const SILENT_AFTER_MS = 2500
+/** While ends wait for the store, leases are extended this often. */
+const EXTEND_WHILE_WAITING_MS = 500
+const RETRY_FIRST_MS = 100
+const RETRY_MAX_MS = 500
+/** A start whose outcome is not known is asked again for so long, then stopped for good. */
+const START_RETRY_MS = 1500
+
+/** A worker as one scheduler deals with it. @public */
+export class WorkerLink {
+  readonly clock = new WorkerClock()
+  readonly health = new WorkerHealth()
+  /** Runs placed there that are not known to be over. */
+  readonly runs = new Map<string, Run>()
+  /** As last registered. */
+  instance: WorkerInstance
+  /** Whether the platform still lists it. */
+  isListed = true
+  /** Monotonic; no work is placed until then, since it refused some. */
+  refusingUntilMs = -Infinity
+  processedSequence = 0
+  readonly #options: WorkerLinkOptions
+  readonly #stop = new AbortController()
+  #acknowledgedSequence = 0
+  #answeredMs = -Infinity
+  #isInContact = true
+
+  /** @param instance - the worker @param options - its scheduler's part */
+  constructor (instance: WorkerInstance, options: WorkerLinkOptions) {
+    this.instance = instance
+    this.#options = options
+  }
+
+  /** @param nowMs - monotonic @returns whether it has answered lately */
+  isAnswering (nowMs: number): boolean {
+    return nowMs - this.#answeredMs < SILENT_AFTER_MS
+  }
+
+  /** Whether it has ever answered this scheduler: from then on it obeys no older one. */
+  get hasAnswered (): boolean {
+    return this.#answeredMs > -Infinity
+  }
+
+  /** Ends all that this link does. */
+  close (): void {
+    this.#stop.abort()
+    this.#options.orders.forget(this.instance)
+  }
+
+  /** Holds the worker until closed. */
+  async run (): Promise<void> {
+    let failures = 0
+    while (!this.#stop.signal.aborted) {
+      const isAnswered = await this.#hold(failures === 0 && this.hasAnswered ? this.#options.holdWaitMs() : 0)
+      failures = isAnswered ? 0 : failures + 1
+      if (failures > 0) await delay(Math.min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** (failures - 1)), this.#stop.signal)
+    }
+  }
+
+  async #hold (waitMs: number): Promise<boolean> {
+    const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
+    const askedMs = clock.monotonicMs()
+    const held = await orders.hold(this.instance, {
+      fencingToken,
+      acknowledgedSequence: this.#acknowledgedSequence,
+      leaseEndsAtMs: mayOrder() ? this.clock.extend(leaseMs, askedMs) : undefined,
+      waitMs
+    })
+    if (this.#stop.signal.aborted) return true
+    if (held.err) {
+      this.#noteError(held.val)
+      return false
+    }
+    this.#noteAnswer(held.val.clockMs)
+    this.#options.onReport(this, held.val, askedMs)
+    const last = held.val.ended.at(-1)?.sequence ?? 0
+    if (last > this.#acknowledgedSequence) await this.#acknowledge(last)
+    return true
+  }
+
+  /** Ends are acknowledged once they are durable; meanwhile leases are extended. */
+  async #acknowledge (sequence: number): Promise<void> {
+    const durable = this.#options.ensureDurable()
+    for (;;) {
+      const isDurable = await Promise.race([durable, delay(EXTEND_WHILE_WAITING_MS).then(() => undefined)])
+      if (isDurable === true) this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence)
+      if (isDurable !== undefined || this.#stop.signal.aborted) return
+      const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
+      if (!mayOrder()) continue
+      const leaseEndsAtMs = this.clock.extend(leaseMs, clock.monotonicMs())
+      const held = await orders.hold(this.instance, { fencingToken, acknowledgedSequence: this.#acknowledgedSequence, leaseEndsAtMs, waitMs: 0 })
+      if (held.ok) this.#noteAnswer(held.val.clockMs)
+    }
+  }
+
+  /** Orders a run whose placement is durable, until the outcome is known. @param run - in phase `starting` */
+  async start (run: Run, command: string, checkpoint: string | undefined): Promise<void> {
+    const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
+    const beganMs = clock.monotonicMs()
+    while (run.phase === 'starting' && !this.#stop.signal.aborted) {
+      const nowMs = clock.monotonicMs()
+      const leaseEndsAtMs = mayOrder() ? this.clock.extend(leaseMs, nowMs) : undefined
+      if (leaseEndsAtMs === undefined) {
+        if (nowMs - beganMs > START_RETRY_MS) return this.#giveUpStart(run)
+        await delay(RETRY_FIRST_MS, this.#stop.signal)
+        continue
+      }
+      const started = await orders.start(this.instance, {
+        taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
+      })
+      if (started.ok) {
+        this.#noteAnswer(started.val)
+        this.#options.onStarted(run)
+        return
+      }
+      if (started.val.kind !== 'unknown-effect') return this.#notStarted(run, started.val)
+      run.isUncertain = true
+      if (clock.monotonicMs() - beganMs > START_RETRY_MS) return this.#giveUpStart(run)
+      await delay(RETRY_FIRST_MS, this.#stop.signal)
+    }
+  }
+
+  /** Sends a stop until the worker has answered. @param run - that is not to run any more */
+  async stop (run: Run): Promise<void> {
+    const { orders, clock, fencingToken } = this.#options
+    run.phase = 'stopping'
+    for (let pauseMs = RETRY_FIRST_MS; this.runs.has(runKey(run)) && !this.#stop.signal.aborted; pauseMs = Math.min(RETRY_MAX_MS, pauseMs * 2)) {
+      const stopped = await orders.stop(this.instance, run, fencingToken)
+      const isRefused = stopped.err && (stopped.val.kind === 'run-closed' || stopped.val.kind === 'malformed')
+      if (stopped.ok || isRefused) {
+        run.stopConfirmedMs = clock.monotonicMs()
+        this.#lookAgain()
+        return
+      }
+      this.#noteError(stopped.val)
+      await delay(pauseMs, this.#stop.signal)
+    }
+  }
+
+  /** Sets the share at which a run may work. @param run - that fills @param percent - 0 to 100 @returns whether the worker took it */
+  async pace (run: Run, percent: number): Promise<boolean> {
+    const paced = await this.#options.orders.pace(this.instance, run, percent, this.#options.fencingToken)
+    if (paced.err) this.#noteError(paced.val)
+    return paced.ok
+  }
+
+  #giveUpStart (run: Run): void {
+    this.#options.onNotStarted(run, { kind: 'unknown-effect', detail: 'no answer to the start' })
+  }
+
+  #notStarted (run: Run, error: RunOrderError): void {
+    this.#noteError(error)
+    this.#options.onNotStarted(run, error)
+  }
+
+  /** A waiting hold says nothing of what changed since: one that is sent now does. */
+  #lookAgain (): void {
+    void this.#hold(0)
+  }
+
+  #noteAnswer (clockMs: number): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    this.#answeredMs = nowMs
+    this.clock.note(clockMs, nowMs)
+    if (!this.#isInContact) this.#options.onContact(this, undefined)
+    this.#isInContact = true
+  }
+
+  #noteError (error: RunOrderError): void {
+    if (error.kind === 'fenced-off') return this.#options.onFencedOff(this)
+    if (error.kind === 'other-instance') return this.#options.onInstanceOver(this)
+    if (error.kind !== 'unknown-effect' && error.kind !== 'unhealthy') return
+    if (this.#isInContact && !this.isAnswering(this.#options.clock.monotonicMs())) {
+      this.#isInContact = false
+      this.#options.onContact(this, error)
+    }
+  }
+}
+
+/** @param run - any @returns its name within a worker @public */
+export function runKey (run: { readonly taskKey: string, readonly runNumber: number }): string {
+  return `${run.taskKey}#${run.runNumber}`
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/jobProgress.ts
@@ -0,0 +1,89 @@
+/**
+ * Progress of a job as it is kept: what a next holder needs to go on, and what clients are told.
+ *
+ * @module
+ */
+import { z } from 'zod'
+import { allTasks, findTask, type Job, type Run } from './JobState.js'
+
+const taskProgressSchema = z.object({
+  key: z.string(),
+  isDone: z.boolean().optional(),
+  lastRunNumber: z.number(),
+  failures: z.number().optional(),
+  checkpoint: z.string().optional(),
+  runs: z.array(z.object({ runNumber: z.number(), instanceId: z.string() })).optional()
+})
+
+const progressSchema = z.object({
+  status: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
+  endedMs: z.number().optional(),
+  tasks: z.array(taskProgressSchema)
+})
+
+/** Progress of a job. @public */
+export type JobProgress = z.infer<typeof progressSchema>
+
+/** @param job - any @returns its progress as text; an ended job's tasks are left out @public */
+export function encodeProgress (job: Job): string {
+  const touched = allTasks(job).filter(({ lastRunNumber }) => lastRunNumber > 0)
+  const isEnded = job.endedMs !== undefined
+  const progress: JobProgress = {
+    status: job.status,
+    endedMs: job.endedMs,
+    tasks: touched.filter(({ runs }) => !isEnded || runs.length > 0).map((task) => ({
+      key: task.key,
+      isDone: task.isDone || undefined,
+      lastRunNumber: task.lastRunNumber,
+      failures: task.failures === 0 ? undefined : task.failures,
+      checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
+      runs: task.runs.length === 0 ? undefined : task.runs.map(({ runNumber, instanceId }) => ({ runNumber, instanceId }))
+    }))
+  }
+  return JSON.stringify(progress)
+}
+
+/** @param text - as kept @returns the progress @public */
+export const decodeProgress = (text: string): JobProgress => progressSchema.parse(JSON.parse(text))
+
+/**
+ * Takes over what an earlier holder recorded.
+ *
+ * @param job - as accepted
+ * @param progress - as kept
+ * @param nowMs - the present monotonic time
+ * @returns its runs that may be going on
+ * @public
+ */
+export function restoreProgress (job: Job, progress: JobProgress, nowMs: number): Run[] {
+  job.status = progress.status
+  job.endedMs = progress.endedMs
+  const restored: Run[] = []
+  for (const kept of progress.tasks) {
+    const task = findTask(job, kept.key)
+    if (task === undefined) continue
+    task.isDone = kept.isDone ?? false
+    task.lastRunNumber = kept.lastRunNumber
+    task.failures = kept.failures ?? 0
+    task.checkpoint = kept.checkpoint ?? ''
+    for (const { runNumber, instanceId } of kept.runs ?? []) {
+      const run: Run = {
+        task,
+        taskKey: kept.key,
+        runNumber,
+        instanceId,
+        phase: 'unconfirmed',
+        startedMs: undefined,
+        stopConfirmedMs: undefined,
+        isUncertain: true,
+        percent: 0,
+        progressMs: nowMs,
+        pacePercent: 100,
+        load: 0
+      }
+      task.runs.push(run)
+      restored.push(run)
+    }
+  }
+  return restored
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/placeTasks.ts
@@ -0,0 +1,153 @@
+/**
+ * Decides which waiting tasks start on which workers.
+ *
+ * @module
+ */
+import type { WorkerCapacity } from '@quillscale/ports'
+import type { StepSpec } from './JobSpec.js'
+import { stepOf, type Task } from './JobState.js'
+
+/** A worker as the decision sees it; the room is used up as tasks are placed. @public */
+export interface WorkerRoom {
+  readonly instanceId: string
+  readonly labels: readonly string[]
+  readonly capacity: WorkerCapacity
+  /** What is left of the capacity. */
+  cpuMillis: number
+  memoryMb: number
+  gpus: number
+  /** Lasting tasks there that must answer in time. */
+  servingTasks: number
+  fillers: number
+  /** Runs of each step there, by {@link spreadKeyOf}. */
+  readonly runsByStep: Map<string, number>
+}
+
+/** A placement. @public */
+export interface Placement {
+  readonly task: Task
+  readonly instanceId: string
+  readonly ticket?: string | undefined
+}
+
+/** Tasks of one step whose turn has come, in the order of their importance. @public */
+export interface PlacementGroup {
+  readonly tasks: readonly Task[]
+  /** With advice: the workers that may run it, with the ticket for each; without, every worker may. */
+  readonly tickets?: ReadonlyMap<string, string> | undefined
+  /** Whether room is kept for it on a worker when it does not fit anywhere. */
+  readonly mayReserve: boolean
+}
+
+/** @param task - any @returns the name under which its step's spread over workers is counted @public */
+export const spreadKeyOf = (task: Task): string => `${task.job.spec.jobId}.${task.time}.${task.stepIndex}`
+
+/** @param step - any @returns the processor time that it takes of a worker's room @public */
+export const cpuDemandOf = (step: StepSpec): number => step.isFiller ? 0 : step.cpuMillis
+
+/**
+ * Places tasks, the most important first, each on the worker with the most room that suits it.
+ *
+ * @param groups - steps with waiting tasks, the most important first
+ * @param rooms - the workers that take work; their room is used up
+ * @returns what to start where; tasks without a suitable worker are left out
+ * @public
+ */
+export function placeTasks (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[]): Placement[] {
+  const placements: Placement[] = []
+  for (const group of groups) {
+    const first = group.tasks[0]
+    if (first === undefined) continue
+    placements.push(...(stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, rooms)))
+  }
+  return placements
+}
+
+function placeEach (group: PlacementGroup, rooms: readonly WorkerRoom[]): Placement[] {
+  const placements: Placement[] = []
+  for (const task of group.tasks) {
+    const room = bestRoom(task, group, rooms)
+    if (room !== undefined) {
+      take(room, task, 1)
+      placements.push({ task, instanceId: room.instanceId, ticket: group.tickets?.get(room.instanceId) })
+    } else if (group.mayReserve) reserve(task, group, rooms)
+  }
+  return placements
+}
+
+/** All members at once or none: a member that waits for the others holds room for nothing. */
+function placeGang (group: PlacementGroup, rooms: readonly WorkerRoom[]): Placement[] {
+  const racks = new Set(rooms.map(({ labels }) => labels.at(-1)))
+  const first = group.tasks[0] as Task
+  const attempts = stepOf(first).wantsOneRack ? [...[...racks].map((rack) => rooms.filter(({ labels }) => labels.at(-1) === rack)), rooms] : [rooms]
+  for (const candidates of attempts) {
+    const placements = placeEach({ ...group, mayReserve: false }, candidates)
+    if (placements.length === group.tasks.length) return placements
+    for (const { task, instanceId } of placements) take(roomOf(instanceId, candidates), task, -1)
+  }
+  return []
+}
+
+function roomOf (instanceId: string, rooms: readonly WorkerRoom[]): WorkerRoom {
+  return rooms.find((room) => room.instanceId === instanceId) as WorkerRoom
+}
+
+function suits (task: Task, step: StepSpec, group: PlacementGroup, room: WorkerRoom): boolean {
+  if (step.requiredLabel !== '' && !room.labels.includes(step.requiredLabel)) return false
+  if (group.tickets !== undefined && !group.tickets.has(room.instanceId)) return false
+  return step.maxPerWorker === 0 || (room.runsByStep.get(spreadKeyOf(task)) ?? 0) < step.maxPerWorker
+}
+
+function fits (step: StepSpec, room: WorkerRoom): boolean {
+  return room.cpuMillis >= cpuDemandOf(step) && room.memoryMb >= step.memoryMb && room.gpus >= step.gpus
+}
+
+/** Higher is better. Near its data first, then not where it failed before, then away from what it would disturb, then the emptiest. */
+function preference (task: Task, step: StepSpec, room: WorkerRoom): number {
+  const isNear = step.preferredRack === '' || room.labels.includes(step.preferredRack)
+  const isAvoided = task.avoid.has(room.instanceId)
+  const disturbed = step.isFiller ? room.servingTasks + room.fillers : step.targetTailMs > 0 ? room.fillers : 0
+  const free = room.cpuMillis / Math.max(1, room.capacity.cpuMillis) + room.memoryMb / Math.max(1, room.capacity.memoryMb)
+  return (isNear ? NEAR_WEIGHT : 0) - (isAvoided ? AVOIDED_WEIGHT : 0) - disturbed * DISTURBED_WEIGHT + free
+}
+
+/** Weights order the wishes: each is larger than all that stand below it together (free room adds at most 2). */
+const NEAR_WEIGHT = 1000
+const AVOIDED_WEIGHT = 10_000
+const DISTURBED_WEIGHT = 5
+
+function bestRoom (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): WorkerRoom | undefined {
+  const step = stepOf(task)
+  let best: WorkerRoom | undefined
+  let bestPreference = -Infinity
+  for (const room of rooms) {
+    if (!fits(step, room) || !suits(task, step, group, room)) continue
+    const value = preference(task, step, room)
+    if (value > bestPreference) [best, bestPreference] = [room, value]
+  }
+  return best
+}
+
+/** Keeps the room of the suitable worker that has most of it, so that less important tasks do not take it piece by piece. */
+function reserve (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): void {
+  const step = stepOf(task)
+  const suitable = rooms.filter((room) => suits(task, step, group, room) && room.capacity.cpuMillis >= step.cpuMillis)
+  const fullest = suitable.reduce<WorkerRoom | undefined>((best, room) => best === undefined || room.cpuMillis > best.cpuMillis ? room : best, undefined)
+  if (fullest !== undefined) take(fullest, task, 1)
+}
+
+function take (room: WorkerRoom, task: Task, sign: 1 | -1): void {
+  const step = stepOf(task)
+  room.cpuMillis -= sign * cpuDemandOf(step)
+  room.memoryMb -= sign * step.memoryMb
+  room.gpus -= sign * step.gpus
+  if (step.isFiller) room.fillers += sign
+  else if (step.targetTailMs > 0) room.servingTasks += sign
+  const key = spreadKeyOf(task)
+  room.runsByStep.set(key, (room.runsByStep.get(key) ?? 0) + sign)
+}
+
+/** Counts a run that is there already. @param room - its worker's @param task - whose run @public */
+export function occupy (room: WorkerRoom, task: Task): void {
+  take(room, task, 1)
+}
--- /dev/null
+++ b/packages/scheduler/src/lib/storeKeys.ts
@@ -0,0 +1,45 @@
+/**
+ * The keys under which the scheduler keeps things. A prefix a service: each holder follows only its own.
+ *
+ * @module
+ */
+import type { JobId } from './JobSpec.js'
+
+/** What entry hosts hand to a service's scheduler: accepted jobs, cancels, requests to empty a machine. @public */
+export const inboxPrefix = (service: string): string => `inbox/${service}/`
+/** An accepted job; written once by the accepting host. @public */
+export const jobKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}`
+/** That a job is to be cancelled. @public */
+export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
+/** That a machine is to be emptied; written by the holder of machine upkeep. @public */
+export const vacateKey = (service: string, machineId: string): string => `inbox/${service}/vacate/${machineId}`
+/** Progress of the service's jobs; written by the scheduler alone. @public */
+export const progressPrefix = (service: string): string => `progress/${service}/`
+/** Progress of a job. @public */
+export const progressKey = (service: string, jobId: JobId): string => `progress/${service}/${jobId}`
+/** The number of the scheduler's last transaction. @public */
+export const chainKey = (service: string): string => `chain/${service}`
+/** How many jobs of each queue wait; written by the scheduler. @public */
+export const waitingKey = (service: string): string => `waiting/${service}`
+/** Which machines are empty and take no work; written by the schedulers. @public */
+export const VACATED_PREFIX = 'vacated/'
+/** That a machine is empty. @public */
+export const vacatedKey = (machineId: string): string => `${VACATED_PREFIX}${machineId}`
+/** Who holds which duty. @public */
+export const DUTY_PREFIX = 'duty/'
+/** The duty of scheduling a service. @public */
+export const serviceDutyKey = (service: string): string => `duty/service/${service}`
+/** The duty of ordering upkeep and moves of machines. @public */
+export const UPKEEP_DUTY_KEY = 'duty/upkeep'
+
+/** What a key of an inbox is about. @public */
+export type InboxSubject =
+  | { readonly kind: 'job' | 'cancel', readonly jobId: JobId }
+  | { readonly kind: 'vacate', readonly machineId: string }
+
+/** @param key - of the inbox @param prefix - of the inbox @returns what it is about @public */
+export function parseInboxKey (key: string, prefix: string): InboxSubject {
+  const [first = '', second] = key.slice(prefix.length).split('/')
+  if (first === 'vacate') return { kind: 'vacate', machineId: second ?? '' }
+  return { kind: second === 'cancel' ? 'cancel' : 'job', jobId: first as JobId }
+}
--- a/packages/standins/src/lib/StandInPlatform.ts
+++ b/packages/standins/src/lib/StandInPlatform.ts
@@ -146,17 +146,13 @@
   }
 
   async #txn ({ compare, success }: Txn): Promise<unknown> {
-    const [condition, write] = [compare[0], success[0]]
-    if (condition === undefined || write === undefined) return undefined
-    const outcome = valueOf(await this.store.compareAndSwap({
-      key: decode(condition.key),
-      expectedModRevision: condition.mod_revision,
-      value: write.request_put === undefined ? undefined : decode(write.request_put.value),
-      leaseId: write.request_put?.lease
+    const outcome = valueOf(await this.store.transact({
+      conditions: compare.map(({ key, mod_revision: modRevision }) => ({ key: decode(key), modRevision })),
+      puts: success.flatMap(({ request_put: put }) => put === undefined ? [] : [{ key: decode(put.key), value: decode(put.value), leaseId: put.lease }]),
+      removals: success.flatMap(({ request_delete_range: removal }) => removal === undefined ? [] : [decode(removal.key)])
     }))
-    if (outcome.swapped) return { header: { revision: outcome.modRevision }, succeeded: true }
-    const kvs = outcome.current === undefined ? [] : [toWire(outcome.current)]
-    return { header: { revision: 0 }, succeeded: false, responses: [{ response_range: { kvs } }] }
+    if (outcome.committed) return { header: { revision: outcome.modRevision }, succeeded: true }
+    return { header: { revision: 0 }, succeeded: false, responses: outcome.current.map((item) => ({ response_range: { kvs: [toWire(item)] } })) }
   }
 
   async #watch (create: Keyed & { start_revision: number, timeout_ms: number }): Promise<unknown> {
