--- a/packages/scheduler/src/lib/CommitLog.ts
+++ b/packages/scheduler/src/lib/CommitLog.ts
@@ -30,6 +30,8 @@
 
 /** Two conditions and the chain's own put. */
 const BOOKKEEPING_ENTRIES = 3
+/** What nobody waits for is written this much later, together with what comes meanwhile. */
+const PATIENT_MS = 50
 /** Between transactions: four schedulers at this pace stay within two thirds of 400 writes a second, the smallest store served. */
 const MIN_SPACING_MS = 15
 const RETRY_FIRST_MS = 60
@@ -48,6 +50,7 @@
   #chainRevision: number
   #number = 0
   #isClosed = false
+  #isUrgent = false
   #wake: () => void = () => {}
 
   /** @param options - where and under which duty */
@@ -56,10 +59,11 @@
     this.#chainRevision = options.chainRevision
   }
 
-  /** @param key - to be written soon @param source - gives its value then */
-  put (key: string, source: RecordSource): void {
+  /** @param key - to be written soon @param source - gives its value then @param isUrgent - whether something waits for it */
+  put (key: string, source: RecordSource, isUrgent = false): void {
     const sequence = this.#dirty.get(key)?.sequence ?? ++this.#sequence
     this.#dirty.set(key, { sequence, source })
+    if (isUrgent) this.#isUrgent = true
     this.#wake()
   }
 
@@ -84,6 +88,8 @@
         await new Promise<void>((resolve) => { this.#wake = resolve })
         continue
       }
+      if (!this.#isUrgent) await this.#bePatient()
+      if (this.#dirty.size <= MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES) this.#isUrgent = false
       const startedMs = this.#options.clock.monotonicMs()
       await this.#commitBatch()
       const tookMs = this.#options.clock.monotonicMs() - startedMs
@@ -91,6 +97,18 @@
     }
   }
 
+  /** Waits a while, or until something urgent is put. */
+  #bePatient (): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, PATIENT_MS)
+      this.#wake = () => {
+        if (!this.#isUrgent && !this.#isClosed) return
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
+
   async #commitBatch (): Promise<void> {
     const batch = [...this.#dirty].slice(0, MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES)
     for (const [key] of batch) this.#dirty.delete(key)
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -67,6 +67,7 @@
   readonly #duties = new Map<string, Duty>()
   readonly #tryFromMs = new Map<string, number>()
   readonly #stop = new AbortController()
+  #triedMs = -Infinity
 
   /** @param options - what it works with */
   constructor (options: DutyRosterOptions) {
@@ -189,7 +190,10 @@
     if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) return false
     const nowMs = this.#options.clock.monotonicMs()
     const fromMs = this.#tryFromMs.get(dutyKey)
-    // What this host took meanwhile lets the others go first.
-    return fromMs !== undefined && nowMs >= fromMs + WAIT_A_DUTY_MS * this.heldCount
+    // What this host took meanwhile, or is about to take, lets the others go first.
+    const isEarly = fromMs === undefined || nowMs < fromMs + WAIT_A_DUTY_MS * this.heldCount || nowMs < this.#triedMs + WAIT_A_DUTY_MS
+    if (isEarly) return false
+    this.#triedMs = nowMs
+    return true
   }
 }
--- a/packages/scheduler/src/lib/MachineUpkeep.ts
+++ b/packages/scheduler/src/lib/MachineUpkeep.ts
@@ -155,7 +155,7 @@
   }
 
   #put ({ key, value }: { readonly key: string, readonly value: string }): void {
-    this.#commits.put(key, () => value)
+    this.#commits.put(key, () => value, true)
   }
 
   async #list (): Promise<void> {
@@ -207,7 +207,7 @@
   /** The machine is back, or was found gone: it takes work again. */
   #release (wave: Wave, work: MachineWork): void {
     work.isReleased = true
-    if (work.pool !== undefined) this.#commits.put(vacateKey(work.pool, work.machineId), () => undefined)
+    if (work.pool !== undefined) this.#commits.put(vacateKey(work.pool, work.machineId), () => undefined, true)
     this.#options.log.info({ wave: wave.request.wave, machineId: work.machineId }, 'machine is back from upkeep')
   }
 
--- a/packages/scheduler/src/lib/MachineVacator.ts
+++ b/packages/scheduler/src/lib/MachineVacator.ts
@@ -15,7 +15,7 @@
 export interface MachineVacatorOptions {
   readonly clock: Clock
   readonly log: EventLog
-  readonly put: (key: string, source: RecordSource) => void
+  readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
   readonly stop: (run: Run) => void
 }
 
@@ -41,7 +41,7 @@
   /** @param machineId - may take work again */
   withdraw (machineId: string): void {
     if (!this.#requests.delete(machineId)) return
-    this.#options.put(vacatedKey(machineId), () => undefined)
+    this.#options.put(vacatedKey(machineId), () => undefined, true)
     this.#options.log.info({ machineId }, 'machine takes work again')
   }
 
@@ -58,7 +58,7 @@
       for (const run of planVacate(runs, request.sinceMs, nowMs)) this.#options.stop(run)
       if (runs.length > 0) continue
       request.isVacated = true
-      this.#options.put(vacatedKey(machineId), () => request.value)
+      this.#options.put(vacatedKey(machineId), () => request.value, true)
       this.#options.log.info({ machineId, request: request.value, tookMs: nowMs - request.sinceMs }, 'machine is empty')
     }
   }
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { setMaxListeners } from 'node:events'
 import { delay, type Clock } from '@quillscale/utils'
 import type { FleetConfiguration, HoldReport, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, RunOrderError, WorkerInstance } from '@quillscale/ports'
 import { PrefixReplica, type PrefixChange } from '@quillscale/leases'
@@ -61,7 +62,7 @@
 /** Share of the longest lease that is used: enough to outlast a take-over or a short cut, less wait for lost workers. */
 const LEASE_SHARE = 0.8
 /** The least time between two placement rounds: tasks that end together are replaced together. */
-const ROUND_SPACING_MS = 10
+const ROUND_SPACING_MS = 20
 /** Also without an event: retries, expiring waits, due times. */
 const TICK_MS = 200
 /** A hold waits so long for an end; shorter where something is to be watched closely. */
@@ -92,6 +93,11 @@
   readonly #workers: PrefixReplica
   readonly #inbox: PrefixReplica
   readonly #stop = new AbortController()
+  /** Progress as recorded by earlier holders, until its job is seen in the inbox. */
+  readonly #recorded = new Map<JobId, KeyValue>()
+  readonly #inboxListed: Promise<void>
+  #noteInboxListed: () => void = () => {}
+  #wakeRound: () => void = () => {}
   #commits!: CommitLog
   #tookOverMs = 0
   #isRoundDue = false
@@ -102,6 +108,9 @@
   constructor (options: ServiceSchedulerOptions) {
     this.#options = options
     this.#log = options.log
+    // Many waits end with the scheduler.
+    setMaxListeners(0, this.#stop.signal)
+    this.#inboxListed = new Promise((resolve) => { this.#noteInboxListed = resolve })
     const { clock, store, service, configuration } = options
     this.#book = new RunBook({
       clock,
@@ -113,7 +122,7 @@
       onUnneeded: (run) => this.#discard(run)
     })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
-    this.#vacator = new MachineVacator({ clock, log: options.log, put: (key, source) => this.#commits.put(key, source), stop: (run) => this.#discard(run) })
+    this.#vacator = new MachineVacator({ clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => this.#discard(run) })
     const replica = (prefix: string, onChange: (change: PrefixChange) => void): PrefixReplica =>
       new PrefixReplica({ store, prefix, clock, watchMs: WATCH_MS, relistMs: RELIST_MS, onChange, onContact: (error) => options.log.warn({ prefix, service, error }, error === undefined ? 'store answers again' : 'store does not answer') })
     this.#workers = replica(options.workersPrefix, () => this.#followWorkers())
@@ -126,15 +135,21 @@
     this.#tookOverMs = clock.monotonicMs()
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#book.jobs.size, tookMs: clock.monotonicMs() - this.#tookOverMs }, 'scheduling begins')
-    await Promise.all([
-      this.#commits.run(), this.#workers.run(this.#stop.signal), this.#inbox.run(this.#stop.signal), this.#rounds()
-    ])
+    await Promise.all([this.#commits.run(), this.#inbox.run(this.#stop.signal), this.#meetWorkers(), this.#rounds()])
+  }
+
+  /** Workers are met only once all jobs are known: the end of a run whose job is not would be acknowledged, and lost. */
+  async #meetWorkers (): Promise<void> {
+    await this.#inboxListed
+    await this.#workers.run(this.#stop.signal)
   }
 
   /** Stops at once; what runs goes on under its lease, for the next holder. */
   close (): void {
     if (this.#stop.signal.aborted) return
     this.#stop.abort()
+    this.#wakeRound()
+    this.#noteInboxListed()
     this.#commits?.close()
     this.#advice.close()
     for (const link of this.#links.values()) link.close()
@@ -174,9 +189,6 @@
     }
   }
 
-  /** Progress as recorded by earlier holders, until its job is seen in the inbox. */
-  readonly #recorded = new Map<JobId, KeyValue>()
-
   #deposed (reason: string): void {
     if (this.#stop.signal.aborted) return
     this.#log.warn({ service: this.#options.service, fencingToken: this.#options.fencingToken, reason }, 'deposed')
@@ -185,6 +197,7 @@
   }
 
   #readInbox ({ changed, removed }: PrefixChange): void {
+    this.#noteInboxListed()
     const prefix = inboxPrefix(this.#options.service)
     for (const item of changed) {
       const subject = parseInboxKey(item.key, prefix)
@@ -386,8 +399,9 @@
     void link.stop(run)
   }
 
-  #changed (job: Job): void {
-    this.#commits.put(progressKey(this.#options.service, job.spec.jobId), () => encodeProgress(job))
+  /** Placements and ends of jobs are waited for; ends of tasks only keep their worker's list long. */
+  #changed (job: Job, isUrgent = hasEnded(job)): void {
+    this.#commits.put(progressKey(this.#options.service, job.spec.jobId), () => encodeProgress(job), isUrgent)
     this.#wake()
   }
 
@@ -396,8 +410,6 @@
     this.#wakeRound()
   }
 
-  #wakeRound: () => void = () => {}
-
   async #rounds (): Promise<void> {
     while (!this.#stop.signal.aborted) {
       if (!this.#isRoundDue) await this.#untilWoken()
@@ -407,10 +419,14 @@
     }
   }
 
-  async #untilWoken (): Promise<void> {
-    const woken = new AbortController()
-    this.#wakeRound = () => woken.abort()
-    await delay(TICK_MS, AbortSignal.any([woken.signal, this.#stop.signal]))
+  #untilWoken (): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, TICK_MS)
+      this.#wakeRound = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
   }
 
   #round (): void {
@@ -465,7 +481,7 @@
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const placed = runs.filter(({ task }) => task.job === job)
       this.#log.info({ jobId: job.spec.jobId, runs: placed.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
-      this.#changed(job)
+      this.#changed(job, true)
     }
     void this.#startRecorded(runs)
   }
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setMaxListeners } from 'node:events'
 import { delay, type Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
 import type { Run } from './JobState.js'
@@ -67,6 +68,8 @@
   constructor (instance: WorkerInstance, options: WorkerLinkOptions) {
     this.instance = instance
     this.#options = options
+    // Orders under way wait for its end, many at a time.
+    setMaxListeners(0, this.#stop.signal)
   }
 
   /** @param nowMs - monotonic @returns whether it has answered lately */
@@ -98,10 +101,12 @@
   async #hold (waitMs: number): Promise<boolean> {
     const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
     const askedMs = clock.monotonicMs()
+    // One that does not answer is only asked: if extensions went on into the void, its leases would never surely end.
+    const mayExtend = waitMs > 0 && mayOrder()
     const held = await orders.hold(this.instance, {
       fencingToken,
       acknowledgedSequence: this.#acknowledgedSequence,
-      leaseEndsAtMs: mayOrder() ? this.clock.extend(leaseMs, askedMs) : undefined,
+      leaseEndsAtMs: mayExtend ? this.clock.extend(leaseMs, askedMs) : undefined,
       waitMs
     })
     if (this.#stop.signal.aborted) return true
--- /dev/null
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -0,0 +1,171 @@
+import { expect } from 'chai'
+import { delay } from '@quillscale/utils'
+import { cancelKey, inboxPrefix } from '../lib/storeKeys.js'
+import { SERVICE, TestService } from './TestService.js'
+
+describe('ServiceScheduler', () => {
+  let service: TestService
+  afterEach(() => service.close())
+
+  it('runs steps in the order of their dependencies, and shows the job as succeeded', async () => {
+    service = new TestService(2)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 20 }, [{ taskCount: 3 }, { taskCount: 2, dependsOn: [0] }])
+    await service.untilStatus(jobId, 'succeeded')
+    const records = service.runs.records
+    const firstEnd = Math.max(...records.filter(({ taskKey }) => taskKey.includes('.0.0.')).map(({ endedMs }) => endedMs ?? Infinity))
+    const secondStart = Math.min(...records.filter(({ taskKey }) => taskKey.includes('.0.1.')).map(({ startedMs }) => startedMs))
+    expect(records).to.have.length(5)
+    expect(secondStart).to.be.at.least(firstEnd)
+  })
+
+  it('a job sent twice is one job', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 10 }, [{}], 2)
+    await service.untilStatus(jobId, 'succeeded')
+    expect(service.runs.records).to.have.length(1)
+  })
+
+  it('a job whose task fails as often as the queue allows has failed, and is not tried again', async () => {
+    service = new TestService(2)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 10, fails: true })
+    await service.untilStatus(jobId, 'failed')
+    await delay(100)
+    expect(service.runs.records).to.have.length(2)
+  })
+
+  it('a cancelled job is stopped, and shown so', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 0 }, [{ taskCount: 2, isLasting: true }])
+    await service.until('both run', () => service.runs.records.length === 2)
+    expect(await service.desk.cancel(jobId, [SERVICE], performance.now() + 1000)).to.equal('accepted')
+    await service.untilStatus(jobId, 'cancelled')
+    await service.until('both stopped', () => service.runs.records.every(({ end }) => end === 'stopped'))
+    expect(service.runs.records).to.have.length(2)
+  })
+
+  it('a lasting task whose worker crashed runs again elsewhere once its lease is over', async () => {
+    service = new TestService(2)
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    const [first] = service.runs.records
+    service.runs.workers.get(first?.instanceId ?? '')?.crash()
+    await service.until('it runs again', () => service.runs.records.length === 2)
+    expect(service.runs.records[1]?.instanceId).not.to.equal(first?.instanceId)
+  })
+
+  describe('a next holder', () => {
+    it('notes ends that came while nobody held the duty, also when it meets workers before it has read the jobs', async () => {
+      service = new TestService(2)
+      const first = await service.takeOver()
+      const jobId = await service.submit(1, { runMs: 150 }, [{ taskCount: 4 }])
+      await service.until('all run', () => service.runs.records.length === 4)
+      first.scheduler.close()
+      await service.until('all have ended', () => service.runs.records.every(({ end, endedMs }) => {
+        for (const worker of service.runs.workers.values()) worker.step()
+        return end === 'done' && endedMs !== undefined
+      }))
+      service.store.listDelayMs.set(inboxPrefix(SERVICE), 100)
+      await service.takeOver()
+      await service.untilStatus(jobId, 'succeeded')
+      expect(service.runs.records, service.log.lines.join('\n')).to.have.length(4)
+    })
+
+    it('goes on with what runs', async () => {
+      service = new TestService(2)
+      await service.takeOver()
+      const jobId = await service.submit(1, { runMs: 400 }, [{ taskCount: 4 }])
+      await service.until('all run', () => service.runs.records.length === 4)
+      await service.takeOver()
+      await service.untilStatus(jobId, 'succeeded')
+      expect(service.runs.records).to.have.length(4)
+      expect(service.doubled).to.deep.equal([])
+    })
+
+    it('deposes the former one, whose orders have no effect any more', async () => {
+      service = new TestService(1)
+      const first = await service.takeOver()
+      await service.until('it is met', () => service.log.lines.some((line) => line.startsWith('worker met')))
+      await service.takeOver()
+      const jobId = await service.submit(1, { runMs: 20 }, [{ taskCount: 3 }])
+      await service.untilStatus(jobId, 'succeeded')
+      await service.until('the former is deposed', () => first.isDeposed)
+      expect(service.doubled).to.deep.equal([])
+    })
+
+    it('leaves a task on a worker that does not answer alone until its lease is over', async () => {
+      service = new TestService(2)
+      const first = await service.takeOver()
+      await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+      await service.until('it runs', () => service.runs.records.length === 1)
+      const worker = service.runs.workers.get(service.runs.records[0]?.instanceId ?? '')
+      first.scheduler.close()
+      if (worker !== undefined) worker.faults.isSilent = true
+      await service.takeOver()
+      await service.until('it runs elsewhere', () => service.runs.records.length === 2)
+      worker?.step()
+      expect(service.doubled).to.deep.equal([])
+    })
+  })
+
+  it('a start without an answer is stopped before the task is placed again, also if it is carried out late', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 4000
+    await service.takeOver()
+    for (const worker of service.runs.workers.values()) worker.faults.startsLateMs = 600
+    const jobId = await service.submit(1, { runMs: 100 }, [{ taskCount: 2 }])
+    await delay(1200)
+    for (const worker of service.runs.workers.values()) worker.faults.startsLateMs = 0
+    await service.untilStatus(jobId, 'succeeded')
+    expect(service.doubled).to.deep.equal([])
+  })
+
+  it('lost answers of the store neither lose nor double work', async () => {
+    service = new TestService(3)
+    let calls = 0
+    service.store.loseAnswers = () => ++calls % 3 === 0
+    await service.takeOver()
+    const jobs = await Promise.all([1, 2, 3, 4].map((number) => service.submit(number, { runMs: 20 }, [{ taskCount: 3 }, { dependsOn: [0] }])))
+    for (const jobId of jobs) await service.untilStatus(jobId, 'succeeded')
+    expect(service.runs.records).to.have.length(16)
+  })
+
+  it('ends are not acknowledged while the store is away, and are not lost', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 150 }, [{ taskCount: 2 }])
+    await service.until('both run', () => service.runs.records.length === 2)
+    service.store.isDown = true
+    await service.until('both ended', () => service.runs.records.every(({ end }) => end === 'done'))
+    await delay(150)
+    expect(service.runs.records.some(({ isAcknowledged }) => isAcknowledged)).to.equal(false)
+    service.store.isDown = false
+    await service.untilStatus(jobId, 'succeeded')
+    expect(service.runs.records).to.have.length(2)
+  })
+
+  it('a draining worker gets no new work', async () => {
+    service = new TestService(1)
+    const draining = service.runs.workers.get('w0-1')
+    await service.takeOver()
+    if (draining !== undefined) service.list({ ...draining.instance, state: 'draining' })
+    service.addWorker(1, 1)
+    await service.until('the other is met', () => service.log.lines.some((line) => line.startsWith('worker met') && line.includes('w1-1')))
+    const jobId = await service.submit(1, { runMs: 10 }, [{ taskCount: 4 }])
+    await service.untilStatus(jobId, 'succeeded')
+    expect(draining?.records).to.have.length(0)
+  })
+
+  it('a cancel that is listed before its job holds', async () => {
+    service = new TestService(1)
+    const jobId = await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    service.write(cancelKey(SERVICE, jobId), '1')
+    await service.takeOver()
+    await service.untilStatus(jobId, 'cancelled')
+    expect(service.runs.records).to.have.length(0)
+  })
+})
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,3 +8,4 @@
 export { StandInNetwork, type NetworkPlace } from './lib/StandInNetwork.js'
 export { StandInPlatform, type PlatformFaults } from './lib/StandInPlatform.js'
 export { NO_FAULTS, StandInTarget, type StandInTargetOptions, type TargetFaults } from './lib/StandInTarget.js'
+export { StandInRuns, StandInWorker, type RunRecord, type StandInCommand, type WorkerFaults } from './lib/StandInRuns.js'
--- /dev/null
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -0,0 +1,246 @@
+/**
+ * Stand-ins of workers that run tasks under leases and fencing tokens, with the faults that real ones show, and a record of
+ * everything that ran for checks of the promises.
+ *
+ * @module
+ */
+import { delay, Err, Ok, type Clock, type Result } from '@quillscale/utils'
+import type {
+  EndReport, HoldReport, HoldRequest, RunEnd, RunOrderError, RunOrders, RunRef, RunReport, RunStart, WorkerCapacity, WorkerInstance
+} from '@quillscale/ports'
+
+/** What a task is told to do; sent as JSON in the command. @public */
+export interface StandInCommand {
+  /** How long it runs; 0 for as long as it is let. */
+  readonly runMs: number
+  /** Every run fails. */
+  readonly fails?: boolean
+}
+
+/** One run as it really went. @public */
+export interface RunRecord extends RunRef {
+  readonly instanceId: string
+  readonly command: string
+  readonly startedMs: number
+  endedMs: number | undefined
+  end: RunEnd | undefined
+  /** Of an end `done`: the scheduler was told, and it acknowledged. */
+  isAcknowledged: boolean
+}
+
+/** How a worker misbehaves. @public */
+export interface WorkerFaults {
+  /** Calls get no answer and have no effect. */
+  isSilent: boolean
+  /** Calls are carried out, and not answered. */
+  losesAnswers: boolean
+  /** Every run fails at once. */
+  failsAll: boolean
+  /** Starts are carried out this much later, and not answered. */
+  startsLateMs: number
+}
+
+interface ActiveRun { readonly record: RunRecord, readonly capacity: WorkerCapacity, readonly endsAtMs: number, readonly percentOf: (nowMs: number) => number }
+
+/** An answer that never comes, as a client sees it after its time limit. */
+const LOST: RunOrderError = { kind: 'unknown-effect', detail: 'no answer' }
+const LOST_AFTER_MS = 30
+const MAX_ENDS_LISTED = 500
+const MAX_WAIT_MS = 2000
+/** Lasting tasks are at work this long after their start. */
+const AT_WORK_AFTER_MS = 20
+const DEFAULT_SIZE: WorkerCapacity = { cpuMillis: 1000, memoryMb: 100, gpus: 0 }
+
+/** One lifetime of a worker. @public */
+export class StandInWorker {
+  readonly faults: WorkerFaults = { isSilent: false, losesAnswers: false, failsAll: false, startsLateMs: 0 }
+  readonly active = new Map<string, ActiveRun>()
+  readonly records: RunRecord[] = []
+  #fencingToken = 0
+  #sequence = 0
+  #ends: Array<EndReport & { readonly record: RunRecord }> = []
+  #closed = new Map<string, number>()
+  #leaseEndsAtMs = 0
+  #isOver = false
+  #waiters = new Set<() => void>()
+
+  /** @param instance - as it registers itself @param clock - its own steady clock @param sizeOf - what a task takes */
+  constructor (readonly instance: WorkerInstance, readonly clock: Clock, readonly sizeOf: (taskKey: string) => WorkerCapacity) {}
+
+  /** Everything that runs there dies, and nothing answers any more. */
+  crash (): void {
+    this.#isOver = true
+    for (const run of this.active.values()) run.record.endedMs = this.clock.monotonicMs()
+    this.active.clear()
+  }
+
+  /** @param expectedInstanceId - whom the caller means @param act - what is asked @returns its result, or what became of the call */
+  async call<T> (expectedInstanceId: string, act: () => Result<T, RunOrderError> | Promise<Result<T, RunOrderError>>): Promise<Result<T, RunOrderError>> {
+    if (this.#isOver) return Err({ kind: 'unhealthy', detail: 'connection refused' })
+    if (expectedInstanceId !== this.instance.instanceId) return Err({ kind: 'other-instance', detail: 'another lifetime' })
+    if (this.faults.isSilent) {
+      await delay(LOST_AFTER_MS)
+      return Err(LOST)
+    }
+    this.step()
+    const result = await act()
+    if (!this.faults.losesAnswers) return result
+    await delay(LOST_AFTER_MS)
+    return Err(LOST)
+  }
+
+  /** Ends what is over by now. */
+  step (): void {
+    const nowMs = this.clock.monotonicMs()
+    for (const run of [...this.active.values()]) {
+      if (nowMs >= this.#leaseEndsAtMs) this.#end(run, 'lapsed')
+      else if (nowMs >= run.endsAtMs) this.#end(run, this.faults.failsAll || isFailing(run.record) ? 'failed' : 'done')
+    }
+  }
+
+  /** @param order - a start @returns the clock */
+  start (order: RunStart): Result<number, RunOrderError> {
+    if (!this.#obeys(order.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
+    if (this.active.has(nameOf(order))) return Ok(this.clock.monotonicMs())
+    this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, order.leaseEndsAtMs)
+    if (order.runNumber <= (this.#closed.get(order.taskKey) ?? 0)) return Err({ kind: 'run-closed', detail: 'old' })
+    const nowMs = this.clock.monotonicMs()
+    if (order.leaseEndsAtMs <= nowMs) return Err({ kind: 'lease-past', detail: 'late' })
+    const capacity = this.sizeOf(order.taskKey)
+    if (!this.#hasRoom(capacity)) return Err({ kind: 'no-room', detail: 'full' })
+    const { runMs } = JSON.parse(order.command) as StandInCommand
+    const record: RunRecord = {
+      taskKey: order.taskKey, runNumber: order.runNumber, instanceId: this.instance.instanceId, command: order.command,
+      startedMs: nowMs, endedMs: undefined, end: undefined, isAcknowledged: false
+    }
+    this.records.push(record)
+    const percentOf = (atMs: number): number => runMs === 0 ? (atMs - nowMs > AT_WORK_AFTER_MS ? 100 : 0) : Math.min(99, Math.floor((atMs - nowMs) / runMs * 100))
+    this.active.set(nameOf(order), { record, capacity, endsAtMs: runMs === 0 ? Infinity : nowMs + runMs, percentOf })
+    if (runMs > 0) setTimeout(() => this.#wake(), runMs + 1).unref()
+    return Ok(nowMs)
+  }
+
+  /** @param run - to be stopped @param fencingToken - of the caller @returns the clock */
+  stop (run: RunRef, fencingToken: number): Result<number, RunOrderError> {
+    if (!this.#obeys(fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
+    const active = this.active.get(nameOf(run))
+    if (active !== undefined) this.#end(active, 'stopped')
+    this.#closed.set(run.taskKey, Math.max(run.runNumber, this.#closed.get(run.taskKey) ?? 0))
+    return Ok(this.clock.monotonicMs())
+  }
+
+  /** @param request - a hold @returns both lists */
+  async hold (request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
+    if (!this.#obeys(request.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
+    if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs)
+    for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence) end.record.isAcknowledged = true
+    this.#ends = this.#ends.filter(({ sequence }) => sequence > request.acknowledgedSequence)
+    if (this.#ends.length === 0 && request.waitMs > 0) await this.#waitForEnd(Math.min(MAX_WAIT_MS, request.waitMs))
+    this.step()
+    const nowMs = this.clock.monotonicMs()
+    const running = [...this.active.values()].map(({ record, percentOf }): RunReport =>
+      ({ taskKey: record.taskKey, runNumber: record.runNumber, checkpoint: '', percent: percentOf(nowMs), load: 0 }))
+    return Ok({ clockMs: nowMs, running, ended: this.#ends.slice(0, MAX_ENDS_LISTED) })
+  }
+
+  #obeys (fencingToken: number): boolean {
+    if (fencingToken < this.#fencingToken) return false
+    this.#fencingToken = fencingToken
+    return true
+  }
+
+  #hasRoom (wanted: WorkerCapacity): boolean {
+    const used = [...this.active.values()].reduce((sum, { capacity }) => sum + capacity.cpuMillis, 0)
+    return used + wanted.cpuMillis <= this.instance.capacity.cpuMillis
+  }
+
+  #end (run: ActiveRun, end: RunEnd): void {
+    const { record } = run
+    this.active.delete(nameOf(record))
+    record.end = end
+    record.endedMs = this.clock.monotonicMs()
+    this.#closed.set(record.taskKey, Math.max(record.runNumber, this.#closed.get(record.taskKey) ?? 0))
+    this.#ends.push({ taskKey: record.taskKey, runNumber: record.runNumber, sequence: ++this.#sequence, end, checkpoint: '', record })
+    this.#wake()
+  }
+
+  #wake (): void {
+    this.step()
+    if (this.#ends.length > 0) for (const wake of this.#waiters) wake()
+  }
+
+  #waitForEnd (waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.#waiters.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, waitMs)
+      this.#waiters.add(wake)
+    })
+  }
+}
+
+const nameOf = (run: RunRef): string => `${run.taskKey}#${run.runNumber}`
+const isFailing = (record: RunRecord): boolean => (JSON.parse(record.command) as StandInCommand).fails === true
+
+/** Orders to stand-in workers. @public */
+export class StandInRuns implements RunOrders {
+  readonly workers = new Map<string, StandInWorker>()
+  /** Workers by address: a new lifetime takes the place of the former. */
+  readonly #atAddress = new Map<string, StandInWorker>()
+  readonly #clock: Clock
+  readonly #sizeOf: (taskKey: string) => WorkerCapacity
+
+  /** @param clock - that all workers share @param sizeOf - what a task takes */
+  constructor (clock: Clock, sizeOf: (taskKey: string) => WorkerCapacity = () => DEFAULT_SIZE) {
+    this.#clock = clock
+    this.#sizeOf = sizeOf
+  }
+
+  /** @param instance - of a new lifetime @returns the worker */
+  add (instance: WorkerInstance): StandInWorker {
+    const worker = new StandInWorker(instance, this.#clock, this.#sizeOf)
+    this.workers.set(instance.instanceId, worker)
+    this.#atAddress.set(`${instance.address}:${instance.port}`, worker)
+    return worker
+  }
+
+  /** Everything that ever ran. */
+  get records (): RunRecord[] {
+    return [...this.workers.values()].flatMap(({ records }) => records)
+  }
+
+  async start (worker: WorkerInstance, order: RunStart): Promise<Result<number, RunOrderError>> {
+    const at = this.#find(worker)
+    const lateMs = at.faults.startsLateMs
+    if (lateMs === 0) return await at.call(worker.instanceId, () => at.start(order))
+    setTimeout(() => at.start(order), lateMs).unref()
+    await delay(LOST_AFTER_MS)
+    return Err(LOST)
+  }
+
+  async stop (worker: WorkerInstance, run: RunRef, fencingToken: number): Promise<Result<number, RunOrderError>> {
+    const at = this.#find(worker)
+    return await at.call(worker.instanceId, () => at.stop(run, fencingToken))
+  }
+
+  async hold (worker: WorkerInstance, request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
+    const at = this.#find(worker)
+    return await at.call(worker.instanceId, () => at.hold(request))
+  }
+
+  async pace (worker: WorkerInstance): Promise<Result<number, RunOrderError>> {
+    const at = this.#find(worker)
+    return await at.call(worker.instanceId, () => Ok(this.#clock.monotonicMs()))
+  }
+
+  forget (): void {
+    // Nothing is kept open.
+  }
+
+  #find (worker: WorkerInstance): StandInWorker {
+    return this.#atAddress.get(`${worker.address}:${worker.port}`) as StandInWorker
+  }
+}
