--- a/packages/scheduler/src/lib/JobDesk.ts
+++ b/packages/scheduler/src/lib/JobDesk.ts
@@ -9,7 +9,7 @@
 import type { KeyValueStore, PlatformError } from '@quillscale/ports'
 import { z } from 'zod'
 import type { EventLog } from './EventLog.js'
-import type { JobId, JobSpec } from './JobSpec.js'
+import type { JobId, JobSpec, StepSpec } from './JobSpec.js'
 import { decodeProgress } from './jobProgress.js'
 import type { JobStatus } from './JobState.js'
 import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from './storeKeys.js'
@@ -66,7 +66,7 @@
     const outcome: SubmitOutcome = written.result.ok ? 'accepted' : written.mayHaveEffect ? 'unknown' : 'refused'
     const fields = { jobId: spec.jobId, queue: spec.queue, service, outcome, tries: written.tries }
     if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
-    else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.length, tasks: spec.steps.reduce((sum, step) => sum + step.taskCount, 0) }, 'job taken in')
+    else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.map(shapeOf) }, 'job taken in')
     return outcome
   }
 
@@ -163,4 +163,15 @@
   }
 }
 
+/** What an operator needs to know of a step to see why it waits. */
+function shapeOf (step: StepSpec): string {
+  const traits = [
+    step.isLasting ? 'lasting' : '', step.isFiller ? 'filler' : '', step.isGang ? 'gang' : '', step.isCheckpointing ? 'checkpointing' : '',
+    step.allowsCopies ? 'copies' : '', step.requiredLabel === '' ? '' : `needs ${step.requiredLabel}`, step.preferredRack === '' ? '' : `near ${step.preferredRack}`,
+    step.maxPerWorker === 0 ? '' : `${step.maxPerWorker} a worker`, step.maxAway === undefined ? '' : `${step.maxAway} away`,
+    step.targetTailMs === 0 ? '' : `tail ${step.targetTailMs} ms`, step.dependsOn.length === 0 ? '' : `after ${step.dependsOn.join('+')}`
+  ].filter((trait) => trait !== '')
+  return [`${step.taskCount} x ${step.cpuMillis} mcpu ${step.memoryMb} MB ${step.estimateMs} ms`, ...traits].join(', ')
+}
+
 interface Tried<T> { readonly result: Result<T, PlatformError>, readonly mayHaveEffect: boolean, readonly tries: number }
--- a/packages/scheduler/src/lib/JobState.ts
+++ b/packages/scheduler/src/lib/JobState.ts
@@ -29,6 +29,8 @@
   stopConfirmedMs: number | undefined
   /** An order to start it may still be carried out. */
   isUncertain: boolean
+  /** Monotonic; when the worker last listed it. */
+  seenMs: number
   /** Last reported progress, and when it last grew. */
   percent: number
   progressMs: number
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -161,6 +161,7 @@
         startedMs: undefined,
         stopConfirmedMs: undefined,
         isUncertain: false,
+        seenMs: -Infinity,
         percent: 0,
         progressMs: this.#options.nowMs,
         pacePercent: 100,
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -59,8 +59,10 @@
   readonly onDeposed: () => void
 }
 
-/** Share of the longest lease that is used: enough to outlast a take-over or a short cut, less wait for lost workers. */
+/** Share of the longest lease that is used at most. */
 const LEASE_SHARE = 0.8
+/** Enough to outlast a take-over or a cut of the usual 5.5 s; each further second delays the work of workers that are lost. */
+const LEASE_MS = 6500
 /** The least time between two placement rounds: tasks that end together are replaced together. */
 const ROUND_SPACING_MS = 20
 /** Also without an event: retries, expiring waits, due times. */
@@ -122,9 +124,13 @@
       onUnneeded: (run) => this.#discard(run)
     })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
-    this.#vacator = new MachineVacator({ clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => this.#discard(run) })
-    const replica = (prefix: string, onChange: (change: PrefixChange) => void): PrefixReplica =>
-      new PrefixReplica({ store, prefix, clock, watchMs: WATCH_MS, relistMs: RELIST_MS, onChange, onContact: (error) => options.log.warn({ prefix, service, error }, error === undefined ? 'store answers again' : 'store does not answer') })
+    this.#vacator = new MachineVacator({
+      clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => this.#discard(run)
+    })
+    const replica = (prefix: string, onChange: (change: PrefixChange) => void): PrefixReplica => new PrefixReplica({
+      store, prefix, clock, watchMs: WATCH_MS, relistMs: RELIST_MS, onChange,
+      onContact: (error) => options.log.warn({ prefix, service, error }, error === undefined ? 'store answers again' : 'store does not answer')
+    })
     this.#workers = replica(options.workersPrefix, () => this.#followWorkers())
     this.#inbox = replica(inboxPrefix(service), (change) => this.#readInbox(change))
   }
@@ -299,7 +305,7 @@
   }
 
   #leaseMs (): number {
-    return this.#options.bounds().maxLeaseMs * LEASE_SHARE
+    return Math.min(LEASE_MS, this.#options.bounds().maxLeaseMs * LEASE_SHARE)
   }
 
   /** Paces and lasting tasks on their way are watched more closely. */
@@ -348,6 +354,7 @@
       if (hasEnded(run.task.job) || run.task.isDone) this.#discard(run)
     }
     if (percent > run.percent) run.progressMs = nowMs
+    run.seenMs = nowMs
     run.percent = percent
     run.load = load
     if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
--- a/packages/scheduler/src/lib/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobProgress.ts
@@ -76,6 +76,7 @@
         startedMs: undefined,
         stopConfirmedMs: undefined,
         isUncertain: true,
+        seenMs: -Infinity,
         percent: 0,
         progressMs: nowMs,
         pacePercent: 100,
--- a/packages/scheduler/src/lib/planVacate.ts
+++ b/packages/scheduler/src/lib/planVacate.ts
@@ -9,10 +9,12 @@
 const FINISH_MS = 4500
 /** A lasting task is at work when its percent is this. */
 const AT_WORK_PERCENT = 100
+/** A report that is older says nothing: workers are asked at least each second. */
+const REPORT_VALID_MS = 1600
 
-/** @param task - that lasts @returns whether a worker has reported it at work @public */
-export function isAtWork (task: Task): boolean {
-  return task.runs.some((run) => run.phase === 'running' && run.percent >= AT_WORK_PERCENT)
+/** @param task - that lasts @param nowMs - monotonic @returns whether a worker has lately reported it at work @public */
+export function isAtWork (task: Task, nowMs: number): boolean {
+  return task.runs.some((run) => run.phase === 'running' && run.percent >= AT_WORK_PERCENT && nowMs - run.seenMs < REPORT_VALID_MS)
 }
 
 /**
@@ -20,13 +22,14 @@
  *
  * @param task - that lasts
  * @param step - all tasks of its step
+ * @param nowMs - monotonic
  * @returns whether so few others are away that its step's bound holds
  * @public
  */
-export function mayBeAway (task: Task, step: readonly Task[]): boolean {
+export function mayBeAway (task: Task, step: readonly Task[], nowMs: number): boolean {
   const { maxAway } = stepOf(task)
-  if (maxAway === undefined || !isAtWork(task)) return true
-  const othersAway = step.filter((other) => other !== task && !isAtWork(other)).length
+  if (maxAway === undefined) return true
+  const othersAway = step.filter((other) => other !== task && !isAtWork(other, nowMs)).length
   return othersAway < maxAway
 }
 
@@ -46,7 +49,7 @@
     const step = stepOf(run.task)
     if (!step.isLasting) return step.isCheckpointing || nowMs - sinceMs > FINISH_MS
     const tasks = run.task.job.times.get(run.task.time)?.[run.task.stepIndex] ?? []
-    if (touchedSteps.has(tasks) || !mayBeAway(run.task, tasks)) return false
+    if (touchedSteps.has(tasks) || !mayBeAway(run.task, tasks, nowMs)) return false
     touchedSteps.add(tasks)
     return true
   })
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -81,7 +81,8 @@
   readonly tenures: Tenure[] = []
   maxLeaseMs = 1000
   configuration: FleetConfiguration = {
-    version: 1, maxBodyBytes: 10_000,
+    version: 1,
+    maxBodyBytes: 10_000,
     services: [{ name: SERVICE, isHeadroom: false, refusesOverload: true, healthPath: '/health' }],
     queues: [{ name: QUEUE, host: 'h', pathPrefix: '/q/', service: SERVICE, priority: 0, attempts: 2, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000 }]
   }
@@ -102,8 +103,15 @@
   /** Registers a lifetime. @param index - of the machine @param life - from 1 @param cpuMillis - its size @returns the worker */
   addWorker (index: number, life: number, cpuMillis = 4000, state: WorkerInstance['state'] = 'ready'): StandInWorker {
     const instance: WorkerInstance = {
-      instanceId: `w${index}-${life}`, machineId: `m${index}`, service: SERVICE, address: `10.0.0.${index}`, port: 80,
-      availabilityZone: 'z', state, labels: ['a', `r${index}`], capacity: { cpuMillis, memoryMb: 10_000, gpus: 0 }
+      instanceId: `w${index}-${life}`,
+      machineId: `m${index}`,
+      service: SERVICE,
+      address: `10.0.0.${index}`,
+      port: 80,
+      availabilityZone: 'z',
+      state,
+      labels: ['a', `r${index}`],
+      capacity: { cpuMillis, memoryMb: 10_000, gpus: 0 }
     }
     this.list(instance)
     return this.runs.workers.get(instance.instanceId) ?? this.runs.add(instance)
@@ -143,11 +151,20 @@
 
   #createScheduler (fencingToken: number, tenure: () => Tenure): ServiceScheduler {
     return new ServiceScheduler({
-      service: SERVICE, dutyKey: DUTY_KEY, fencingToken, mayOrder: () => tenure().mayOrder, store: this.store, orders: this.runs,
+      service: SERVICE,
+      dutyKey: DUTY_KEY,
+      fencingToken,
+      mayOrder: () => tenure().mayOrder,
+      store: this.store,
+      orders: this.runs,
       advice: { advise: async () => Ok({ workers: [], validMs: 1000 }) },
-      clock: systemClock, log: this.log, metrics: new SchedulerMetrics(), configuration: () => this.configuration,
+      clock: systemClock,
+      log: this.log,
+      metrics: new SchedulerMetrics(),
+      configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000 }),
-      workersPrefix: WORKERS_PREFIX, decodeWorker: ({ value }) => JSON.parse(value) as WorkerInstance,
+      workersPrefix: WORKERS_PREFIX,
+      decodeWorker: ({ value }) => JSON.parse(value) as WorkerInstance,
       onDeposed: () => { tenure().isDeposed = true }
     })
   }
@@ -156,7 +173,10 @@
   async submit (number: number, command: StandInCommand, steps: ReadonlyArray<Partial<StepSpec>> = [{}], attempts = 1): Promise<JobId> {
     const jobId = testJobId(number)
     const spec = jobSpecSchema.parse({
-      jobId, queue: QUEUE, command: JSON.stringify(command), submittedMs: Date.now(),
+      jobId,
+      queue: QUEUE,
+      command: JSON.stringify(command),
+      submittedMs: Date.now(),
       steps: steps.map((step) => ({ taskCount: 1, cpuMillis: 1000, ...step }))
     })
     spec.steps.forEach((step, index) => this.#cpu.set(`${jobId}.${index}`, step.isFiller ? 0 : step.cpuMillis))
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -110,11 +110,20 @@
     if (!this.#hasRoom(capacity)) return Err({ kind: 'no-room', detail: 'full' })
     const { runMs } = JSON.parse(order.command) as StandInCommand
     const record: RunRecord = {
-      taskKey: order.taskKey, runNumber: order.runNumber, instanceId: this.instance.instanceId, command: order.command,
-      startedMs: nowMs, endedMs: undefined, end: undefined, isAcknowledged: false
+      taskKey: order.taskKey,
+      runNumber: order.runNumber,
+      instanceId: this.instance.instanceId,
+      command: order.command,
+      startedMs: nowMs,
+      endedMs: undefined,
+      end: undefined,
+      isAcknowledged: false
     }
     this.records.push(record)
-    const percentOf = (atMs: number): number => runMs === 0 ? (atMs - nowMs > AT_WORK_AFTER_MS ? 100 : 0) : Math.min(99, Math.floor((atMs - nowMs) / runMs * 100))
+    const percentOf = (atMs: number): number => {
+      if (runMs === 0) return atMs - nowMs > AT_WORK_AFTER_MS ? 100 : 0
+      return Math.min(99, Math.floor((atMs - nowMs) / runMs * 100))
+    }
     this.active.set(nameOf(order), { record, capacity, endsAtMs: runMs === 0 ? Infinity : nowMs + runMs, percentOf })
     if (runMs > 0) setTimeout(() => this.#wake(), runMs + 1).unref()
     return Ok(nowMs)
