--- a/packages/leases/src/lib/PrefixReplica.ts
+++ b/packages/leases/src/lib/PrefixReplica.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { backOff, type Clock } from '@quillscale/utils'
+import { backOff, delay, type Clock } from '@quillscale/utils'
 import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
 
 /** What changed since the last call, each key once. @public */
@@ -24,6 +24,8 @@
   readonly watchMs: number
   /** The prefix is listed again after this long, in case a watch missed something. */
   readonly relistMs: number
+  /** The least time from one answer to the next watch: changes that come close together cost one call; 0 by default. */
+  readonly spacingMs?: number
   /** Called with each change; also once after the first list, even if it is empty. */
   readonly onChange: (change: PrefixChange) => void
   /** Called when the store does not answer, and with `undefined` when it does again. */
@@ -39,6 +41,7 @@
   readonly #options: PrefixReplicaOptions
   #revision = 0
   #isListed = false
+  #hasNews = false
   #isInContact = true
   #confirmedAtMs = -Infinity
   #listedMs = -Infinity
@@ -66,6 +69,7 @@
       const error: PlatformError | undefined = await (mustList ? this.#list() : this.#watch())
       if (signal.aborted) return
       this.#noteContact(error)
+      if (error === undefined && this.#hasNews && this.#options.spacingMs !== undefined) await delay(this.#options.spacingMs, signal)
       mustList = error !== undefined || this.#options.clock.monotonicMs() - this.#listedMs > this.#options.relistMs
       failures = error === undefined || error.kind === 'history-gone' ? 0 : failures + 1
       if (failures > 0) await backOff(Math.min(failures - 1, MAX_BACK_OFF_STEP), signal)
@@ -100,6 +104,7 @@
       if ((this.items.get(key)?.modRevision ?? 0) < modRevision) last.set(key, value === undefined ? undefined : { key, value, modRevision })
     }
     const changed = [...last.values()].filter((item) => item !== undefined)
+    this.#hasNews = watched.val.events.length > 0
     const removed = [...last].filter(([key, item]) => item === undefined && this.items.has(key)).map(([key]) => key)
     this.#apply(changed, removed)
     this.#revision = Math.max(this.#revision, watched.val.revision)
--- a/packages/scheduler/src/lib/ConfigurationFollower.ts
+++ b/packages/scheduler/src/lib/ConfigurationFollower.ts
@@ -26,7 +26,7 @@
 /** A version must be in force within 2 s of its writing: a silent connection is noticed in half of that. */
 const WATCH_MS = 1000
 /** What a watch missed is found after so long. */
-const RELIST_MS = 3000
+const RELIST_MS = 5000
 
 /** The follower. @public */
 export class ConfigurationFollower {
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -52,7 +52,7 @@
 /** So that not all hosts of a kind try at once. */
 const SPREAD_MS = 120
 const WATCH_MS = 3000
-const RELIST_MS = 5000
+const RELIST_MS = 8000
 /** A host that was deposed lets others try first. */
 const DEPOSED_PAUSE_MS = 1000
 /** For what is not written yet at a planned stop. */
--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -42,7 +42,7 @@
 const LIST_BUSY_MS = 300
 const LIST_IDLE_MS = 1500
 const WATCH_MS = 3000
-const RELIST_MS = 5000
+const RELIST_MS = 8000
 /** Added to the pause after a former holder's order. */
 const HOLDER_CHANGE_SLACK_MS = 500
 /** An order that got no answer, or came at a bad moment, is repeated after this. */
--- a/packages/scheduler/src/lib/SchedulerMetrics.ts
+++ b/packages/scheduler/src/lib/SchedulerMetrics.ts
@@ -22,6 +22,13 @@
     this.#counters.set(key, (this.#counters.get(key) ?? 0) + by)
   }
 
+  /** @param name - of a counter @returns its figures by label */
+  counts (name: string): Record<string, number> {
+    const prefix = `${name}{of="`
+    const mine = [...this.#counters].filter(([key]) => key.startsWith(prefix))
+    return Object.fromEntries(mine.map(([key, value]) => [key.slice(prefix.length, -2), value]))
+  }
+
   /** @param name - of the histogram @param label - its one label's value @param tookMs - a duration */
   record (name: string, label: string, tookMs: number): void {
     const key = this.#key(this.#histograms, name, label)
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -75,7 +75,7 @@
 /** How long one watch waits: after so much more a silent connection is noticed. */
 const WATCH_MS = 3000
 /** What a watch missed is found after so long: below the 10 s after which a job nobody starts counts as lost at the users' sites. */
-const RELIST_MS = 5000
+const RELIST_MS = 8000
 /** How often the counts of waiting jobs are written at least; readers take older ones for outdated. */
 const WAITING_COUNT_MS = 1000
 /** The demand for machines is written this often if it changed, and otherwise, as a sign of life. */
--- a/packages/scheduler/src/lib/demandOf.ts
+++ b/packages/scheduler/src/lib/demandOf.ts
@@ -19,7 +19,7 @@
 }
 
 /** Lasting tasks are spread over so many machines at least: one that is lost takes only a part of them. */
-const LEAST_MACHINES = 3
+const LEAST_MACHINES = 2
 /** For a service none of whose workers is known: a machine of the smaller users' sites. */
 const DEFAULT_MACHINE_MILLIS = 16_000
 
