--- /dev/null
+++ b/packages/leases/src/test/PrefixReplica.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai'
+import { delay, Err, systemClock, type Result } from '@quillscale/utils'
+import type { PlatformError, WatchEvents } from '@quillscale/ports'
+import { MemoryKeyValueStore } from '@quillscale/platform-memory'
+import { PrefixReplica } from '../lib/PrefixReplica.js'
+
+/** A store whose watch hears nothing, or whose history is gone. */
+class DeafStore extends MemoryKeyValueStore {
+  isDeaf = false
+  isHistoryGone = false
+
+  override async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
+    if (this.isHistoryGone) {
+      this.isHistoryGone = false
+      return Err({ kind: 'history-gone', detail: '410' })
+    }
+    const watched = await super.watch(prefix, afterRevision, timeoutMs)
+    return this.isDeaf ? watched.map(({ revision }) => ({ revision, events: [] })) : watched
+  }
+}
+
+describe('PrefixReplica', () => {
+  let store: DeafStore
+  let stop: AbortController
+  let replica: PrefixReplica
+  beforeEach(async () => {
+    store = new DeafStore()
+    stop = new AbortController()
+    replica = new PrefixReplica({ store, prefix: 'p/', clock: systemClock, watchMs: 30, relistMs: 200, onChange: () => {} })
+    await write('p/a', '1')
+    void replica.run(stop.signal)
+    await until(() => replica.items.has('p/a'))
+  })
+  afterEach(() => stop.abort())
+
+  const write = async (key: string, value: string | undefined): Promise<void> => {
+    const puts = value === undefined ? [] : [{ key, value }]
+    await store.transact({ conditions: [], puts, removals: value === undefined ? [key] : [] })
+  }
+  async function until (condition: () => boolean): Promise<void> {
+    for (let waitedMs = 0; !condition(); waitedMs += 5) {
+      if (waitedMs > 5000) throw new Error('never')
+      await delay(5)
+    }
+  }
+
+  const cases = [
+    { name: 'follows a change', before: () => {} },
+    { name: 'finds what a watch that heard nothing missed', before: () => { store.isDeaf = true } },
+    { name: 'lists anew when the history is gone', before: () => { store.isHistoryGone = true } }
+  ]
+  for (const { name, before } of cases) {
+    it(name, async () => {
+      before()
+      await write('p/a', '2')
+      await write('p/b', '3')
+      await write('p/a', undefined)
+      await until(() => replica.items.get('p/b')?.value === '3' && !replica.items.has('p/a'))
+      expect([...replica.items.keys()]).to.deep.equal(['p/b'])
+    })
+  }
+})
--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -81,17 +81,18 @@
   constructor (options: MachineDutyOptions) {
     this.#options = options
     const { store, clock, log } = options
-    const replica = (prefix: string): PrefixReplica => new PrefixReplica({
+    const replica = (prefix: string, spacingMs: number): PrefixReplica => new PrefixReplica({
       store,
       clock,
       prefix,
       watchMs: WATCH_MS,
       relistMs: RELIST_MS,
+      spacingMs,
       onChange: () => {},
       onContact: (error) => log.warn({ prefix, error }, error === undefined ? 'store answers again' : 'store does not answer')
     })
-    this.#vacated = replica(VACATED_PREFIX)
-    this.#demandItems = replica(DEMAND_PREFIX)
+    this.#vacated = replica(VACATED_PREFIX, 0)
+    this.#demandItems = replica(DEMAND_PREFIX, ROUND_MS)
   }
 
   /** Works until closed. */
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -76,6 +76,9 @@
 const WATCH_MS = 3000
 /** What a watch missed is found after so long: below the 10 s after which a job nobody starts counts as lost at the users' sites. */
 const RELIST_MS = 8000
+/** Changes of workers' registrations may wait a little; new jobs should start soon. */
+const WORKERS_SPACING_MS = 150
+const INBOX_SPACING_MS = 20
 /** How often the counts of waiting jobs are written at least; readers take older ones for outdated. */
 const WAITING_COUNT_MS = 1000
 /** The demand for machines is written this often if it changed, and otherwise, as a sign of life. */
@@ -134,17 +137,18 @@
     this.#vacator = new MachineVacator({
       clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => this.#discard(run)
     })
-    const replica = (prefix: string, onChange: (change: PrefixChange) => void): PrefixReplica => new PrefixReplica({
+    const replica = (prefix: string, spacingMs: number, onChange: (change: PrefixChange) => void): PrefixReplica => new PrefixReplica({
       store,
       prefix,
       clock,
       watchMs: WATCH_MS,
       relistMs: RELIST_MS,
+      spacingMs,
       onChange,
       onContact: (error) => options.log.warn({ prefix, service, error }, error === undefined ? 'store answers again' : 'store does not answer')
     })
-    this.#workers = replica(options.workersPrefix, () => this.#followWorkers())
-    this.#inbox = replica(inboxPrefix(service), (change) => this.#readInbox(change))
+    this.#workers = replica(options.workersPrefix, WORKERS_SPACING_MS, () => this.#followWorkers())
+    this.#inbox = replica(inboxPrefix(service), INBOX_SPACING_MS, (change) => this.#readInbox(change))
   }
 
   /** Schedules until stopped or deposed. */
--- /dev/null
+++ b/packages/scheduler/src/test/CommitLog.test.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai'
+import { delay, systemClock } from '@quillscale/utils'
+import { CommitLog } from '../lib/CommitLog.js'
+import { FaultyStore } from './TestService.js'
+
+describe('CommitLog', () => {
+  let store: FaultyStore
+  let isDeposed: boolean
+  beforeEach(() => {
+    store = new FaultyStore()
+    isDeposed = false
+  })
+
+  async function logUnderDuty (): Promise<CommitLog> {
+    const duty = (await store.compareAndSwap({ key: 'duty', expectedModRevision: 0, value: 'me' })).unwrap()
+    const log = new CommitLog({
+      store,
+      clock: systemClock,
+      dutyKey: 'duty',
+      dutyRevision: duty.swapped ? duty.modRevision : 0,
+      chainKey: 'chain',
+      chainRevision: 0,
+      onDeposed: () => { isDeposed = true },
+      onStoreError: () => {}
+    })
+    void log.run()
+    return log
+  }
+  const valueOf = async (key: string): Promise<string | undefined> => (await store.get(key)).unwrap()?.value
+
+  it('writes the value as it is when the transaction is made', async () => {
+    const log = await logUnderDuty()
+    let value = 'first'
+    log.put('k', () => value, true)
+    value = 'second'
+    expect(await log.flushed()).to.equal(true)
+    expect(await valueOf('k')).to.equal('second')
+    log.close()
+  })
+
+  it('writes more than one transaction holds', async () => {
+    const log = await logUnderDuty()
+    for (let index = 0; index < 70; index++) log.put(`k${index}`, () => String(index))
+    expect(await log.flushed()).to.equal(true)
+    expect((await store.list('k')).unwrap().items).to.have.length(70)
+    log.close()
+  })
+
+  it('a transaction whose answer is lost takes effect once, and the next one follows it', async () => {
+    const log = await logUnderDuty()
+    let lost = 0
+    store.loseAnswers = () => lost++ < 2
+    log.put('k', () => 'one', true)
+    expect(await log.flushed()).to.equal(true)
+    log.put('k', () => 'two', true)
+    expect(await log.flushed()).to.equal(true)
+    expect(await valueOf('k')).to.equal('two')
+    expect(isDeposed).to.equal(false)
+    log.close()
+  })
+
+  it('one that arrives late does not replace what came after it', async () => {
+    const log = await logUnderDuty()
+    const late: Array<() => Promise<unknown>> = []
+    const transact = store.transact.bind(store)
+    let isFirst = true
+    store.transact = async (transaction) => {
+      if (!isFirst) return await transact(transaction)
+      isFirst = false
+      late.push(() => transact(transaction))
+      store.loseAnswers = () => false
+      return await transact({ conditions: [{ key: 'no such key', modRevision: 9 }], puts: [], removals: [] }).then(() => store.isDown ? transact(transaction) : lostAnswer())
+    }
+    log.put('k', () => 'one', true)
+    await log.flushed()
+    log.put('k', () => 'two', true)
+    await log.flushed()
+    for (const arrive of late) await arrive()
+    expect(await valueOf('k')).to.equal('two')
+    log.close()
+  })
+
+  it('writes nothing once the duty has another holder', async () => {
+    const log = await logUnderDuty()
+    log.put('k', () => 'mine', true)
+    await log.flushed()
+    await store.transact({ conditions: [], puts: [{ key: 'duty', value: 'other' }], removals: [] })
+    log.put('k', () => 'still mine', true)
+    expect(await log.flushed()).to.equal(false)
+    expect(isDeposed).to.equal(true)
+    expect(await valueOf('k')).to.equal('mine')
+  })
+
+  it('waits while the store is down, and then writes', async () => {
+    const log = await logUnderDuty()
+    store.isDown = true
+    log.put('k', () => 'v', true)
+    const written = log.flushed()
+    expect(await Promise.race([written, delay(80).then(() => 'waits')])).to.equal('waits')
+    store.isDown = false
+    expect(await written).to.equal(true)
+    log.close()
+  })
+})
+
+async function lostAnswer (): Promise<Awaited<ReturnType<FaultyStore['transact']>>> {
+  const lossy = new FaultyStore()
+  lossy.loseAnswers = () => true
+  return await lossy.transact({ conditions: [], puts: [], removals: [] })
+}
--- /dev/null
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -0,0 +1,145 @@
+import { expect } from 'chai'
+import { delay, Ok, systemClock, type Result } from '@quillscale/utils'
+import type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
+import { MachineDuty } from '../lib/MachineDuty.js'
+import { MACHINE_DUTY_KEY } from '../lib/storeKeys.js'
+import { SERVICE, TestService } from './TestService.js'
+
+const DOWN_MS = 60
+const PARKED = 'parked'
+const HOLDER_CHANGE_MS = 300
+
+interface Ordered extends MachineOrder { readonly atMs: number, readonly what: string }
+
+/** Machines of the service under test; upkeep and moves replace the worker's lifetime. */
+class StandInMachines implements MachineControl {
+  readonly orders: Ordered[] = []
+  readonly #machines = new Map<string, ListedMachine>()
+  readonly #lives = new Map<string, number>()
+  mostDown = 0
+
+  constructor (readonly service: TestService, count: number, parked: number) {
+    for (let index = 0; index < count + parked; index++) {
+      const isParked = index >= count
+      this.#set(`m${index}`, isParked ? PARKED : SERVICE, 'up', isParked ? '' : `w${index}-1`)
+    }
+  }
+
+  poolOf (machineId: string): string | undefined {
+    return this.#machines.get(machineId)?.pool
+  }
+
+  #set (machineId: string, pool: string, state: ListedMachine['state'], instanceId: string): void {
+    this.#machines.set(machineId, { machineId, pool, state, availabilityZone: 'z', instanceId })
+  }
+
+  async listMachines (): Promise<Result<readonly ListedMachine[], PlatformError>> {
+    return Ok([...this.#machines.values()])
+  }
+
+  move (order: MachineOrder, pool: string): Promise<Result<MachineOrderOutcome, PlatformError>> {
+    return this.#order(order, `move to ${pool}`, pool, 'moving')
+  }
+
+  upkeep (order: MachineOrder): Promise<Result<MachineOrderOutcome, PlatformError>> {
+    return this.#order(order, 'upkeep', this.#machines.get(order.machineId)?.pool ?? '', 'upkeep')
+  }
+
+  async #order (order: MachineOrder, what: string, pool: string, state: 'moving' | 'upkeep'): Promise<Result<MachineOrderOutcome, PlatformError>> {
+    const machine = this.#machines.get(order.machineId)
+    if (machine === undefined) return Ok('unknown-machine')
+    if (machine.state !== 'up') return Ok('busy')
+    this.orders.push({ ...order, what, atMs: performance.now() })
+    this.service.runs.workers.get(machine.instanceId)?.crash()
+    if (machine.instanceId !== '') this.service.unlist(machine.instanceId)
+    this.#set(order.machineId, pool, state, '')
+    this.mostDown = Math.max(this.mostDown, [...this.#machines.values()].filter((each) => each.state === 'upkeep').length)
+    setTimeout(() => this.#comeBack(order.machineId, pool), DOWN_MS)
+    return Ok('accepted')
+  }
+
+  #comeBack (machineId: string, pool: string): void {
+    const life = (this.#lives.get(machineId) ?? 1) + 1
+    this.#lives.set(machineId, life)
+    const index = Number(machineId.slice(1))
+    this.#set(machineId, pool, 'up', pool === PARKED ? '' : `w${index}-${life}`)
+    if (pool !== PARKED) this.service.addWorker(index, life)
+  }
+}
+
+describe('MachineDuty', () => {
+  let service: TestService
+  const duties: MachineDuty[] = []
+  const statuses: string[] = []
+  afterEach(() => {
+    service.close()
+    for (const duty of duties.splice(0)) duty.close()
+    statuses.splice(0)
+  })
+
+  async function take (machines: MachineControl, waves: readonly WaveRequest[], hostName = 'host'): Promise<MachineDuty> {
+    await service.store.transact({ conditions: [], puts: [], removals: [MACHINE_DUTY_KEY] })
+    const taken = (await service.store.compareAndSwap({ key: MACHINE_DUTY_KEY, expectedModRevision: 0, value: hostName })).unwrap()
+    const duty = new MachineDuty({
+      dutyKey: MACHINE_DUTY_KEY, fencingToken: taken.swapped ? taken.modRevision : 0, mayOrder: () => true, onDeposed: () => {},
+      hostName, store: service.store, machines, clock: systemClock, log: service.log, waves: () => waves, headroomPools: () => [PARKED],
+      waveStatus: (wave, isDone) => {
+        statuses.push(`${wave} ${isDone ? 'done' : 'running'}`)
+        return { key: `status/${wave}`, value: String(isDone) }
+      },
+      holderChangeMs: () => HOLDER_CHANGE_MS
+    })
+    duties.push(duty)
+    void duty.run()
+    return duty
+  }
+
+  it('keeps every machine of a wave up once, so many at a time, and no task of a step away beside another', async () => {
+    service = new TestService(4)
+    service.maxLeaseMs = 3000
+    const machines = new StandInMachines(service, 4, 2)
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ taskCount: 4, isLasting: true, maxAway: 1, maxPerWorker: 2 }])
+    await service.until('all run', () => service.runs.records.length === 4)
+    const wave = { wave: 1, machineIds: ['m0', 'm1', 'm2', 'm3', 'm4'], deadlineMs: 20_000, maxAtOnce: 2 }
+    await take(machines, [wave])
+    await service.until('the wave is done', () => statuses.includes('1 done'), 15_000)
+    const kept = machines.orders.filter(({ what }) => what === 'upkeep').map(({ machineId }) => machineId)
+    expect([...kept].sort()).to.deep.equal(wave.machineIds)
+    expect(machines.mostDown).to.be.at.most(2)
+    expect(service.runs.records.filter(({ end }) => end === undefined && service.runs.records.length > 0).every(({ endedMs }) => endedMs === undefined)).to.equal(true)
+    expect(service.doubled).to.deep.equal([])
+  }).timeout(20_000)
+
+  it('gives a service that wants more a parked machine', async () => {
+    service = new TestService(1)
+    const machines = new StandInMachines(service, 1, 2)
+    await service.takeOver()
+    await service.submit(1, { runMs: 3000 }, [{ taskCount: 8 }])
+    await take(machines, [])
+    await service.until('a machine came', () => machines.poolOf('m1') === SERVICE)
+    expect(machines.orders.every(({ what }) => what === `move to ${SERVICE}`)).to.equal(true)
+  })
+
+  it('a next holder goes on with the wave, and waits before it repeats a former one’s order', async () => {
+    service = new TestService(3)
+    service.maxLeaseMs = 3000
+    const machines = new StandInMachines(service, 3, 0)
+    await service.takeOver()
+    const wave = { wave: 1, machineIds: ['m0', 'm1', 'm2'], deadlineMs: 20_000, maxAtOnce: 1 }
+    const first = await take(machines, [wave], 'first')
+    await service.until('it began', () => machines.orders.length > 0)
+    first.close()
+    await delay(5)
+    await take(machines, [wave], 'second')
+    await service.until('the wave is done', () => statuses.includes('1 done'), 15_000)
+    for (const machineId of wave.machineIds) {
+      const holders = machines.orders.filter((order) => order.machineId === machineId && order.what === 'upkeep')
+      expect(holders.length, machineId).to.be.at.least(1)
+      for (const [index, order] of holders.entries()) {
+        const former = holders[index - 1]
+        if (former !== undefined && former.holder !== order.holder) expect(order.atMs - former.atMs).to.be.above(HOLDER_CHANGE_MS)
+      }
+    }
+  }).timeout(20_000)
+})
--- /dev/null
+++ b/packages/scheduler/src/test/planPools.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai'
+import type { ListedMachine } from '@quillscale/ports'
+import { planPools, type PoolView, type ServiceDemand } from '../lib/planPools.js'
+
+interface Pool { readonly name: string, readonly machines: number, readonly idle?: number, readonly wantedCores?: number, readonly recent?: number }
+
+/** Pool `off` is one whose machines are off; the others are services with machines of 16 cores, some of them idle. */
+function viewOf (pools: readonly Pool[], refused: readonly string[] = []): PoolView {
+  const machines = new Map<string, ListedMachine>()
+  const demands: ServiceDemand[] = []
+  for (const { name, machines: count, idle = 0, wantedCores = 0 } of pools) {
+    const ids = Array.from({ length: count }, (_, index) => `${name}${index}`)
+    for (const machineId of ids) machines.set(machineId, { machineId, pool: name, state: 'up', availabilityZone: 'z', instanceId: name === 'off' ? '' : machineId })
+    if (name === 'off') continue
+    demands.push({
+      service: name,
+      wantedMillis: wantedCores * 1000,
+      leastMachines: 2,
+      machineMillis: 16_000,
+      runsByMachine: new Map(ids.map((machineId, index) => [machineId, index < idle ? 0 : 3]))
+    })
+  }
+  return {
+    demands,
+    machines,
+    headroomPools: ['off'],
+    busy: new Map(),
+    isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
+    recentNeed: new Map(pools.flatMap(({ name, recent }) => recent === undefined ? [] : [[name, recent] as const]))
+  }
+}
+
+describe('planPools', () => {
+  const cases: ReadonlyArray<{ name: string, pools: readonly Pool[], refused?: string[], moves: string[] }> = [
+    { name: 'nothing where room and need agree', pools: [{ name: 'a', machines: 3 }, { name: 'off', machines: 2 }], moves: [] },
+    { name: 'a parked machine to a service that wants more', pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'off', machines: 2 }], moves: ['off0 off>a'] },
+    {
+      name: 'an idle machine of another service when none is parked',
+      pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'b', machines: 5, idle: 2 }],
+      moves: ['b0 b>a', 'b1 b>off']
+    },
+    { name: 'no busy machine of another service', pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'b', machines: 5 }], moves: [] },
+    { name: 'idle machines beyond the need and one more are parked', pools: [{ name: 'a', machines: 6, idle: 6 }, { name: 'off', machines: 0 }], moves: ['a0 a>off', 'a1 a>off', 'a2 a>off'] },
+    { name: 'what was needed lately is kept', pools: [{ name: 'a', machines: 6, idle: 6, recent: 5 }, { name: 'off', machines: 0 }], moves: [] },
+    { name: 'a pair that the platform refused is not asked for again', pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'off', machines: 1 }], refused: ['off0 a'], moves: [] }
+  ]
+  for (const { name, pools, refused, moves } of cases) {
+    it(name, () => {
+      const view = viewOf(pools, refused)
+      const headroomPools = ['off']
+      const planned = planPools({ ...view, headroomPools }).map(({ machineId, from, to }) => `${machineId} ${from}>${to}`)
+      expect(planned).to.deep.equal(moves)
+    })
+  }
+
+  it('leaves machines alone that are busy, and counts them where they will be', () => {
+    const view = viewOf([{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'off', machines: 2 }])
+    expect(planPools({ ...view, busy: new Map([['off0', 'a']]) })).to.deep.equal([])
+  })
+})
