A replica that was ended tells nothing any more; the duty of machines has tests

Cause: a test run did not end: an answer of the store that was under way when a scheduler was closed still changed its copy of the workers' list, and the closed scheduler met workers, which it then held for ever. Ruled out: timers of the stand-ins (all unreferenced or short). Change: PrefixReplica looks at its signal after each answer (test failed first).

--- a/packages/leases/src/lib/PrefixReplica.ts
+++ b/packages/leases/src/lib/PrefixReplica.ts
@@ -66,7 +66,7 @@
     let failures = 0
     let mustList = true
     while (!signal.aborted) {
-      const error: PlatformError | undefined = await (mustList ? this.#list() : this.#watch())
+      const error: PlatformError | undefined = await (mustList ? this.#list(signal) : this.#watch(signal))
       if (signal.aborted) return
       this.#noteContact(error)
       if (error === undefined && this.#hasNews && this.#options.spacingMs !== undefined) await delay(this.#options.spacingMs, signal)
@@ -76,10 +76,11 @@
     }
   }
 
-  async #list (): Promise<PlatformError | undefined> {
+  async #list (signal: AbortSignal): Promise<PlatformError | undefined> {
     const askedMs = this.#options.clock.monotonicMs()
     const listed = await this.#options.store.list(this.#options.prefix)
     if (listed.err) return listed.val
+    if (signal.aborted) return undefined
     const { items, revision } = listed.val
     const present = new Set(items.map(({ key }) => key))
     const changed = items.filter(({ key, modRevision }) => (this.items.get(key)?.modRevision ?? 0) < modRevision)
@@ -94,10 +95,11 @@
     return undefined
   }
 
-  async #watch (): Promise<PlatformError | undefined> {
+  async #watch (signal: AbortSignal): Promise<PlatformError | undefined> {
     const askedMs = this.#options.clock.monotonicMs()
     const watched = await this.#options.store.watch(this.#options.prefix, this.#revision, this.#options.watchMs)
     if (watched.err) return watched.val
+    if (signal.aborted) return undefined
     this.#confirmedAtMs = askedMs
     const last = new Map<string, KeyValue | undefined>()
     for (const { key, value, modRevision } of watched.val.events) {
--- a/packages/leases/src/test/PrefixReplica.test.ts
+++ b/packages/leases/src/test/PrefixReplica.test.ts
@@ -59,4 +59,16 @@
       expect([...replica.items.keys()]).to.deep.equal(['p/b'])
     })
   }
+
+  it('tells nothing any more once it was ended, also of an answer that was under way', async () => {
+    let changes = 0
+    const ended = new AbortController()
+    const other = new PrefixReplica({ store, prefix: 'p/', clock: systemClock, watchMs: 500, relistMs: 5000, onChange: () => { changes++ } })
+    const running = other.run(ended.signal)
+    await until(() => changes === 1)
+    ended.abort()
+    await write('p/c', '4')
+    await running
+    expect(changes).to.equal(1)
+  })
 })
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -81,8 +81,17 @@
     await service.store.transact({ conditions: [], puts: [], removals: [MACHINE_DUTY_KEY] })
     const taken = (await service.store.compareAndSwap({ key: MACHINE_DUTY_KEY, expectedModRevision: 0, value: hostName })).unwrap()
     const duty = new MachineDuty({
-      dutyKey: MACHINE_DUTY_KEY, fencingToken: taken.swapped ? taken.modRevision : 0, mayOrder: () => true, onDeposed: () => {},
-      hostName, store: service.store, machines, clock: systemClock, log: service.log, waves: () => waves, headroomPools: () => [PARKED],
+      dutyKey: MACHINE_DUTY_KEY,
+      fencingToken: taken.swapped ? taken.modRevision : 0,
+      mayOrder: () => true,
+      onDeposed: () => {},
+      hostName,
+      store: service.store,
+      machines,
+      clock: systemClock,
+      log: service.log,
+      waves: () => waves,
+      headroomPools: () => [PARKED],
       waveStatus: (wave, isDone) => {
         statuses.push(`${wave} ${isDone ? 'done' : 'running'}`)
         return { key: `status/${wave}`, value: String(isDone) }
@@ -107,7 +116,7 @@
     const kept = machines.orders.filter(({ what }) => what === 'upkeep').map(({ machineId }) => machineId)
     expect([...kept].sort()).to.deep.equal(wave.machineIds)
     expect(machines.mostDown).to.be.at.most(2)
-    expect(service.runs.records.filter(({ end }) => end === undefined && service.runs.records.length > 0).every(({ endedMs }) => endedMs === undefined)).to.equal(true)
+    await service.until('all tasks run again', () => service.runs.records.filter(({ endedMs }) => endedMs === undefined).length === 4)
     expect(service.doubled).to.deep.equal([])
   }).timeout(20_000)
 
