Machines go to who needs them now; a growing demand is told at once

Ruled out: refused starts (17), the pace of moves (up to 13 a second). Change: what a service needed lately is kept from being parked, not from another's present need; a demand that grew by a machine is written at once instead of within 300 ms, its watch pauses 30 ms instead of 100.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -43,6 +43,8 @@
 const LIST_IDLE_MS = 1500
 const WATCH_MS = 3000
 const RELIST_MS = 8000
+/** Demands that come close together cost one call. */
+const DEMAND_SPACING_MS = 30
 /** Added to the pause after a former holder's order. */
 const HOLDER_CHANGE_SLACK_MS = 500
 /** An order that got no answer, or came at a bad moment, is repeated after this. */
@@ -92,7 +94,7 @@
       onContact: (error) => log.warn({ prefix, error }, error === undefined ? 'store answers again' : 'store does not answer')
     })
     this.#vacated = replica(VACATED_PREFIX, 0)
-    this.#demandItems = replica(DEMAND_PREFIX, ROUND_MS)
+    this.#demandItems = replica(DEMAND_PREFIX, DEMAND_SPACING_MS)
   }
 
   /** Works until closed. */
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -19,6 +19,7 @@
 import { MachineVacator } from './MachineVacator.js'
 import { demandOf } from './demandOf.js'
 import { planPaces } from './planPaces.js'
+import { machinesNeeded } from './planPools.js'
 import { PlacementRound } from './PlacementRound.js'
 import { RunBook } from './RunBook.js'
 import { RunTimes } from './RunTimes.js'
@@ -81,8 +82,9 @@
 const INBOX_SPACING_MS = 20
 /** How often the counts of waiting jobs are written at least; readers take older ones for outdated. */
 const WAITING_COUNT_MS = 1000
-/** The demand for machines is written this often if it changed, and otherwise, as a sign of life. */
-const DEMAND_MS = 300
+/** The demand for machines is summed up this often; written at once if it grew by a machine, else this often if it changed, and as a sign of life. */
+const DEMAND_MS = 100
+const DEMAND_CHANGE_MS = 400
 const DEMAND_REPEAT_MS = 2000
 /** A worker that refuses a start for want of room or health is left alone so long. */
 const REFUSAL_PAUSE_MS = 300
@@ -113,6 +115,8 @@
   #isRoundDue = false
   #waitingText = ''
   #demandText = ''
+  #demandNeed = 0
+  #demandMadeMs = -Infinity
   #demandWrittenMs = -Infinity
   #waitingWrittenMs = -Infinity
 
@@ -543,16 +547,22 @@
     this.#commits.put(waitingKey(this.#options.service), () => JSON.stringify({ atMs, counts }))
   }
 
+  /** More need is told at once, anything else now and then. */
   #writeDemand (nowMs: number): void {
-    if (nowMs - this.#demandWrittenMs < DEMAND_MS) return
+    if (nowMs - this.#demandMadeMs < DEMAND_MS) return
+    this.#demandMadeMs = nowMs
     const { service, clock } = this.#options
-    const text = encodeDemand(demandOf({
-      service, jobs: this.#book.jobs.values(), links: [...this.#links.values()], nowMs, wallMs: clock.wallMs()
-    }))
-    if (text === this.#demandText && nowMs - this.#demandWrittenMs < DEMAND_REPEAT_MS) return
+    const demand = demandOf({ service, jobs: this.#book.jobs.values(), links: [...this.#links.values()], nowMs, wallMs: clock.wallMs() })
+    const need = machinesNeeded(demand)
+    const text = encodeDemand(demand)
+    const isMore = need > this.#demandNeed
+    const ageMs = nowMs - this.#demandWrittenMs
+    if (!isMore && ageMs < (text === this.#demandText ? DEMAND_REPEAT_MS : DEMAND_CHANGE_MS)) return
+    if (need !== this.#demandNeed) this.#log.info({ service, need, machines: demand.runsByMachine.size, wantedMillis: demand.wantedMillis }, 'need of machines')
     this.#demandWrittenMs = nowMs
     this.#demandText = text
-    this.#commits.put(demandKey(service), () => text)
+    this.#demandNeed = need
+    this.#commits.put(demandKey(service), () => text, isMore)
   }
 
   /** Ended jobs are removed once nobody is owed an answer about them. */
--- a/packages/scheduler/src/lib/planPools.ts
+++ b/packages/scheduler/src/lib/planPools.ts
@@ -102,7 +102,8 @@
     const parked = [...view.machines.values()].find((machine) => machine.pool === pool && isFree(machine))
     if (parked !== undefined) return { machineId: parked.machineId, from: pool, to }
   }
-  const givers = counts.filter((count) => count !== wanting && count.have > count.keep).sort((a, b) => (b.have - b.keep) - (a.have - a.keep))
+  // What a service needed a moment ago is kept from being parked, not from one that needs it now.
+  const givers = counts.filter((count) => count !== wanting && count.have > count.need).sort((a, b) => (b.have - b.need) - (a.have - a.need))
   for (const { demand } of givers) {
     const idle = idleMachine(demand, view, isFree)
     if (idle !== undefined) return { machineId: idle, from: demand.service, to }
