Machines with few runs are emptied for a service in need; a new holder parks nothing at once

At 33 s a new holder, that knew no recent need, parked 19 machines which were needed 2 s later. Ruled out: a slow list of machines (read each 0.3 s), refused moves (none). Tables of planPools.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -285,7 +285,8 @@
       machines: this.#machines,
       busy,
       isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
-      recentNeed: this.#recentNeed(demands)
+      recentNeed: this.#recentNeed(demands),
+      mayPark: this.#options.clock.monotonicMs() - this.#tookOverMs > NEED_MEMORY_MS
     })
     for (const { machineId, from, to } of moves) this.#begin({ machineId, kind: 'move', wave: 0, from, to })
   }
--- a/packages/scheduler/src/lib/demandOf.ts
+++ b/packages/scheduler/src/lib/demandOf.ts
@@ -5,7 +5,7 @@
  */
 import { hasEnded, openSteps, stepOf, type Job } from './JobState.js'
 import { cpuDemandOf } from './placeTasks.js'
-import type { ServiceDemand } from './planPools.js'
+import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
 import type { WorkerLink } from './WorkerLink.js'
 
 /** What the sum is made of. @public */
@@ -44,6 +44,10 @@
     wantedMillis,
     leastMachines,
     machineMillis: sizes.length === 0 ? DEFAULT_MACHINE_MILLIS : sizes.reduce((sum, size) => sum + size, 0) / sizes.length,
-    runsByMachine: new Map(open.filter(({ instance }) => instance.machineId !== '').map(({ instance, runs }) => [instance.machineId, runs.size]))
+    runsByMachine: new Map(open.filter(({ instance }) => instance.machineId !== '').map((link) => [link.instance.machineId, weightOf(link)]))
   }
 }
+
+function weightOf (link: WorkerLink): number {
+  return [...link.runs.values()].reduce((sum, run) => sum + (stepOf(run.task).isLasting ? LASTING_RUN_WEIGHT : 1), 0)
+}
--- a/packages/scheduler/src/lib/planPools.ts
+++ b/packages/scheduler/src/lib/planPools.ts
@@ -13,7 +13,7 @@
   readonly wantedMillis: number
   /** Fewest machines over which its lasting tasks are spread. */
   readonly leastMachines: number
-  /** Runs on each of its machines that take work. */
+  /** Runs on each of its machines that take work; lasting tasks weigh as {@link LASTING_RUN_WEIGHT}. */
   readonly runsByMachine: ReadonlyMap<string, number>
   /** Processor time of one of its machines. */
   readonly machineMillis: number
@@ -36,14 +36,21 @@
   readonly busy: ReadonlyMap<string, string>
   /** Pairs of machine and pool that the platform refused. */
   readonly isRefused: (machineId: string, pool: string) => boolean
+  /** Whether needs were watched for long enough to give room back. */
+  readonly mayPark: boolean
   /** The most that a service needed lately: room is given back only after a while without need. */
   readonly recentNeed: ReadonlyMap<string, number>
 }
 
+/** A lasting task has to be moved, which its users notice; others only finish. @public */
+export const LASTING_RUN_WEIGHT = 10
+
 /** Room is added when more than this share of it is wanted: tasks do not fit without gaps. */
 const FULL_SHARE = 0.85
 /** Machines that a service keeps beyond its need: work that comes suddenly starts at once. */
 const SPARE_MACHINES = 1
+/** A machine with more runs is not emptied for another service: what runs would take too long to leave. */
+const MOST_RUNS_TO_LEAVE = 4
 /** So many changes begin in one round at most: demands are a moment old. */
 const MAX_MOVES_A_ROUND = 6
 
@@ -93,7 +100,7 @@
   }
 }
 
-/** From a pool that is off first, then an idle machine of the service with the most to spare. */
+/** From a pool that is off first, then the least busy machine of the service with the most to spare. */
 function findMachine (wanting: PoolCount, counts: readonly PoolCount[], view: PoolView, taken: ReadonlySet<string>): PoolMove | undefined {
   const to = wanting.demand.service
   const isFree = (machine: ListedMachine): boolean =>
@@ -105,31 +112,34 @@
   // What a service needed a moment ago is kept from being parked, not from one that needs it now.
   const givers = counts.filter((count) => count !== wanting && count.have > count.need).sort((a, b) => (b.have - b.need) - (a.have - a.need))
   for (const { demand } of givers) {
-    const idle = idleMachine(demand, view, isFree)
-    if (idle !== undefined) return { machineId: idle, from: demand.service, to }
+    const machineId = leastBusyMachine(demand, view, isFree, MOST_RUNS_TO_LEAVE)
+    if (machineId !== undefined) return { machineId, from: demand.service, to }
   }
   return undefined
 }
 
-function idleMachine (demand: ServiceDemand, view: PoolView, isFree: (machine: ListedMachine) => boolean): string | undefined {
+/** The machine with the fewest runs, if it has no more than so many. */
+function leastBusyMachine (demand: ServiceDemand, view: PoolView, isFree: (machine: ListedMachine) => boolean, mostRuns: number): string | undefined {
+  let best: string | undefined
+  let fewest = mostRuns + 1
   for (const [machineId, runs] of demand.runsByMachine) {
     const machine = view.machines.get(machineId)
-    if (runs === 0 && machine?.pool === demand.service && isFree(machine)) return machineId
+    if (runs < fewest && machine?.pool === demand.service && isFree(machine)) [best, fewest] = [machineId, runs]
   }
-  return undefined
+  return best
 }
 
 /** Idle machines beyond what a service needed lately go to a pool that is off. */
 function giveBack (counts: readonly PoolCount[], view: PoolView, taken: ReadonlySet<string>, most: number): PoolMove[] {
   const [pool] = view.headroomPools
-  if (pool === undefined) return []
+  if (pool === undefined || !view.mayPark) return []
   const chosen = new Set(taken)
   const moves: PoolMove[] = []
   for (const count of counts) {
     const isFree = (machine: ListedMachine): boolean =>
       machine.state === 'up' && !view.busy.has(machine.machineId) && !chosen.has(machine.machineId) && !view.isRefused(machine.machineId, pool)
     while (count.have > count.keep && moves.length < most) {
-      const machineId = idleMachine(count.demand, view, isFree)
+      const machineId = leastBusyMachine(count.demand, view, isFree, 0)
       if (machineId === undefined) break
       chosen.add(machineId)
       count.have--
--- a/packages/scheduler/src/test/planPools.test.ts
+++ b/packages/scheduler/src/test/planPools.test.ts
@@ -2,13 +2,13 @@
 import type { ListedMachine } from '@quillscale/ports'
 import { planPools, type PoolView, type ServiceDemand } from '../lib/planPools.js'
 
-interface Pool { readonly name: string, readonly machines: number, readonly idle?: number, readonly wantedCores?: number, readonly recent?: number }
+interface Pool { readonly name: string, readonly machines: number, readonly idle?: number, readonly wantedCores?: number, readonly recent?: number, readonly busyRuns?: number }
 
 /** Pool `off` is one whose machines are off; the others are services with machines of 16 cores, some of them idle. */
 function viewOf (pools: readonly Pool[], refused: readonly string[] = []): PoolView {
   const machines = new Map<string, ListedMachine>()
   const demands: ServiceDemand[] = []
-  for (const { name, machines: count, idle = 0, wantedCores = 0 } of pools) {
+  for (const { name, machines: count, idle = 0, wantedCores = 0, busyRuns = 8 } of pools) {
     const ids = Array.from({ length: count }, (_, index) => `${name}${index}`)
     for (const machineId of ids) machines.set(machineId, { machineId, pool: name, state: 'up', availabilityZone: 'z', instanceId: name === 'off' ? '' : machineId })
     if (name === 'off') continue
@@ -17,13 +17,14 @@
       wantedMillis: wantedCores * 1000,
       leastMachines: 2,
       machineMillis: 16_000,
-      runsByMachine: new Map(ids.map((machineId, index) => [machineId, index < idle ? 0 : 3]))
+      runsByMachine: new Map(ids.map((machineId, index) => [machineId, index < idle ? 0 : busyRuns]))
     })
   }
   return {
     demands,
     machines,
     headroomPools: ['off'],
+    mayPark: true,
     busy: new Map(),
     isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
     recentNeed: new Map(pools.flatMap(({ name, recent }) => recent === undefined ? [] : [[name, recent] as const]))
@@ -39,6 +40,11 @@
       pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'b', machines: 5, idle: 2 }],
       moves: ['b0 b>a', 'b1 b>off']
     },
+    {
+      name: 'a machine of another service whose few runs will leave, when none is idle',
+      pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'b', machines: 5, busyRuns: 3 }],
+      moves: ['b0 b>a']
+    },
     { name: 'no busy machine of another service', pools: [{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'b', machines: 5 }], moves: [] },
     { name: 'idle machines beyond the need and one more are parked', pools: [{ name: 'a', machines: 6, idle: 6 }, { name: 'off', machines: 0 }], moves: ['a0 a>off', 'a1 a>off', 'a2 a>off'] },
     { name: 'what was needed lately is kept', pools: [{ name: 'a', machines: 6, idle: 6, recent: 5 }, { name: 'off', machines: 0 }], moves: [] },
