--- a/packages/scheduler/src/lib/RunBook.ts
+++ b/packages/scheduler/src/lib/RunBook.ts
@@ -49,6 +49,7 @@
     if (checkpoint !== '' && stepOf(task).isCheckpointing) task.checkpoint = checkpoint
     const { job } = task
     this.#noteHealth(run, outcome)
+    if (job.status === 'queued' && outcome !== 'not-started' && outcome !== 'lost') job.status = 'running'
     if (!hasEnded(job)) this.#applyOutcome(run, outcome)
     this.#logEnd(run, outcome)
     this.#options.onChanged(job)
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -370,6 +370,7 @@
   #seenRunning (run: Run, percent: number, load: number, checkpoint: string, nowMs: number): void {
     if (run.phase === 'unconfirmed' || run.phase === 'starting') {
       run.phase = 'running'
+      this.#hasBegun(run.task.job)
       run.startedMs = nowMs
       if (hasEnded(run.task.job) || run.task.isDone) this.#discard(run)
     }
@@ -398,10 +399,18 @@
   #started (run: Run): void {
     if (run.phase !== 'starting') return
     run.phase = 'running'
+    this.#hasBegun(run.task.job)
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
     this.#options.metrics.count('runs_started', this.#options.service)
   }
 
+  /** A job waits until a worker has begun with it: placements may come to nothing. */
+  #hasBegun (job: Job): void {
+    if (job.status !== 'queued') return
+    job.status = 'running'
+    this.#changed(job)
+  }
+
   #notStarted (link: WorkerLink, run: Run, error: RunOrderError): void {
     const { taskKey, runNumber, instanceId } = run
     this.#log.info({ taskKey, runNumber, instanceId, error, isUncertain: run.isUncertain }, 'run not started')
@@ -503,8 +512,6 @@
     if (runs.length === 0) return
     for (const run of runs) {
       this.#links.get(run.instanceId)?.runs.set(runKey(run), run)
-      const { job } = run.task
-      if (job.status === 'queued') job.status = 'running'
     }
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const placed = runs.filter(({ task }) => task.job === job)
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import { cancelKey, inboxPrefix } from '../lib/storeKeys.js'
-import { SERVICE, TestService } from './TestService.js'
+import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 describe('ServiceScheduler', () => {
   let service: TestService
@@ -160,6 +160,19 @@
     expect(draining?.records).to.have.length(0)
   })
 
+  it('a job whose starts get no answer waits, and is counted so', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    await service.until('it is met', () => service.log.lines.some((line) => line.startsWith('worker met')))
+    await delay(50)
+    for (const worker of service.runs.workers.values()) worker.faults.isSilent = true
+    const jobId = await service.submit(1, { runMs: 20 })
+    await service.until('it was placed', () => service.log.lines.some((line) => line.startsWith('tasks placed')))
+    await delay(1300)
+    expect(await service.desk.waiting(QUEUE, SERVICE, performance.now() + 1000)).to.equal(1)
+    expect(await service.status(jobId)).to.equal('queued')
+  })
+
   it('a cancel that is listed before its job holds', async () => {
     service = new TestService(1)
     const jobId = await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
--- a/packages/scheduler/src/test/planPools.test.ts
+++ b/packages/scheduler/src/test/planPools.test.ts
@@ -2,7 +2,14 @@
 import type { ListedMachine } from '@quillscale/ports'
 import { planPools, type PoolView, type ServiceDemand } from '../lib/planPools.js'
 
-interface Pool { readonly name: string, readonly machines: number, readonly idle?: number, readonly wantedCores?: number, readonly recent?: number, readonly busyRuns?: number }
+interface Pool {
+  readonly name: string
+  readonly machines: number
+  readonly idle?: number
+  readonly wantedCores?: number
+  readonly recent?: number
+  readonly busyRuns?: number
+}
 
 /** Pool `off` is one whose machines are off; the others are services with machines of 16 cores, some of them idle. */
 function viewOf (pools: readonly Pool[], refused: readonly string[] = []): PoolView {
