Machines move ahead of a growing need

Ruled out: slower parts of the way (demand at once, list each 0.3 s, moves accepted at the first try). Change: the growth of the last second is extended by 1.5 s, at most to twice the need. A case in planPools.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -53,6 +53,10 @@
 const SETTLE_MS = 400
 /** Room that was needed so lately is not given back. */
 const NEED_MEMORY_MS = 2500
+/** Growth of a need is measured over this, and extended by how long a move takes until the machine works; at most by this factor. */
+const GROWTH_MS = 1000
+const MOVE_LEAD_MS = 1500
+const MOST_GROWTH = 2
 /** A machine whose move waits so long for its tasks to leave is left where it is. */
 const MOVE_PATIENCE_MS = 3000
 /** Demands that are older are of a scheduler that is gone: nothing is moved by them. */
@@ -286,6 +290,7 @@
       busy,
       isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
       recentNeed: this.#recentNeed(demands),
+      comingNeed: this.#comingNeed(demands),
       mayPark: this.#options.clock.monotonicMs() - this.#tookOverMs > NEED_MEMORY_MS
     })
     for (const { machineId, from, to } of moves) this.#begin({ machineId, kind: 'move', wave: 0, from, to })
@@ -301,6 +306,18 @@
     }))
   }
 
+  /** Extends the growth of the last second to when a machine that is ordered now will work. */
+  #comingNeed (demands: readonly ServiceDemand[]): Map<string, number> {
+    const nowMs = this.#options.clock.monotonicMs()
+    return new Map(demands.map(({ service }) => {
+      const needs = this.#needs.get(service) ?? []
+      const last = needs.at(-1)?.machines ?? 0
+      const before = needs.find(({ atMs }) => nowMs - atMs <= GROWTH_MS)?.machines ?? last
+      const growth = Math.max(0, last - before) / GROWTH_MS
+      return [service, Math.min(Math.ceil(last * MOST_GROWTH), Math.round(last + growth * MOVE_LEAD_MS))]
+    }))
+  }
+
   #isReady (task: MachineTask): boolean {
     const nowMs = this.#options.clock.monotonicMs()
     if (this.#formerOrders.has(task.machineId) && nowMs < this.#tookOverMs + this.#options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS) return false
--- a/packages/scheduler/src/lib/planPools.ts
+++ b/packages/scheduler/src/lib/planPools.ts
@@ -40,6 +40,8 @@
   readonly mayPark: boolean
   /** The most that a service needed lately: room is given back only after a while without need. */
   readonly recentNeed: ReadonlyMap<string, number>
+  /** What a growing service will need by the time a machine has moved. */
+  readonly comingNeed: ReadonlyMap<string, number>
 }
 
 /** A lasting task has to be moved, which its users notice; others only finish. @public */
@@ -71,7 +73,7 @@
  */
 export function planPools (view: PoolView): PoolMove[] {
   const counts = view.demands.map((demand): PoolCount => {
-    const need = machinesNeeded(demand)
+    const need = Math.max(machinesNeeded(demand), view.comingNeed.get(demand.service) ?? 0)
     return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0) + SPARE_MACHINES, have: countIn(demand.service, view) }
   })
   const taken = new Set<string>()
--- a/packages/scheduler/src/test/planPools.test.ts
+++ b/packages/scheduler/src/test/planPools.test.ts
@@ -32,6 +32,7 @@
     machines,
     headroomPools: ['off'],
     mayPark: true,
+    comingNeed: new Map(),
     busy: new Map(),
     isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
     recentNeed: new Map(pools.flatMap(({ name, recent }) => recent === undefined ? [] : [[name, recent] as const]))
@@ -66,6 +67,11 @@
     })
   }
 
+  it('moves ahead of a growing need', () => {
+    const view = viewOf([{ name: 'a', machines: 3, wantedCores: 20 }, { name: 'off', machines: 4 }])
+    expect(planPools({ ...view, comingNeed: new Map([['a', 5]]) })).to.have.length(2)
+  })
+
   it('leaves machines alone that are busy, and counts them where they will be', () => {
     const view = viewOf([{ name: 'a', machines: 3, wantedCores: 50 }, { name: 'off', machines: 2 }])
     expect(planPools({ ...view, busy: new Map([['off0', 'a']]) })).to.deep.equal([])
