--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -8,6 +8,7 @@
 export type { JobStatus } from './lib/JobState.js'
 export type { EventLog } from './lib/EventLog.js'
 export { SchedulerMetrics } from './lib/SchedulerMetrics.js'
+export { MonitoredStore } from './lib/MonitoredStore.js'
 export { DutyRoster, type DutyRosterOptions } from './lib/DutyRoster.js'
 export type { SchedulerBounds } from './lib/ServiceScheduler.js'
 export { ConfigurationFollower, type ConfigurationFollowerOptions } from './lib/ConfigurationFollower.js'
--- a/packages/scheduler/src/lib/JobDesk.ts
+++ b/packages/scheduler/src/lib/JobDesk.ts
@@ -5,18 +5,19 @@
  *
  * @module
  */
-import { delay, type Clock, type Result } from '@quillscale/utils'
-import type { KeyValueStore, PlatformError } from '@quillscale/ports'
+import { delay, Err, type Clock, type Result } from '@quillscale/utils'
+import type { PlatformError } from '@quillscale/ports'
 import { z } from 'zod'
 import type { EventLog } from './EventLog.js'
 import type { JobId, JobSpec, StepSpec } from './JobSpec.js'
 import { decodeProgress } from './jobProgress.js'
 import type { JobStatus } from './JobState.js'
+import type { MonitoredStore } from './MonitoredStore.js'
 import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from './storeKeys.js'
 
 /** What the desk works with. @public */
 export interface JobDeskOptions {
-  readonly store: KeyValueStore
+  readonly store: MonitoredStore
   readonly clock: Clock
   readonly log: EventLog
 }
@@ -35,10 +36,14 @@
 /** While the store says that it did nothing, a request is tried for so long: overload passes or it does not. */
 const REFUSED_TRIES_MS = 400
 const RETRY_FIRST_MS = 40
+/** So many lost answers, and another host may do better. */
+const MOST_LOST = 2
 const RETRY_MAX_MS = 250
 /** A count of waiting jobs that is older is made anew from the records: its scheduler is being replaced. */
 const COUNT_FRESH_MS = 2500
 
+const NOT_ASKED: PlatformError = { kind: 'unavailable', detail: 'the store has not answered for a while and was not asked' }
+
 const waitingSchema = z.object({ atMs: z.number(), counts: z.record(z.string(), z.number()) })
 
 /** The desk. @public */
@@ -144,19 +149,25 @@
     }).length
   }
 
-  /** Tries until an answer, the deadline, or a short while of plain refusals. */
+  /**
+   * Tries until an answer. A store that is silent is not asked: the client is told at once to come back, and finds another host.
+   * What a lost answer leaves open is asked again once; then the client is told, for the same reason.
+   */
   async #retry<T> (deadlineMs: number, call: () => Promise<Result<T, PlatformError>>): Promise<Tried<T>> {
-    const { clock } = this.#options
+    const { clock, store } = this.#options
     const beganMs = clock.monotonicMs()
-    const untilMs = deadlineMs - DEADLINE_MARGIN_MS
-    let mayHaveEffect = false
+    if (store.isSilent(beganMs)) return { result: Err(NOT_ASKED), mayHaveEffect: false, tries: 0 }
+    let lost = 0
     let pauseMs = RETRY_FIRST_MS
     for (let tries = 1; ; tries++) {
       const result = await call()
+      const mayHaveEffect = lost > 0
       if (result.ok) return { result, mayHaveEffect, tries }
-      mayHaveEffect ||= result.val.kind === 'unknown-effect'
-      const giveUpMs = mayHaveEffect ? untilMs : Math.min(untilMs, beganMs + REFUSED_TRIES_MS)
-      if (clock.monotonicMs() + pauseMs >= giveUpMs) return { result, mayHaveEffect, tries }
+      if (result.val.kind === 'unknown-effect') lost++
+      const nowMs = clock.monotonicMs()
+      const giveUpMs = lost > 0 ? deadlineMs - DEADLINE_MARGIN_MS : beganMs + REFUSED_TRIES_MS
+      const isHopeless = lost >= MOST_LOST || store.isSilent(nowMs) || nowMs + pauseMs >= Math.min(giveUpMs, deadlineMs - DEADLINE_MARGIN_MS)
+      if (isHopeless) return { result, mayHaveEffect: lost > 0, tries }
       await delay(pauseMs)
       pauseMs = Math.min(RETRY_MAX_MS, pauseMs * 2)
     }
--- /dev/null
+++ b/packages/scheduler/src/lib/MonitoredStore.ts
@@ -0,0 +1,71 @@
+/**
+ * A key-value service whose answers are watched, so that requests need not wait for one that does not answer.
+ *
+ * @module
+ */
+import type { Clock, Result } from '@quillscale/utils'
+import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from '@quillscale/ports'
+
+/** So many calls in a row must have failed, and no answer have come for so long; watches answer at least each second. */
+const FAILURES_IN_ROW = 2
+const SILENT_MS = 800
+
+/** The service, watched. @public */
+export class MonitoredStore implements KeyValueStore {
+  readonly #store: KeyValueStore
+  readonly #clock: Clock
+  #answeredMs: number
+  #failures = 0
+
+  /** @param store - what is called @param clock - the present time */
+  constructor (store: KeyValueStore, clock: Clock) {
+    this.#store = store
+    this.#clock = clock
+    this.#answeredMs = clock.monotonicMs()
+  }
+
+  /** @param nowMs - monotonic @returns whether calls are likely to fail now */
+  isSilent (nowMs: number): boolean {
+    return this.#failures >= FAILURES_IN_ROW && nowMs - this.#answeredMs > SILENT_MS
+  }
+
+  get (key: string): Promise<Result<KeyValue | undefined, PlatformError>> {
+    return this.#note(this.#store.get(key))
+  }
+
+  list (prefix: string): Promise<Result<{ readonly items: readonly KeyValue[], readonly revision: number }, PlatformError>> {
+    return this.#note(this.#store.list(prefix))
+  }
+
+  compareAndSwap (swap: CompareAndSwap): Promise<Result<SwapOutcome, PlatformError>> {
+    return this.#note(this.#store.compareAndSwap(swap))
+  }
+
+  transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
+    return this.#note(this.#store.transact(transaction))
+  }
+
+  watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
+    return this.#note(this.#store.watch(prefix, afterRevision, timeoutMs))
+  }
+
+  grantLease (ttlMs: number): Promise<Result<string, PlatformError>> {
+    return this.#note(this.#store.grantLease(ttlMs))
+  }
+
+  renewLease (leaseId: string): Promise<Result<boolean, PlatformError>> {
+    return this.#note(this.#store.renewLease(leaseId))
+  }
+
+  revokeLease (leaseId: string): Promise<Result<void, PlatformError>> {
+    return this.#note(this.#store.revokeLease(leaseId))
+  }
+
+  async #note<T> (call: Promise<Result<T, PlatformError>>): Promise<Result<T, PlatformError>> {
+    const result = await call
+    const isAnswer = result.ok || result.val.kind === 'history-gone'
+    this.#failures = isAnswer ? 0 : this.#failures + 1
+    if (isAnswer) this.#answeredMs = this.#clock.monotonicMs()
+    return result
+  }
+}
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -10,6 +10,7 @@
 import { JobDesk } from '../lib/JobDesk.js'
 import type { EventLog } from '../lib/EventLog.js'
 import { jobSpecSchema, type JobId, type StepSpec } from '../lib/JobSpec.js'
+import { MonitoredStore } from '../lib/MonitoredStore.js'
 import { SchedulerMetrics } from '../lib/SchedulerMetrics.js'
 import { ServiceScheduler } from '../lib/ServiceScheduler.js'
 import { serviceDutyKey } from '../lib/storeKeys.js'
@@ -90,7 +91,7 @@
   /** @param workers - how many @param cpuMillis - of each */
   constructor (workers: number, cpuMillis = 4000) {
     this.runs = new StandInRuns(systemClock, (taskKey) => ({ cpuMillis: this.#cpuOf(taskKey), memoryMb: 0, gpus: 0 }))
-    this.desk = new JobDesk({ store: this.store, clock: systemClock, log: this.log })
+    this.desk = new JobDesk({ store: new MonitoredStore(this.store, systemClock), clock: systemClock, log: this.log })
     for (let index = 0; index < workers; index++) this.addWorker(index, 1, cpuMillis)
   }
 
