--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -52,7 +52,7 @@
 /** The list may lag behind an order. */
 const SETTLE_MS = 400
 /** Room that was needed so lately is not given back. */
-const NEED_MEMORY_MS = 2500
+const NEED_MEMORY_MS = 1200
 /** Growth of a need is measured over this, and extended by how long a move takes until the machine works; at most by this factor. */
 const GROWTH_MS = 1000
 const MOVE_LEAD_MS = 1500
--- a/packages/scheduler/src/lib/planPools.ts
+++ b/packages/scheduler/src/lib/planPools.ts
@@ -49,8 +49,6 @@
 
 /** Room is added when more than this share of it is wanted: tasks do not fit without gaps. */
 const FULL_SHARE = 0.85
-/** Machines that a service keeps beyond its need: work that comes suddenly starts at once. */
-const SPARE_MACHINES = 1
 /** A machine with more runs is not emptied for another service: what runs would take too long to leave. */
 const MOST_RUNS_TO_LEAVE = 4
 /** So many changes begin in one round at most: demands are a moment old. */
@@ -74,7 +72,7 @@
 export function planPools (view: PoolView): PoolMove[] {
   const counts = view.demands.map((demand): PoolCount => {
     const need = Math.max(machinesNeeded(demand), view.comingNeed.get(demand.service) ?? 0)
-    return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0) + SPARE_MACHINES, have: countIn(demand.service, view) }
+    return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0), have: countIn(demand.service, view) }
   })
   const taken = new Set<string>()
   const moves: PoolMove[] = []
@@ -102,15 +100,13 @@
   }
 }
 
-/** From a pool that is off first, then the least busy machine of the service with the most to spare. */
+/** A parked machine first, then the least busy one of the service with the most to spare. */
 function findMachine (wanting: PoolCount, counts: readonly PoolCount[], view: PoolView, taken: ReadonlySet<string>): PoolMove | undefined {
   const to = wanting.demand.service
   const isFree = (machine: ListedMachine): boolean =>
     machine.state === 'up' && !view.busy.has(machine.machineId) && !taken.has(machine.machineId) && !view.isRefused(machine.machineId, to)
-  for (const pool of view.headroomPools) {
-    const parked = [...view.machines.values()].find((machine) => machine.pool === pool && isFree(machine))
-    if (parked !== undefined) return { machineId: parked.machineId, from: pool, to }
-  }
+  const parked = parkedMachine(to, view, isFree)
+  if (parked !== undefined) return parked
   // What a service needed a moment ago is kept from being parked, not from one that needs it now.
   const givers = counts.filter((count) => count !== wanting && count.have > count.need).sort((a, b) => (b.have - b.need) - (a.have - a.need))
   for (const { demand } of givers) {
@@ -120,6 +116,11 @@
   return undefined
 }
 
+function parkedMachine (to: string, view: PoolView, isFree: (machine: ListedMachine) => boolean): PoolMove | undefined {
+  const parked = [...view.machines.values()].find((machine) => view.headroomPools.includes(machine.pool) && isFree(machine))
+  return parked === undefined ? undefined : { machineId: parked.machineId, from: parked.pool, to }
+}
+
 /** The machine with the fewest runs, if it has no more than so many. */
 function leastBusyMachine (demand: ServiceDemand, view: PoolView, isFree: (machine: ListedMachine) => boolean, mostRuns: number): string | undefined {
   let best: string | undefined
