ServiceScheduler in four files; the import circle around EntryHost is gone

Ruled out: -. Change: WorkerSet (workers and their leases), RunTracker (runs by what workers say), StatusWriter (waiting jobs, demand) moved out; EntryHostParts and runKeyedRequest in files of their own. Lists instead of iterators where a value is read twice: the first version of this split used up one iterator, so that demands were always 0; MachineDuty.test.ts failed by it (never: the wave is done).

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-export { EntryHost, type EntryHostOptions, type EntryHostParts } from './lib/EntryHost.js'
+export { EntryHost, type EntryHostOptions } from './lib/EntryHost.js'
+export type { EntryHostParts } from './lib/EntryHostParts.js'
 export { createLogger } from './lib/createLogger.js'
 export { parseSettings, readSettings, settingsSchema, type Settings } from './lib/settings.js'
 export type { OpenPlatform } from './lib/createPlatform.js'
--- a/packages/entry/src/lib/EntryHost.ts
+++ b/packages/entry/src/lib/EntryHost.ts
@@ -15,21 +15,21 @@
 import type { ZoneHost } from '@quillscale/fleet'
 import { HttpWorkerTasks } from '@quillscale/platform-http'
 import { PeerMesh, type PeerIdentity } from '@quillscale/membership'
-import type { KeptAnswer } from '@quillscale/once'
-import { CallerPresence, RequestMetrics, findClass } from '@quillscale/routing'
-import { CallerServer, CollectingSink } from './CallerServer.js'
+import { RequestMetrics } from '@quillscale/routing'
+import { CallerServer } from './CallerServer.js'
 import { ConfigurationSync } from './ConfigurationSync.js'
 import { createPlatform, type OpenPlatform } from './createPlatform.js'
 import { createPeerHandlers, greetPeer, type PeerHandler } from './createPeerHandlers.js'
 import { DrainConfirmation } from './DrainConfirmation.js'
 import { EditDesk } from './EditDesk.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 import { FleetManager } from './FleetManager.js'
 import { FleetView } from './FleetView.js'
 import { HostList } from './HostList.js'
 import { JobManager } from './JobManager.js'
 import { LeaseHolder } from '@quillscale/leases'
 import { SlotLending } from './SlotLending.js'
-import { OnceManager, type KeyedRequest } from './OnceManager.js'
+import { OnceManager } from './OnceManager.js'
 import { OperatorServer } from './OperatorServer.js'
 import { createOperatorRoutes } from './operatorRoutes.js'
 import { Prober } from './Prober.js'
@@ -37,6 +37,7 @@
 import { ReachableMembers, peerStatusSchema, type PeerStatus } from './ReachableMembers.js'
 import { RequestLog } from './RequestLog.js'
 import { RequestRunner } from './RequestRunner.js'
+import { runKeyedRequest } from './runKeyedRequest.js'
 import { ServiceRegistry } from './ServiceRegistry.js'
 import type { Settings } from './settings.js'
 import { StateReplica } from './StateReplica.js'
@@ -64,36 +65,6 @@
   readonly incarnation?: number
 }
 
-/** The parts of an entry host, for the operators' routes. @internal */
-export interface EntryHostParts {
-  readonly settings: Settings
-  readonly self: PeerIdentity
-  readonly clock: Clock
-  readonly replica: ConfigurationReplica
-  readonly states: StateReplica
-  readonly stateStore: StateStore
-  readonly sync: ConfigurationSync
-  readonly mesh: PeerMesh
-  readonly hostList: HostList
-  readonly registry: ServiceRegistry
-  readonly once: OnceManager
-  readonly metrics: RequestMetrics
-  readonly requestLog: RequestLog
-  readonly editDesk: EditDesk
-  readonly zoneLease: LeaseHolder
-  readonly callers: CallerServer
-  readonly platformCalls: ReadonlyMap<string, number>
-  readonly platform: OpenPlatform
-  readonly log: Logger
-  readonly fleet: FleetManager
-  readonly jobs: JobManager
-  readonly fleetView: FleetView
-  readonly drains: DrainConfirmation
-  readonly members: ReachableMembers
-  readonly lending: SlotLending
-  readonly signals: TargetSignals
-}
-
 /** A running entry host. @public */
 export class EntryHost {
   readonly parts: EntryHostParts
@@ -153,7 +124,7 @@
       store: stateStore,
       clock,
       secrets: settings.peers.keys,
-      run: (request) => this.#runKeyed(request, runner),
+      run: (request) => runKeyedRequest(this.parts, request, runner),
       gone: () => members.gone,
       isStopping: () => this.#isStopping,
       table: settings.idempotency
@@ -385,31 +356,6 @@
     if (parsed.success) for (const address of parsed.data.addresses) this.parts.mesh.dial(address)
   }
 
-  async #runKeyed (request: KeyedRequest, runner: RequestRunner): Promise<KeptAnswer> {
-    const service = this.parts.registry.services.get(request.service)
-    if (service === undefined) throw new QuillscaleError('no-such-service', request.service)
-    const requestClass = findClass(service.spec.classes, request.requestClass)
-    if (requestClass === undefined) throw new QuillscaleError('unknown-class', request.requestClass)
-    const sink = new CollectingSink()
-    const { requestId, tenant, method, path, headers, body } = request
-    const run = await runner.run({
-      service,
-      requestClass,
-      requestId,
-      tenant,
-      method,
-      path,
-      headers,
-      body,
-      deadlineMs: this.parts.clock.monotonicMs() + request.timeoutMs,
-      // A keyed request goes on when its caller leaves: the answer is kept for the caller's next try.
-      caller: new CallerPresence(),
-      steps: []
-    }, sink)
-    if (!run.isWhole) throw new QuillscaleError('target-broke-off', 'the answer broke off')
-    return sink.answer
-  }
-
   #leavingReason (hostId: HostId): string | undefined {
     const work = this.parts.fleetView.work(hostId)
     if (work === undefined) return this.parts.signals.signalOf(hostId)
--- a/packages/entry/src/lib/ZoneDuties.ts
+++ b/packages/entry/src/lib/ZoneDuties.ts
@@ -6,7 +6,7 @@
  */
 import { z } from 'zod'
 import { backOff, delay } from '@quillscale/utils'
-import type { EntryHostParts } from './EntryHost.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 
 /** The start of the names of documents with entry hosts' addresses. @public */
 export const MEMBERS_DOCUMENT_PREFIX = 'members-'
--- a/packages/entry/src/lib/createPeerHandlers.ts
+++ b/packages/entry/src/lib/createPeerHandlers.ts
@@ -6,7 +6,7 @@
 import type { PeerIdentity } from '@quillscale/membership'
 import { SYNC_TOPICS } from './ConfigurationSync.js'
 import { CONFIRM_DRAINED_TOPIC } from './DrainConfirmation.js'
-import type { EntryHostParts } from './EntryHost.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 import { JOB_TOPICS } from './JobManager.js'
 import { ONCE_TOPICS } from './OnceManager.js'
 import { OPERATOR_TOPICS } from './operatorRoutes.js'
--- a/packages/entry/src/lib/operatorRoutes.ts
+++ b/packages/entry/src/lib/operatorRoutes.ts
@@ -9,7 +9,7 @@
 import { documentNameOf } from '@quillscale/configuration'
 import { explainPlan, planEffect } from './planEffect.js'
 import { bufferStatus, budgetStatus, localStatus, type LocalStatus } from './statusReports.js'
-import type { EntryHostParts } from './EntryHost.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 import type { OperatorHandler, OperatorRequest, OperatorRoutes } from './OperatorServer.js'
 
 const ASK_TIMEOUT_MS = 1500
--- a/packages/entry/src/lib/planEffect.ts
+++ b/packages/entry/src/lib/planEffect.ts
@@ -6,7 +6,7 @@
 import type { AvailabilityZone, HostSpec, MaintenanceSpec, PoolSpec } from '@quillscale/model'
 import { assignPools, claimPool, dueMaintenance, hostLabels, orderClaims, type AssignableHost } from '@quillscale/fleet'
 import type { Edit } from '@quillscale/configuration'
-import type { EntryHostParts } from './EntryHost.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 
 /** What a change would do to the hosts of one zone. @public */
 export interface ZonePlan {
--- a/packages/entry/src/lib/statusReports.ts
+++ b/packages/entry/src/lib/statusReports.ts
@@ -6,7 +6,7 @@
 import { budgetLeft, countUnavailable, planBuffer, type BufferedService } from '@quillscale/fleet'
 import type { SeriesSummary } from '@quillscale/routing'
 import type { LinkTraffic } from '@quillscale/membership'
-import type { EntryHostParts } from './EntryHost.js'
+import type { EntryHostParts } from './EntryHostParts.js'
 
 /** A service as one entry host sees it. @public */
 export interface ServiceStatus {
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -15,7 +15,7 @@
 /** What a round sees. @public */
 export interface PlacementRoundOptions {
   readonly configuration: FleetConfiguration
-  readonly jobs: Iterable<Job>
+  readonly jobs: readonly Job[]
   readonly links: readonly WorkerLink[]
   readonly times: RunTimes
   readonly advice: AdviceBook
--- /dev/null
+++ b/packages/scheduler/src/lib/StatusWriter.ts
@@ -0,0 +1,82 @@
+/**
+ * Writes what others want to know of a service: how many jobs wait, and how many machines it needs.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { RecordSource } from './CommitLog.js'
+import { demandOf } from './demandOf.js'
+import type { EventLog } from './EventLog.js'
+import type { Job } from './JobState.js'
+import { machinesNeeded } from './planPools.js'
+import { demandKey, encodeDemand } from './serviceDemand.js'
+import { waitingKey } from './storeKeys.js'
+import type { WorkerLink } from './WorkerLink.js'
+
+/** What the writer works with. @public */
+export interface StatusWriterOptions {
+  readonly service: string
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
+}
+
+/** How often the counts of waiting jobs are written at least; readers take older ones for outdated. */
+const WAITING_COUNT_MS = 1000
+/** The demand for machines is summed up this often; written at once if it grew by a machine, else this often if it changed, and as a sign of life. */
+const DEMAND_MS = 100
+const DEMAND_CHANGE_MS = 400
+const DEMAND_REPEAT_MS = 2000
+
+/** The writer. @public */
+export class StatusWriter {
+  readonly #options: StatusWriterOptions
+  #waitingText = ''
+  #waitingWrittenMs = -Infinity
+  #demandText = ''
+  #demandNeed = 0
+  #demandMadeMs = -Infinity
+  #demandWrittenMs = -Infinity
+
+  /** @param options - what it works with */
+  constructor (options: StatusWriterOptions) {
+    this.#options = options
+  }
+
+  /** Writes what has changed. @param jobs - of the service @param links - its workers @param nowMs - monotonic */
+  write (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
+    if (nowMs - this.#waitingWrittenMs >= WAITING_COUNT_MS) this.#writeWaiting(jobs, nowMs)
+    if (nowMs - this.#demandMadeMs >= DEMAND_MS) this.#writeDemand(jobs, links, nowMs)
+  }
+
+  #writeWaiting (jobs: readonly Job[], nowMs: number): void {
+    const counts: Record<string, number> = {}
+    for (const { status, spec } of jobs) {
+      if (status === 'queued' && spec.schedule === undefined) counts[spec.queue] = (counts[spec.queue] ?? 0) + 1
+    }
+    const text = JSON.stringify(counts)
+    if (text === this.#waitingText && text === '{}') return
+    this.#waitingText = text
+    this.#waitingWrittenMs = nowMs
+    const { service, clock, put } = this.#options
+    const atMs = clock.wallMs()
+    put(waitingKey(service), () => JSON.stringify({ atMs, counts }), false)
+  }
+
+  /** More need is told at once, anything else now and then. */
+  #writeDemand (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
+    this.#demandMadeMs = nowMs
+    const { service, clock, log, put } = this.#options
+    const demand = demandOf({ service, jobs, links, nowMs, wallMs: clock.wallMs() })
+    const need = machinesNeeded(demand)
+    const text = encodeDemand(demand)
+    const isMore = need > this.#demandNeed
+    const ageMs = nowMs - this.#demandWrittenMs
+    if (!isMore && ageMs < (text === this.#demandText ? DEMAND_REPEAT_MS : DEMAND_CHANGE_MS)) return
+    if (need !== this.#demandNeed) log.info({ service, need, machines: demand.runsByMachine.size, wantedMillis: demand.wantedMillis }, 'need of machines')
+    this.#demandWrittenMs = nowMs
+    this.#demandText = text
+    this.#demandNeed = need
+    put(demandKey(service), () => text, isMore)
+  }
+}
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -23,7 +23,7 @@
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
   /** Called when a start is known to have happened, or never to happen. */
   readonly onStarted: (run: Run) => void
-  readonly onNotStarted: (run: Run, error: RunOrderError) => void
+  readonly onNotStarted: (link: WorkerLink, run: Run, error: RunOrderError) => void
   /** Resolves once the ends reported so far are durable; false if this scheduler was deposed. */
   readonly ensureDurable: () => Promise<boolean>
   /** Called when that lifetime of the worker is over. */
@@ -188,12 +188,12 @@
   }
 
   #giveUpStart (run: Run): void {
-    this.#options.onNotStarted(run, { kind: 'unknown-effect', detail: 'no answer to the start' })
+    this.#options.onNotStarted(this, run, { kind: 'unknown-effect', detail: 'no answer to the start' })
   }
 
   #notStarted (run: Run, error: RunOrderError): void {
     this.#noteError(error)
-    this.#options.onNotStarted(run, error)
+    this.#options.onNotStarted(this, run, error)
   }
 
   /** A waiting hold says nothing of what changed since: one that is sent now does. */
--- /dev/null
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -0,0 +1,159 @@
+/**
+ * The workers of one service: met when they register, followed, and given up once their leases surely ended.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import type { WorkerInstance } from '@quillscale/ports'
+import type { EventLog } from './EventLog.js'
+import { stepOf, type Run } from './JobState.js'
+import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
+import { runKey, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
+
+/** What the set works with. @public */
+export interface WorkerSetOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  /** The longest lease that a worker grants, and how long a stop takes at most. */
+  readonly bounds: () => { readonly maxLeaseMs: number, readonly stopMs: number }
+  /** What links do for the scheduler. */
+  readonly linkOptions: Omit<WorkerLinkOptions, 'clock' | 'leaseMs' | 'onInstanceOver' | 'onContact' | 'holdWaitMs'>
+  /** Whether a machine is being emptied. */
+  readonly isVacating: (machineId: string) => boolean
+  /** Called for each run that is lost with its worker. */
+  readonly onLost: (run: Run) => void
+  /** Called when room or runs changed. */
+  readonly onChange: () => void
+}
+
+/** Share of the longest lease that is used at most. */
+const LEASE_SHARE = 0.8
+/** Enough to outlast a take-over or a cut of the usual 5.5 s; each further second delays the work of workers that are lost. */
+const LEASE_MS = 6500
+/** A hold waits so long for an end; shorter where something is to be watched closely. */
+const HOLD_WAIT_MS = 1000
+const CLOSE_HOLD_WAIT_MS = 400
+/** Added to a lease's end before its runs count as over: late timers, both ways. */
+const LEASE_END_SLACK_MS = 300
+
+/** The set. @public */
+export class WorkerSet {
+  readonly #options: WorkerSetOptions
+  readonly #links = new Map<string, WorkerLink>()
+  /** Runs of earlier holders on workers that are not listed. */
+  readonly #orphans = new Set<Run>()
+  readonly #tookOverMs: number
+
+  /** @param options - what it works with; leases that a former holder gave are counted from now */
+  constructor (options: WorkerSetOptions) {
+    this.#options = options
+    this.#tookOverMs = options.clock.monotonicMs()
+  }
+
+  /** All workers that are dealt with. */
+  get links (): WorkerLink[] {
+    return [...this.#links.values()]
+  }
+
+  /** @param run - any @returns the link to its worker */
+  linkOf (run: Run): WorkerLink | undefined {
+    return this.#links.get(run.instanceId)
+  }
+
+  /** Notes a run, placed now or by an earlier holder. @param run - with its worker's id */
+  adopt (run: Run): void {
+    const link = this.linkOf(run)
+    if (link === undefined) this.#orphans.add(run)
+    else link.runs.set(runKey(run), run)
+  }
+
+  /** @param listed - the service's workers as registered now */
+  follow (listed: readonly WorkerInstance[]): void {
+    for (const instance of listed) this.#meet(instance)
+    const ids = new Set(listed.map(({ instanceId }) => instanceId))
+    const liveMachines = new Map(listed.map(({ machineId, instanceId }) => [machineId, instanceId]))
+    for (const link of this.links) {
+      const { instanceId, machineId } = link.instance
+      const wasListed = link.isListed
+      link.isListed = ids.has(instanceId)
+      if (link.isListed) continue
+      if (wasListed) this.#options.log.info({ instanceId, runs: link.runs.size }, 'worker is not listed any more')
+      const successor = liveMachines.get(machineId)
+      if (machineId !== '' && successor !== undefined && successor !== instanceId) this.#instanceOver(link, 'its machine has another worker')
+    }
+    this.#options.onChange()
+  }
+
+  /** Runs on workers that do not answer are over once their leases surely are. @param nowMs - monotonic */
+  closeLapsed (nowMs: number): void {
+    const slackMs = this.#options.bounds().stopMs + LEASE_END_SLACK_MS
+    const formerLeasesEndMs = this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + slackMs
+    for (const link of this.links) {
+      if (link.isAnswering(nowMs)) continue
+      const areOver = link.hasAnswered ? link.clock.haveLeasesEnded(nowMs, slackMs) : nowMs > formerLeasesEndMs
+      if (!areOver) continue
+      if (!link.isListed) this.#drop(link)
+      else for (const run of [...link.runs.values()]) if (run.phase !== 'recording') this.#options.onLost(run)
+    }
+    if (nowMs <= formerLeasesEndMs) return
+    for (const run of this.#orphans) this.#options.onLost(run)
+    this.#orphans.clear()
+  }
+
+  /** Ends all links; what runs goes on under its lease. */
+  close (): void {
+    for (const link of this.links) link.close()
+  }
+
+  #meet (instance: WorkerInstance): void {
+    const { clock, log, linkOptions } = this.#options
+    const { instanceId, state, address, labels, capacity } = instance
+    const known = this.#links.get(instanceId)
+    if (known !== undefined) {
+      if (known.instance.state !== state) log.info({ instanceId, state }, 'worker changed its state')
+      known.instance = instance
+      return
+    }
+    const link: WorkerLink = new WorkerLink(instance, {
+      ...linkOptions,
+      clock,
+      leaseMs: this.#leaseMs(),
+      onInstanceOver: (of) => this.#instanceOver(of, 'it answered as another lifetime'),
+      onContact: (of, error) => log.warn({ instanceId: of.instance.instanceId, error }, error === undefined ? 'worker answers again' : 'worker does not answer'),
+      holdWaitMs: () => this.#holdWaitMs(link)
+    })
+    this.#links.set(instanceId, link)
+    for (const run of this.#orphans) {
+      if (run.instanceId !== instanceId) continue
+      this.#orphans.delete(run)
+      link.runs.set(runKey(run), run)
+    }
+    log.info({ instanceId, address, labels, capacity }, 'worker met')
+    void link.run()
+  }
+
+  #leaseMs (): number {
+    return Math.min(LEASE_MS, this.#options.bounds().maxLeaseMs * LEASE_SHARE)
+  }
+
+  /** Paces and lasting tasks on their way are watched more closely. */
+  #holdWaitMs (link: WorkerLink): number {
+    const isClose = this.#options.isVacating(link.instance.machineId) ||
+      [...link.runs.values()].some((run) => stepOf(run.task).isFiller || (stepOf(run.task).isLasting && run.percent < 100))
+    return isClose ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS
+  }
+
+  #instanceOver (link: WorkerLink, reason: string): void {
+    const { instanceId } = link.instance
+    if (this.#links.get(instanceId) !== link) return
+    this.#options.log.info({ instanceId, runs: link.runs.size, reason }, 'worker lifetime is over')
+    this.#drop(link)
+  }
+
+  #drop (link: WorkerLink): void {
+    for (const run of [...link.runs.values()]) this.#options.onLost(run)
+    link.close()
+    this.#links.delete(link.instance.instanceId)
+    this.#options.onChange()
+  }
+}
--- a/packages/scheduler/src/lib/demandOf.ts
+++ b/packages/scheduler/src/lib/demandOf.ts
@@ -11,7 +11,7 @@
 /** What the sum is made of. @public */
 export interface DemandSources {
   readonly service: string
-  readonly jobs: Iterable<Job>
+  readonly jobs: readonly Job[]
   readonly links: readonly WorkerLink[]
   /** Monotonic. */
   readonly nowMs: number
