Forgotten requests to empty a machine are withdrawn; batches fit a slow link; strong hosts take duties first

Reading for it showed: (a) a holder of machines that ends between the request to empty a machine and the record of it leaves the machine closed for ever; (b) the count of waiting jobs made from records took a placed job for begun; (c) a transaction of 29 large records may take longer than its time limit on a link of 7 Mbit/s, and was then sent again whole; (d) duties were taken by small hosts nearly as soon as by large ones. Change: a next holder withdraws requests without a record; the count goes by the status; a batch holds 64 KB at most; hosts tell how strong they are and wait up to 0.7 s for stronger ones. Tests for (a), (b) and (c); (a) and (b) failed without the mend.

--- a/packages/entry/src/lib/EntryHost.ts
+++ b/packages/entry/src/lib/EntryHost.ts
@@ -9,7 +9,7 @@
 import type { Server } from 'node:http'
 import type Logger from 'bunyan'
 import { start as startActors, stop as stopActors, type ActorSystemRef } from 'nact'
-import { backOff, delay, systemClock, type Clock } from '@quillscale/utils'
+import { backOff, delay, listen, systemClock, type Clock } from '@quillscale/utils'
 import { QuillscaleError, type HostId } from '@quillscale/model'
 import { ConfigurationReplica, EditManager } from '@quillscale/configuration'
 import type { ZoneHost } from '@quillscale/fleet'
@@ -403,13 +403,3 @@
 function assignedPool (host: ZoneHost | undefined): { pool: string | undefined } | undefined {
   return host === undefined ? undefined : { pool: host.pool ?? undefined }
 }
-
-function listen (server: Server, port: number, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, () => {
-      server.off('error', reject)
-      resolve()
-    })
-  })
-}
--- a/packages/scheduler/src/lib/CommitLog.ts
+++ b/packages/scheduler/src/lib/CommitLog.ts
@@ -30,6 +30,8 @@
 
 /** Two conditions and the chain's own put. */
 const BOOKKEEPING_ENTRIES = 3
+/** A tenth of what the slowest of the users' links, 7 Mbit/s, carries before a call is given up (0.9 s), as the link has other work too. */
+const MAX_BATCH_BYTES = 64 * 1024
 /** What nobody waits for is written this much later, together with what comes meanwhile. */
 const PATIENT_MS = 50
 /** Between transactions: four schedulers at this pace stay within two thirds of 400 writes a second, the smallest store served. */
@@ -38,6 +40,7 @@
 const RETRY_MAX_MS = 500
 
 interface Waiter { readonly sequence: number, readonly resolve: (isDurable: boolean) => void }
+interface Encoded { readonly key: string, readonly value: string | undefined, readonly sequence: number }
 interface Dirty { readonly sequence: number, readonly source: RecordSource }
 
 /** The log. @public */
@@ -89,9 +92,11 @@
         continue
       }
       if (!this.#isUrgent) await this.#bePatient()
-      if (this.#dirty.size <= MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES) this.#isUrgent = false
+      this.#isUrgent = false
       const startedMs = this.#options.clock.monotonicMs()
       await this.#commitBatch()
+      // What did not fit may have been urgent.
+      if (this.#dirty.size > 0) this.#isUrgent = true
       const tookMs = this.#options.clock.monotonicMs() - startedMs
       if (tookMs < MIN_SPACING_MS) await delay(MIN_SPACING_MS - tookMs)
     }
@@ -110,9 +115,8 @@
   }
 
   async #commitBatch (): Promise<void> {
-    const batch = [...this.#dirty].slice(0, MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES)
-    for (const [key] of batch) this.#dirty.delete(key)
-    this.#inFlightSequence = Math.min(...batch.map(([, { sequence }]) => sequence))
+    const batch = this.#takeBatch()
+    this.#inFlightSequence = Math.min(...batch.map(({ sequence }) => sequence))
     const transaction = this.#transactionOf(batch, ++this.#number)
     const startedMs = this.#options.clock.monotonicMs()
     const isDurable = await this.#send(transaction)
@@ -122,13 +126,26 @@
     this.#release()
   }
 
-  #transactionOf (batch: ReadonlyArray<[string, Dirty]>, number: number): Transaction {
+  /** The oldest records, as many as one transaction holds and a slow link carries in time; at least one. */
+  #takeBatch (): Encoded[] {
+    const batch: Encoded[] = []
+    let bytes = 0
+    for (const [key, { sequence, source }] of this.#dirty) {
+      const value = source()
+      bytes += value?.length ?? 0
+      if (batch.length > 0 && (bytes > MAX_BATCH_BYTES || batch.length >= MAX_TRANSACTION_ENTRIES - BOOKKEEPING_ENTRIES)) break
+      batch.push({ key, value, sequence })
+    }
+    for (const { key } of batch) this.#dirty.delete(key)
+    return batch
+  }
+
+  #transactionOf (batch: readonly Encoded[], number: number): Transaction {
     const { dutyKey, dutyRevision, chainKey } = this.#options
-    const values = batch.map(([key, { source }]) => ({ key, value: source() }))
     return {
       conditions: [{ key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision }],
-      puts: [{ key: chainKey, value: this.#chainValue(number) }, ...values.flatMap(({ key, value }) => value === undefined ? [] : [{ key, value }])],
-      removals: values.flatMap(({ key, value }) => value === undefined ? [key] : [])
+      puts: [{ key: chainKey, value: this.#chainValue(number) }, ...batch.flatMap(({ key, value }) => value === undefined ? [] : [{ key, value }])],
+      removals: batch.flatMap(({ key, value }) => value === undefined ? [key] : [])
     }
   }
 
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import type { Clock } from '@quillscale/utils'
+import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { LeaseHolder, PrefixReplica } from '@quillscale/leases'
 import type { EventLog } from './EventLog.js'
-import { DUTY_PREFIX } from './storeKeys.js'
+import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from './storeKeys.js'
 
 /** What does a duty while it is held. @public */
 export interface DutyTask {
@@ -35,8 +35,8 @@
 /** What the roster works with. @public */
 export interface DutyRosterOptions {
   readonly hostName: string
-  /** Share of a core that this host has. */
-  readonly cpuShare: number
+  /** How much this host can bear, in cores; compared with the others'. */
+  readonly power: number
   readonly store: KeyValueStore
   readonly clock: Clock
   readonly log: EventLog
@@ -47,8 +47,12 @@
 
 /** A vacant duty is left to hosts with fewer duties for so long a duty. */
 const WAIT_A_DUTY_MS = 250
-/** And to larger hosts for so long for each core that is missing. */
-const WAIT_A_CORE_MS = 200
+/** And to stronger hosts for so long, times the share of the strongest host's power that is missing here. */
+const WAIT_FOR_STRONGER_MS = 700
+/** What hosts said of their power is read again after this; it changes only when hosts of other kinds come. */
+const HOSTS_VALID_MS = 20_000
+/** At the start of a whole fleet, all say how strong they are before any takes a duty. */
+const START_PAUSE_MS = 300
 /** So that not all hosts of a kind try at once. */
 const SPREAD_MS = 120
 const WATCH_MS = 3000
@@ -68,6 +72,8 @@
   readonly #tryFromMs = new Map<string, number>()
   readonly #stop = new AbortController()
   #triedMs = -Infinity
+  #powersReadMs = -Infinity
+  #mostPower = 0
 
   /** @param options - what it works with */
   constructor (options: DutyRosterOptions) {
@@ -79,7 +85,7 @@
       prefix: DUTY_PREFIX,
       watchMs: WATCH_MS,
       relistMs: RELIST_MS,
-      onChange: () => this.#lookForVacancies(),
+      onChange: () => { void this.#learnPowers().then(() => this.#lookForVacancies()) },
       onContact: (error) => log.warn({ prefix: DUTY_PREFIX, error }, error === undefined ? 'store answers again' : 'store does not answer')
     })
   }
@@ -90,8 +96,26 @@
   }
 
   /** Follows who holds which duty, until stopped. */
-  run (): Promise<void> {
-    return this.#replica.run(this.#stop.signal)
+  async run (): Promise<void> {
+    const { hostName, power, store, log } = this.#options
+    const said = await store.transact({ conditions: [], puts: [{ key: hostKey(hostName), value: String(power) }], removals: [] })
+    if (said.err) log.warn({ error: said.val }, 'other hosts do not know how strong this one is')
+    await delay(START_PAUSE_MS, this.#stop.signal)
+    await this.#replica.run(this.#stop.signal)
+  }
+
+  /** Hosts that left are counted too: at worst a duty is taken a little later. */
+  async #learnPowers (): Promise<void> {
+    const { store, clock, log, power } = this.#options
+    const nowMs = clock.monotonicMs()
+    if (nowMs - this.#powersReadMs < HOSTS_VALID_MS) return
+    const listed = await store.list(HOSTS_PREFIX)
+    if (listed.err) {
+      log.warn({ error: listed.val }, 'power of other hosts not read')
+      return
+    }
+    this.#powersReadMs = nowMs
+    this.#mostPower = Math.max(power, ...listed.val.items.map(({ value }) => Number(value)))
   }
 
   /**
@@ -182,8 +206,9 @@
   }
 
   #waitMs (): number {
-    const { cpuShare, random } = this.#options
-    return WAIT_A_DUTY_MS * this.heldCount + WAIT_A_CORE_MS * Math.max(0, 1 - cpuShare) + SPREAD_MS * random()
+    const { power, random } = this.#options
+    const missingShare = this.#mostPower <= power ? 0 : 1 - power / this.#mostPower
+    return WAIT_A_DUTY_MS * this.heldCount + WAIT_FOR_STRONGER_MS * missingShare + SPREAD_MS * random()
   }
 
   #mayTry (dutyKey: string): boolean {
--- a/packages/scheduler/src/lib/JobDesk.ts
+++ b/packages/scheduler/src/lib/JobDesk.ts
@@ -140,7 +140,9 @@
       log.warn({ queue, service }, 'waiting jobs not counted')
       return 'unavailable'
     }
-    const begun = new Set(progress.result.val.items.map(({ key }) => key.slice(progressPrefix(service).length)))
+    // A job that was placed has a record, and still waits until a worker has begun with it.
+    const begun = new Set(progress.result.val.items.filter(({ value }) => decodeProgress(value).status !== 'queued')
+      .map(({ key }) => key.slice(progressPrefix(service).length)))
     return inbox.result.val.items.filter(({ key, value }) => {
       const subject = parseInboxKey(key, inboxPrefix(service))
       if (subject.kind !== 'job' || begun.has(subject.jobId)) return false
--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -16,7 +16,7 @@
 import { machinesNeeded, planPools, type ServiceDemand } from './planPools.js'
 import { planWave } from './planWave.js'
 import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
-import { chainKey, vacateKey, vacatedKey, VACATED_PREFIX } from './storeKeys.js'
+import { chainKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
 
 /** What it works with. @public */
 export interface MachineDutyOptions extends DutyGrant {
@@ -27,6 +27,8 @@
   readonly log: EventLog
   /** The waves that operators asked for. */
   readonly waves: () => Iterable<WaveRequest>
+  /** Services whose schedulers empty machines. */
+  readonly services: () => readonly string[]
   /** Services whose machines are off. */
   readonly headroomPools: () => readonly string[]
   /** How a wave's state is shown to operators. */
@@ -122,6 +124,7 @@
       onStoreError: (error, transactionNumber) => log.warn({ error, transactionNumber }, 'records of machines not written yet')
     })
     if (record !== undefined) this.#restore(record.value)
+    await this.#releaseForgotten()
     await Promise.all([this.#commits.run(), this.#vacated.run(this.#stop.signal), this.#demandItems.run(this.#stop.signal), this.#rounds()])
   }
 
@@ -155,6 +158,20 @@
     this.#options.log.info({ tasks: tasks.length, waves: waves.length }, 'work on machines taken over')
   }
 
+  /** A former holder may have ended between the request to empty a machine and the record of it, or the other way round. */
+  async #releaseForgotten (): Promise<void> {
+    const { store, services, log } = this.#options
+    for (const service of services()) {
+      const asked = await this.#untilAnswered(() => store.list(vacatePrefix(service)))
+      for (const { key } of asked?.items ?? []) {
+        const machineId = key.slice(vacatePrefix(service).length)
+        if (this.#tasks.has(machineId)) continue
+        this.#commits.put(key, () => undefined, true)
+        log.info({ machineId, service }, 'a forgotten request to empty a machine is withdrawn')
+      }
+    }
+  }
+
   async #rounds (): Promise<void> {
     while (!this.#stop.signal.aborted) {
       this.#meetWaves()
--- a/packages/scheduler/src/lib/storeKeys.ts
+++ b/packages/scheduler/src/lib/storeKeys.ts
@@ -11,6 +11,8 @@
 export const jobKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}`
 /** That a job is to be cancelled. @public */
 export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
+/** Below which machines that a service is to empty are named. @public */
+export const vacatePrefix = (service: string): string => `inbox/${service}/vacate/`
 /** That a machine is to be emptied; written by the holder of machine upkeep. @public */
 export const vacateKey = (service: string, machineId: string): string => `inbox/${service}/vacate/${machineId}`
 /** Progress of the service's jobs; written by the scheduler alone. @public */
@@ -43,3 +45,7 @@
   if (first === 'vacate') return { kind: 'vacate', machineId: second ?? '' }
   return { kind: second === 'cancel' ? 'cancel' : 'job', jobId: first as JobId }
 }
+/** How strong each host is; written by each at its start. @public */
+export const HOSTS_PREFIX = 'hosts/'
+/** How strong a host is. @public */
+export const hostKey = (hostName: string): string => `${HOSTS_PREFIX}${hostName}`
--- a/packages/scheduler/src/test/CommitLog.test.ts
+++ b/packages/scheduler/src/test/CommitLog.test.ts
@@ -46,6 +46,22 @@
     log.close()
   })
 
+  it('large records go in several transactions, so that a slow link carries each in time', async () => {
+    const log = await logUnderDuty()
+    const sizes: number[] = []
+    const transact = store.transact.bind(store)
+    store.transact = async (transaction) => {
+      sizes.push(transaction.puts.reduce((sum, { value }) => sum + value.length, 0))
+      return await transact(transaction)
+    }
+    for (let index = 0; index < 10; index++) log.put(`k${index}`, () => 'x'.repeat(20_000), true)
+    log.put('huge', () => 'x'.repeat(200_000), true)
+    expect(await log.flushed()).to.equal(true)
+    expect((await store.list('k')).unwrap().items).to.have.length(10)
+    expect(sizes.filter((size) => size > 70_000)).to.have.length(1)
+    log.close()
+  })
+
   it('a transaction whose answer is lost takes effect once, and the next one follows it', async () => {
     const log = await logUnderDuty()
     let lost = 0
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -2,7 +2,7 @@
 import { delay, Ok, systemClock, type Result } from '@quillscale/utils'
 import type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
 import { MachineDuty } from '../lib/MachineDuty.js'
-import { MACHINE_DUTY_KEY } from '../lib/storeKeys.js'
+import { MACHINE_DUTY_KEY, vacateKey } from '../lib/storeKeys.js'
 import { SERVICE, TestService } from './TestService.js'
 
 const DOWN_MS = 60
@@ -92,6 +92,7 @@
       log: service.log,
       waves: () => waves,
       headroomPools: () => [PARKED],
+      services: () => [SERVICE],
       waveStatus: (wave, isDone) => {
         statuses.push(`${wave} ${isDone ? 'done' : 'running'}`)
         return { key: `status/${wave}`, value: String(isDone) }
@@ -151,4 +152,13 @@
       }
     }
   }).timeout(20_000)
+
+  it('withdraws requests to empty a machine that a former holder left without a record', async () => {
+    service = new TestService(1)
+    service.write(vacateKey(SERVICE, 'm0'), 'move 1.1')
+    await service.takeOver()
+    await take(new StandInMachines(service, 1, 0), [])
+    const jobId = await service.submit(1, { runMs: 10 })
+    await service.untilStatus(jobId, 'succeeded')
+  })
 })
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -171,6 +171,9 @@
     await delay(1300)
     expect(await service.desk.waiting(QUEUE, SERVICE, performance.now() + 1000)).to.equal(1)
     expect(await service.status(jobId)).to.equal('queued')
+    service.tenures[0]?.scheduler.close()
+    await delay(2600)
+    expect(await service.desk.waiting(QUEUE, SERVICE, performance.now() + 1000)).to.equal(1)
   })
 
   it('a cancel that is listed before its job holds', async () => {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,3 +11,4 @@
 export { SeededRandom } from './lib/SeededRandom.js'
 export { backOff } from './lib/backOff.js'
 export { delay } from './lib/delay.js'
+export { listen } from './lib/listen.js'
