Where copies are allowed, a run that is likely lost or far behind gets one at once

Ruled out: a late detection (the worker was known not to answer after 2.5 s); a shorter lease (it would end what runs in a cut zone). Change: such a task gets a second run elsewhere once its worker is silent, or after 2.5 times what its image takes. Test failed first (never: the job is succeeded).

--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -27,6 +27,8 @@
 
 /** A lasting task that waited so long for room displaces others: its users are served by nobody meanwhile. */
 const DISPLACE_AFTER_MS = 700
+/** A run that takes so many times as long as others of its image gets a copy: tasks of an image differ by less. */
+const FAR_BEHIND = 2.5
 /** A run whose progress stood still so long is stopped and placed elsewhere. */
 const STALLED_MS = 3000
 
@@ -75,7 +77,21 @@
   #placeable (step: readonly Task[]): readonly Task[] {
     const first = step[0]
     if (first !== undefined && stepOf(first).isGang && step.some(({ runs }) => runs.length > 0)) return []
-    return step.filter(({ isDone, runs }) => !isDone && runs.length === 0)
+    return step.filter((task) => !task.isDone && (task.runs.length === 0 || this.#needsCopy(task)))
+  }
+
+  /** Where copies may run side by side, a run that is likely lost or far behind gets one at once, not only when its lease is over. */
+  #needsCopy (task: Task): boolean {
+    const [run, ...copies] = task.runs
+    const step = stepOf(task)
+    if (run === undefined || copies.length > 0 || !step.allowsCopies || step.isLasting || step.isGang) return false
+    if (run.phase === 'stopping') return false
+    const { nowMs, links, times } = this.#options
+    const link = links.find(({ instance }) => instance.instanceId === run.instanceId)
+    const isSilent = link?.isAnswering(nowMs) !== true && run.phase !== 'recording'
+    const isBehind = run.startedMs !== undefined && times.isLearned(step) && nowMs - run.startedMs > times.expectedMs(step) * FAR_BEHIND
+    if (isSilent || isBehind) task.avoid.add(run.instanceId)
+    return isSilent || isBehind
   }
 
   #groupOf ({ tasks, rank, queue }: Waiting, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -160,6 +160,18 @@
     expect(draining?.records).to.have.length(0)
   })
 
+  it('a task whose worker is silent gets a copy before its lease is over, where copies are allowed', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 60_000
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 4500 }, [{ allowsCopies: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    const worker = service.runs.workers.get(service.runs.records[0]?.instanceId ?? '')
+    if (worker !== undefined) worker.faults.isSilent = true
+    await service.untilStatus(jobId, 'succeeded')
+    expect(service.runs.records.map(({ instanceId }) => instanceId)).to.have.length(2)
+  })
+
   it('a job whose starts get no answer waits, and is counted so', async () => {
     service = new TestService(1)
     await service.takeOver()
