--- a/packages/leases/src/lib/PrefixReplica.ts
+++ b/packages/leases/src/lib/PrefixReplica.ts
@@ -44,7 +44,7 @@
   #hasNews = false
   #isInContact = true
   #confirmedAtMs = -Infinity
-  #listedMs = -Infinity
+  #relistTriedMs = -Infinity
 
   /** @param options - what is followed and how */
   constructor (options: PrefixReplicaOptions) {
@@ -66,16 +66,25 @@
     let failures = 0
     let mustList = true
     while (!signal.aborted) {
-      const error: PlatformError | undefined = await (mustList ? this.#list(signal) : this.#watch(signal))
+      const isRoutine: boolean = !mustList && this.#isRelistDue()
+      const error: PlatformError | undefined = await (mustList || isRoutine ? this.#list(signal) : this.#watch(signal))
       if (signal.aborted) return
       this.#noteContact(error)
       if (error === undefined && this.#hasNews && this.#options.spacingMs !== undefined) await delay(this.#options.spacingMs, signal)
-      mustList = error !== undefined || this.#options.clock.monotonicMs() - this.#listedMs > this.#options.relistMs
+      // A routine list that fails, as a long one may on a busy link, does not end the watch.
+      mustList = error !== undefined && !isRoutine
       failures = error === undefined || error.kind === 'history-gone' ? 0 : failures + 1
       if (failures > 0) await backOff(Math.min(failures - 1, MAX_BACK_OFF_STEP), signal)
     }
   }
 
+  #isRelistDue (): boolean {
+    const nowMs = this.#options.clock.monotonicMs()
+    if (nowMs - this.#relistTriedMs <= this.#options.relistMs) return false
+    this.#relistTriedMs = nowMs
+    return true
+  }
+
   async #list (signal: AbortSignal): Promise<PlatformError | undefined> {
     const askedMs = this.#options.clock.monotonicMs()
     const listed = await this.#options.store.list(this.#options.prefix)
@@ -88,7 +97,7 @@
     this.#apply(changed, removed)
     this.#revision = revision
     this.#confirmedAtMs = askedMs
-    this.#listedMs = askedMs
+    this.#relistTriedMs = askedMs
     const isFirst = !this.#isListed
     this.#isListed = true
     if (isFirst || changed.length + removed.length > 0) this.#options.onChange({ changed, removed })
--- a/packages/leases/src/test/PrefixReplica.test.ts
+++ b/packages/leases/src/test/PrefixReplica.test.ts
@@ -8,6 +8,12 @@
 class DeafStore extends MemoryKeyValueStore {
   isDeaf = false
   isHistoryGone = false
+  /** Lists take longer than they may. */
+  failsLists = false
+
+  override async list (prefix: string): ReturnType<MemoryKeyValueStore['list']> {
+    return this.failsLists ? Err({ kind: 'unknown-effect', detail: 'too slow' }) : await super.list(prefix)
+  }
 
   override async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
     if (this.isHistoryGone) {
@@ -60,6 +66,13 @@
     })
   }
 
+  it('goes on watching when a routine list fails', async () => {
+    store.failsLists = true
+    await delay(450)
+    await write('p/b', '3')
+    await until(() => replica.items.get('p/b')?.value === '3')
+  })
+
   it('tells nothing any more once it was ended, also of an answer that was under way', async () => {
     let changes = 0
     const ended = new AbortController()
