--- a/packages/entry/src/lib/EntryHost.ts
+++ b/packages/entry/src/lib/EntryHost.ts
@@ -37,6 +37,7 @@
 import { ReachableMembers, peerStatusSchema, type PeerStatus } from './ReachableMembers.js'
 import { RequestLog } from './RequestLog.js'
 import { RequestRunner } from './RequestRunner.js'
+import { runEvery } from './runEvery.js'
 import { runKeyedRequest } from './runKeyedRequest.js'
 import { ServiceRegistry } from './ServiceRegistry.js'
 import type { Settings } from './settings.js'
@@ -298,7 +299,7 @@
     mesh.start()
     this.#tasks.push(
       this.#boot(signal), zoneLease.run(signal), this.#prober.run(signal),
-      this.#every(HOUSEKEEPING_MS, signal, () => this.#housekeep()), this.#every(ONCE_TICK_MS, signal, () => this.#tickOnce()),
+      runEvery(HOUSEKEEPING_MS, signal, this.parts.log, () => this.#housekeep()), runEvery(ONCE_TICK_MS, signal, this.parts.log, () => this.#tickOnce()),
       ...this.#duties.run(signal)
     )
   }
@@ -314,16 +315,6 @@
     this.parts.registry.queueRefresh()
   }
 
-  async #every (pauseMs: number, signal: AbortSignal, act: () => unknown): Promise<void> {
-    while (await delay(pauseMs, signal)) {
-      try {
-        await act()
-      } catch (error) {
-        this.parts.log.error({ err: error }, 'a task failed')
-      }
-    }
-  }
-
   #lastZoneMembers = ''
   #housekeepings = 0
 
--- a/packages/entry/src/lib/FleetManager.ts
+++ b/packages/entry/src/lib/FleetManager.ts
@@ -14,13 +14,15 @@
 import type { ConfigurationReplica } from '@quillscale/configuration'
 import {
   advanceWork, assignPools, dueMaintenance, finishWork, hostLabels, planMaintenance, waveName, windowOpenUntilMs, withHost, zonePartOfBudget,
-  type AssignableHost, type DeclaredMaintenance, type HostWork, type MaintainableHost, type WorkFacts, type WorkStep,
+  type AssignableHost, type DeclaredMaintenance, type HostWork, type WorkFacts, type WorkStep,
   type ZoneHost, type ZoneHostsDocument, type ZoneReport
 } from '@quillscale/fleet'
 import type { DrainConfirmation, DrainState } from './DrainConfirmation.js'
 import { reportName, zoneHostsName, type FleetView } from './FleetView.js'
 import type { HostList } from './HostList.js'
 import type { LeaseHolder } from '@quillscale/leases'
+import { isMaintenanceDueNow } from './isMaintenanceDueNow.js'
+import { maintainableHosts } from './maintainableHosts.js'
 import { PermitDesk, type PermitPurpose } from './PermitDesk.js'
 import type { ServiceRegistry } from './ServiceRegistry.js'
 import type { StateStore } from './StateStore.js'
@@ -282,7 +284,7 @@
   #unavailableHere (): ZoneReport['services'] {
     const { registry, signals, view } = this.#options
     const maintenances = this.#maintenances
-    const due = new Set(this.#maintainableHosts().filter((host) => dueMaintenance(host, maintenances) !== undefined).map(({ hostId }) => hostId))
+    const due = new Set(maintainableHosts(this.#options).filter((host) => dueMaintenance(host, maintenances) !== undefined).map(({ hostId }) => hostId))
     const services: ZoneReport['services'] = {}
     for (const name of [...registry.services.keys()].sort()) services[name] = { total: 0, unavailable: [], due: 0 }
     for (const [hostId, { host, services: running, isLeaving }] of registry.placed) {
@@ -310,17 +312,11 @@
         labels,
         currentPool: view.host(host.hostId)?.pool,
         isHealthy: host.state !== 'gone' && signals.signalOf(host.hostId) !== 'down' && view.work(host.hostId)?.phase !== 'failed',
-        isMaintenanceDue: this.#isDueNow({ labels: { ...labels, pool }, version: host.version }, maintenances)
+        isMaintenanceDue: isMaintenanceDueNow({ labels: { ...labels, pool }, version: host.version }, maintenances, this.#options.clock.wallMs())
       }
     })
   }
 
-  /** Whether a host is about to be maintained: it is then moved by that, not before. */
-  #isDueNow (host: Pick<MaintainableHost, 'labels' | 'version'>, maintenances: readonly DeclaredMaintenance[]): boolean {
-    const due = dueMaintenance(host, maintenances)
-    return due !== undefined && !due.spec.paused && windowOpenUntilMs(due.spec.windows, this.#options.clock.wallMs()) !== undefined
-  }
-
   #wantedPools (hosts = this.#assignableHosts()): Map<HostId, string | null> {
     return assignPools(hosts, [...this.#options.replica.declarations('pool').values()])
   }
@@ -357,7 +353,7 @@
   async #maintain (): Promise<void> {
     const { view, zone, zonesInReach, clock } = this.#options
     const maintenances = this.#maintenances
-    const hosts = this.#maintainableHosts()
+    const hosts = maintainableHosts(this.#options)
     const due = hosts.filter((host) => dueMaintenance(host, maintenances) !== undefined)
     if (due.length === 0) return
     const wanted = this.#wantedPools()
@@ -380,20 +376,6 @@
     }), 'maintenance')
   }
 
-  #maintainableHosts (): MaintainableHost[] {
-    const { registry, signals, view, replica } = this.#options
-    const declared = replica.declarations('host')
-    return [...registry.placed.values()].map(({ host, pool, services, isLeaving }) => ({
-      hostId: host.hostId,
-      rack: host.rack,
-      version: host.version,
-      labels: hostLabels(host, declared.get(host.hostId)?.spec, pool),
-      services,
-      isIdle: !isLeaving && signals.signalOf(host.hostId) === undefined && view.host(host.hostId) !== undefined && view.work(host.hostId) === undefined,
-      expectedDrainMs: 0
-    }))
-  }
-
   /** Takes the permits, writes the work, then orders the drains. */
   async #startAll (starts: readonly Start[], purpose: PermitPurpose): Promise<void> {
     if (starts.length === 0) return
