A new holder makes no copies before its workers had time to answer

Change: a copy is made only 2.5 s after the last word of a run. Test failed first: 6 runs instead of 4.

--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -27,6 +27,8 @@
 
 /** A lasting task that waited so long for room displaces others: its users are served by nobody meanwhile. */
 const DISPLACE_AFTER_MS = 700
+/** A run of which nothing was heard for so long gets a copy; workers are asked at least each second. */
+const COPY_AFTER_SILENCE_MS = 2500
 /** A run that takes so many times as long as others of its image gets a copy: tasks of an image differ by less. */
 const FAR_BEHIND = 2.5
 /** A run whose progress stood still so long is stopped and placed elsewhere. */
@@ -88,7 +90,8 @@
     if (run.phase === 'stopping') return false
     const { nowMs, links, times } = this.#options
     const link = links.find(({ instance }) => instance.instanceId === run.instanceId)
-    const isSilent = link?.isAnswering(nowMs) !== true && run.phase !== 'recording'
+    // A new holder has heard nothing yet: its workers are given the time to answer.
+    const isSilent = link?.isAnswering(nowMs) !== true && run.phase !== 'recording' && nowMs - run.progressMs > COPY_AFTER_SILENCE_MS
     const isBehind = run.startedMs !== undefined && times.isLearned(step) && nowMs - run.startedMs > times.expectedMs(step) * FAR_BEHIND
     if (isSilent || isBehind) task.avoid.add(run.instanceId)
     return isSilent || isBehind
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -86,6 +86,18 @@
       expect(service.doubled).to.deep.equal([])
     })
 
+    it('makes no copies of what runs before its workers had time to answer', async () => {
+      service = new TestService(2)
+      await service.takeOver()
+      const jobId = await service.submit(1, { runMs: 600 }, [{ taskCount: 4, allowsCopies: true, maxPerWorker: 3 }])
+      await service.until('all run', () => service.runs.records.length === 4)
+      const slow = service.runs.workers.get(service.runs.records[0]?.instanceId ?? '')
+      if (slow !== undefined) slow.holdDelayMs = 150
+      await service.takeOver()
+      await service.untilStatus(jobId, 'succeeded')
+      expect(service.runs.records).to.have.length(4)
+    })
+
     it('deposes the former one, whose orders have no effect any more', async () => {
       service = new TestService(1)
       const first = await service.takeOver()
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -56,6 +56,8 @@
   readonly faults: WorkerFaults = { isSilent: false, losesAnswers: false, failsAll: false, startsLateMs: 0 }
   readonly active = new Map<string, ActiveRun>()
   readonly records: RunRecord[] = []
+  /** How long a hold takes to be answered, besides what it waits for. */
+  holdDelayMs = 0
   #fencingToken = 0
   #sequence = 0
   #ends: Array<EndReport & { readonly record: RunRecord }> = []
@@ -141,6 +143,7 @@
   /** @param request - a hold @returns both lists */
   async hold (request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
     if (!this.#obeys(request.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
+    if (this.holdDelayMs > 0) await delay(this.holdDelayMs)
     if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs)
     for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence) end.record.isAcknowledged = true
     this.#ends = this.#ends.filter(({ sequence }) => sequence > request.acknowledgedSequence)
