--- a/packages/scheduler/src/lib/JobState.ts
+++ b/packages/scheduler/src/lib/JobState.ts
@@ -67,12 +67,11 @@
   status: JobStatus
   /** Wall clock; when it ended. */
   endedMs: number | undefined
-  isCancelRequested: boolean
 }
 
 /** @param spec - as accepted @returns the job before anything ran @public */
 export function createJob (spec: JobSpec): Job {
-  return { spec, times: new Map(), status: 'queued', endedMs: undefined, isCancelRequested: false }
+  return { spec, times: new Map(), status: 'queued', endedMs: undefined }
 }
 
 /** @param job - any @returns whether nothing more is to be run @public */
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -288,7 +288,6 @@
   #cancel (jobId: JobId): void {
     const job = this.#book.jobs.get(jobId)
     if (job === undefined || hasEnded(job)) return
-    job.isCancelRequested = true
     this.#book.end(job, 'cancelled')
   }
 
