A stop that empties a machine is written down before it is sent, where only so many tasks may be away

A planned stop of the holder fell between its stop of task .0.0.1 and that task's end. The next holder found both tasks still listed at 100 percent, as a stop takes up to 400 ms, and took .0.0.0 of the same machine away, 41 ms before .0.0.1 was back. It chose the other task because it restores runs in the order of tasks, while the former holder had them in the order of their placement. Change: the run's stop is part of the job's progress and durable before the order is sent; a next holder sends it again and counts the task as away. A machine none of whose workers is registered is not reported empty while runs of a former holder are unaccounted for: found while reading. The opening of a duty's log, the reading until an answer, and the copies of prefixes are one piece of code each for schedulers and machines now. Before: the new test in ServiceScheduler.test.ts ends the second task 340 ms before the first is back; MachineVacator.test.ts reported the machine. After: both pass, with the other tests of scheduler and duties (35).

--- a/packages/scheduler/src/lib/CommitLog.ts
+++ b/packages/scheduler/src/lib/CommitLog.ts
@@ -77,6 +77,11 @@
     return new Promise((resolve) => this.#waiters.push({ sequence: this.#sequence, resolve }))
   }
 
+  /** @param timeoutMs - the longest that the caller waits for {@link flushed} */
+  async flushWithin (timeoutMs: number): Promise<void> {
+    await Promise.race([this.flushed(), delay(timeoutMs)])
+  }
+
   /** Writes nothing more. */
   close (): void {
     this.#isClosed = true
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -8,7 +8,8 @@
  */
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
-import { LeaseHolder, PrefixReplica } from '@quillscale/leases'
+import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
+import { createReplica } from './createReplica.js'
 import type { EventLog } from './EventLog.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from './storeKeys.js'
 
@@ -55,8 +56,6 @@
 const START_PAUSE_MS = 300
 /** So that not all hosts of a kind try at once. */
 const SPREAD_MS = 120
-const WATCH_MS = 3000
-const RELIST_MS = 8000
 /** A host that was deposed lets others try first. */
 const DEPOSED_PAUSE_MS = 1000
 /** For what is not written yet at a planned stop. */
@@ -79,14 +78,8 @@
   constructor (options: DutyRosterOptions) {
     this.#options = options
     const { store, clock, log } = options
-    this.#replica = new PrefixReplica({
-      store,
-      clock,
-      prefix: DUTY_PREFIX,
-      watchMs: WATCH_MS,
-      relistMs: RELIST_MS,
-      onChange: () => { void this.#learnPowers().then(() => this.#lookForVacancies()) },
-      onContact: (error) => log.warn({ prefix: DUTY_PREFIX, error }, error === undefined ? 'store answers again' : 'store does not answer')
+    this.#replica = createReplica(log, {
+      store, clock, prefix: DUTY_PREFIX, onChange: () => { void this.#learnPowers().then(() => this.#lookForVacancies()) }
     })
   }
 
--- a/packages/scheduler/src/lib/JobState.ts
+++ b/packages/scheduler/src/lib/JobState.ts
@@ -29,6 +29,8 @@
   stopConfirmedMs: number | undefined
   /** An order to start it may still be carried out. */
   isUncertain: boolean
+  /** An earlier holder wrote down that it would be stopped. */
+  isToStop: boolean
   /** Monotonic; when the worker last listed it. */
   seenMs: number
   /** Last reported progress, and when it last grew. */
--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -6,16 +6,19 @@
  *
  * @module
  */
-import { delay, type Clock, type Result } from '@quillscale/utils'
-import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
-import { PrefixReplica } from '@quillscale/leases'
-import { CommitLog } from './CommitLog.js'
+import { delay, type Clock } from '@quillscale/utils'
+import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, WaveRequest } from '@quillscale/ports'
+import type { PrefixReplica } from '@quillscale/leases'
+import type { CommitLog } from './CommitLog.js'
+import { createReplica } from './createReplica.js'
 import type { DutyGrant, DutyTask } from './DutyRoster.js'
 import type { EventLog } from './EventLog.js'
 import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
+import { openCommitLog } from './openCommitLog.js'
 import { machinesNeeded, planPools, type ServiceDemand } from './planPools.js'
 import { planWave } from './planWave.js'
 import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
+import { untilAnswered } from './untilAnswered.js'
 import { chainKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
 
 /** What it works with. @public */
@@ -43,8 +46,6 @@
 /** The list of machines is read this often while something is under way, and otherwise; the platform allows 64 readings a second. */
 const LIST_BUSY_MS = 300
 const LIST_IDLE_MS = 1500
-const WATCH_MS = 3000
-const RELIST_MS = 8000
 /** Demands that come close together cost one call. */
 const DEMAND_SPACING_MS = 30
 /** Added to the pause after a former holder's order. */
@@ -89,40 +90,32 @@
   constructor (options: MachineDutyOptions) {
     this.#options = options
     const { store, clock, log } = options
-    const replica = (prefix: string, spacingMs: number): PrefixReplica => new PrefixReplica({
-      store,
-      clock,
-      prefix,
-      watchMs: WATCH_MS,
-      relistMs: RELIST_MS,
-      spacingMs,
-      onChange: () => {},
-      onContact: (error) => log.warn({ prefix, error }, error === undefined ? 'store answers again' : 'store does not answer')
-    })
-    this.#vacated = replica(VACATED_PREFIX, 0)
-    this.#demandItems = replica(DEMAND_PREFIX, DEMAND_SPACING_MS)
+    const ignored = (): void => {}
+    this.#vacated = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignored })
+    this.#demandItems = createReplica(log, { store, clock, prefix: DEMAND_PREFIX, spacingMs: DEMAND_SPACING_MS, onChange: ignored })
   }
 
   /** Works until closed. */
   async run (): Promise<void> {
     const { store, clock, log, dutyKey, fencingToken, onDeposed } = this.#options
     this.#tookOverMs = clock.monotonicMs()
-    const chain = await this.#untilAnswered(() => store.get(chainKey(CHAIN)))
-    const record = await this.#untilAnswered(() => store.get(MACHINE_RECORD_KEY))
-    if (this.#stop.signal.aborted) return
-    this.#commits = new CommitLog({
-      store,
-      clock,
-      dutyKey,
-      dutyRevision: fencingToken,
-      chainKey: chainKey(CHAIN),
-      chainRevision: chain?.modRevision ?? 0,
-      onDeposed: () => {
-        this.close()
-        onDeposed()
-      },
-      onStoreError: (error, transactionNumber) => log.warn({ error, transactionNumber }, 'records of machines not written yet')
-    })
+    const [commits, record] = await Promise.all([
+      openCommitLog({
+        store,
+        clock,
+        dutyKey,
+        dutyRevision: fencingToken,
+        chainKey: chainKey(CHAIN),
+        onDeposed: () => {
+          this.close()
+          onDeposed()
+        },
+        onStoreError: (error, transactionNumber) => log.warn({ error, transactionNumber }, 'records of machines not written yet')
+      }, this.#stop.signal),
+      untilAnswered(() => store.get(MACHINE_RECORD_KEY), this.#stop.signal)
+    ])
+    if (commits === undefined || this.#stop.signal.aborted) return
+    this.#commits = commits
     if (record !== undefined) this.#restore(record.value)
     await this.#releaseForgotten()
     await Promise.all([this.#commits.run(), this.#vacated.run(this.#stop.signal), this.#demandItems.run(this.#stop.signal), this.#rounds()])
@@ -136,16 +129,7 @@
 
   /** Writes what is known. @param timeoutMs - how long at most */
   async flush (timeoutMs: number): Promise<void> {
-    if (this.#commits !== undefined) await Promise.race([this.#commits.flushed(), delay(timeoutMs)])
-  }
-
-  async #untilAnswered<T> (read: () => Promise<Result<T, PlatformError>>): Promise<T | undefined> {
-    while (!this.#stop.signal.aborted) {
-      const answer = await read()
-      if (answer.ok) return answer.val
-      await delay(ROUND_MS, this.#stop.signal)
-    }
-    return undefined
+    await this.#commits?.flushWithin(timeoutMs)
   }
 
   #restore (text: string): void {
@@ -162,7 +146,7 @@
   async #releaseForgotten (): Promise<void> {
     const { store, services, log } = this.#options
     for (const service of services()) {
-      const asked = await this.#untilAnswered(() => store.list(vacatePrefix(service)))
+      const asked = await untilAnswered(() => store.list(vacatePrefix(service)), this.#stop.signal)
       for (const { key } of asked?.items ?? []) {
         const machineId = key.slice(vacatePrefix(service).length)
         if (this.#tasks.has(machineId)) continue
--- a/packages/scheduler/src/lib/MachineVacator.ts
+++ b/packages/scheduler/src/lib/MachineVacator.ts
@@ -9,7 +9,7 @@
 import type { Run } from './JobState.js'
 import { planVacate } from './planVacate.js'
 import { vacatedKey } from './storeKeys.js'
-import type { WorkerLink } from './WorkerLink.js'
+import type { WorkerSet } from './WorkerSet.js'
 
 /** What the vacator works with. @public */
 export interface MachineVacatorOptions {
@@ -50,13 +50,19 @@
     return this.#requests.has(machineId)
   }
 
-  /** Stops what is to be stopped now, and reports machines that are empty. @param links - all workers @param nowMs - monotonic */
-  step (links: readonly WorkerLink[], nowMs: number): void {
+  /**
+   * Stops what is to be stopped now, and reports machines that are empty.
+   *
+   * @param workers - all; one that is not registered at the moment may still run what an earlier holder placed
+   * @param nowMs - monotonic
+   */
+  step (workers: Pick<WorkerSet, 'links' | 'hasUnmetRuns'>, nowMs: number): void {
     for (const [machineId, request] of this.#requests) {
       if (request.isVacated) continue
-      const runs = links.filter(({ instance }) => instance.machineId === machineId).flatMap((link) => [...link.runs.values()])
+      const links = workers.links.filter(({ instance }) => instance.machineId === machineId)
+      const runs = links.flatMap((link) => [...link.runs.values()])
       for (const run of planVacate(runs, request.sinceMs, nowMs)) this.#options.stop(run)
-      if (runs.length > 0) continue
+      if (runs.length > 0 || (links.length === 0 && workers.hasUnmetRuns)) continue
       request.isVacated = true
       this.#options.put(vacatedKey(machineId), () => request.value, true)
       this.#options.log.info({ machineId, request: request.value, tookMs: nowMs - request.sinceMs }, 'machine is empty')
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -180,6 +180,7 @@
         startedMs: undefined,
         stopConfirmedMs: undefined,
         isUncertain: false,
+        isToStop: false,
         seenMs: -Infinity,
         percent: 0,
         progressMs: this.#options.nowMs,
--- a/packages/scheduler/src/lib/RunTracker.ts
+++ b/packages/scheduler/src/lib/RunTracker.ts
@@ -93,7 +93,7 @@
       run.phase = 'running'
       this.#hasBegun(run.task.job)
       run.startedMs = nowMs
-      if (hasEnded(run.task.job) || run.task.isDone) this.discard(run)
+      if (hasEnded(run.task.job) || run.task.isDone || run.isToStop) this.discard(run)
     }
     if (percent > run.percent) run.progressMs = nowMs
     run.seenMs = nowMs
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -9,14 +9,16 @@
 import { setMaxListeners } from 'node:events'
 import { delay, type Clock } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, WorkerInstance } from '@quillscale/ports'
-import { PrefixReplica, type PrefixChange } from '@quillscale/leases'
+import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import { AdviceBook } from './AdviceBook.js'
-import { CommitLog } from './CommitLog.js'
+import type { CommitLog } from './CommitLog.js'
+import { createReplica } from './createReplica.js'
 import type { EventLog } from './EventLog.js'
 import { jobSpecSchema, type JobId } from './JobSpec.js'
 import { decodeProgress, encodeProgress, restoreProgress } from './jobProgress.js'
 import { createJob, hasEnded, stepOf, type Job, type Run } from './JobState.js'
 import { MachineVacator } from './MachineVacator.js'
+import { openCommitLog } from './openCommitLog.js'
 import { PlacementRound } from './PlacementRound.js'
 import { RunBook } from './RunBook.js'
 import { RunTimes } from './RunTimes.js'
@@ -24,6 +26,7 @@
 import type { SchedulerMetrics } from './SchedulerMetrics.js'
 import { StatusWriter } from './StatusWriter.js'
 import { cancelKey, chainKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix } from './storeKeys.js'
+import { untilAnswered } from './untilAnswered.js'
 import { WorkerSet, type WorkerSetOptions } from './WorkerSet.js'
 
 /** Figures of the platform that the scheduler goes by. @public */
@@ -63,10 +66,6 @@
 const ROUND_SPACING_MS = 20
 /** Also without an event: retries, expiring waits, due times. */
 const TICK_MS = 200
-/** How long one watch waits: after so much more a silent connection is noticed. */
-const WATCH_MS = 3000
-/** What a watch missed is found after so long: below the 10 s after which a job nobody starts counts as lost at the users' sites. */
-const RELIST_MS = 8000
 /** Changes of workers' registrations may wait a little; new jobs should start soon. */
 const WORKERS_SPACING_MS = 150
 const INBOX_SPACING_MS = 20
@@ -90,6 +89,7 @@
   readonly #inboxListed: Promise<void>
   #noteInboxListed: () => void = () => {}
   #wakeRound: () => void = () => {}
+  /** Set once the store has answered. */
   #commits!: CommitLog
   #tookOverMs = 0
   #isRoundDue = false
@@ -116,20 +116,14 @@
     this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent) })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
     this.#vacator = new MachineVacator({
-      clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => this.#tracker.discard(run)
+      clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => { void this.#takeAway(run) }
     })
-    const replica = (prefix: string, spacingMs: number, onChange: (change: PrefixChange) => void): PrefixReplica => new PrefixReplica({
-      store,
-      prefix,
-      clock,
-      watchMs: WATCH_MS,
-      relistMs: RELIST_MS,
-      spacingMs,
-      onChange,
-      onContact: (error) => options.log.warn({ prefix, service, error }, error === undefined ? 'store answers again' : 'store does not answer')
+    this.#registrations = createReplica(options.log, {
+      store, clock, prefix: options.workersPrefix, spacingMs: WORKERS_SPACING_MS, onChange: () => this.#followWorkers()
+    })
+    this.#inbox = createReplica(options.log, {
+      store, clock, prefix: inboxPrefix(service), spacingMs: INBOX_SPACING_MS, onChange: (change) => this.#readInbox(change)
     })
-    this.#registrations = replica(options.workersPrefix, WORKERS_SPACING_MS, () => this.#followWorkers())
-    this.#inbox = replica(inboxPrefix(service), INBOX_SPACING_MS, (change) => this.#readInbox(change))
   }
 
   #createTracker (): RunTracker {
@@ -211,35 +205,32 @@
 
   /** Writes what is known, for a planned hand-over. @param timeoutMs - how long at most */
   async flush (timeoutMs: number): Promise<void> {
-    if (this.#commits !== undefined) await Promise.race([this.#commits.flushed(), delay(timeoutMs)])
+    await this.#commits?.flushWithin(timeoutMs)
   }
 
-  /** Reads what earlier holders recorded, until the store has answered. */
+  /** Reads what earlier holders recorded. @returns whether that came to an end */
   async #recover (): Promise<boolean> {
     const { store, service, dutyKey, fencingToken, clock, metrics } = this.#options
-    for (;;) {
-      if (this.#stop.signal.aborted) return false
-      const [chain, progress] = await Promise.all([store.get(chainKey(service)), store.list(progressPrefix(service))])
-      if (chain.ok && progress.ok) {
-        for (const item of progress.val.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
-        this.#commits = new CommitLog({
-          store,
-          clock,
-          dutyKey,
-          dutyRevision: fencingToken,
-          chainKey: chainKey(service),
-          chainRevision: chain.val?.modRevision ?? 0,
-          onDeposed: () => this.#deposed('the duty has another holder'),
-          onStoreError: (error, transactionNumber) => this.#log.warn({ service, error, transactionNumber }, 'records not written yet'),
-          onCommit: (entries, latencyMs) => {
-            metrics.count('records_written', service, entries)
-            metrics.record('commit', service, latencyMs)
-          }
-        })
-        return true
-      }
-      await delay(TICK_MS, this.#stop.signal)
-    }
+    const [commits, progress] = await Promise.all([
+      openCommitLog({
+        store,
+        clock,
+        dutyKey,
+        dutyRevision: fencingToken,
+        chainKey: chainKey(service),
+        onDeposed: () => this.#deposed('the duty has another holder'),
+        onStoreError: (error, transactionNumber) => this.#log.warn({ service, error, transactionNumber }, 'records not written yet'),
+        onCommit: (entries, latencyMs) => {
+          metrics.count('records_written', service, entries)
+          metrics.record('commit', service, latencyMs)
+        }
+      }, this.#stop.signal),
+      untilAnswered(() => store.list(progressPrefix(service)), this.#stop.signal)
+    ])
+    if (commits === undefined || progress === undefined) return false
+    for (const item of progress.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
+    this.#commits = commits
+    return true
   }
 
   #deposed (reason: string): void {
@@ -325,7 +316,7 @@
     const nowMs = this.#options.clock.monotonicMs()
     this.#workers.closeLapsed(nowMs)
     if (!this.#inbox.isListed || !this.#registrations.isListed) return
-    this.#vacator.step(this.#workers.links, nowMs)
+    this.#vacator.step(this.#workers, nowMs)
     this.#place(nowMs)
     this.#statusWriter.write([...this.#book.jobs.values()], this.#workers.links, nowMs)
     this.#forgetEnded()
@@ -375,6 +366,17 @@
     }
   }
 
+  /**
+   * Stops a run so that its machine becomes empty. Where only so many tasks of a step may be away, that is written down first:
+   * the worker goes on listing the run until it is over, and a next holder would take another task of the step away meanwhile.
+   */
+  async #takeAway (run: Run): Promise<void> {
+    if (stepOf(run.task).maxAway === undefined) return this.#tracker.discard(run)
+    run.phase = 'stopping'
+    this.#changed(run.task.job, true)
+    if (await this.#commits.flushed()) await this.#workers.linkOf(run)?.stop(run)
+  }
+
   /** Ended jobs are removed once nobody is owed an answer about them. */
   #forgetEnded (): void {
     const { clock, bounds, service } = this.#options
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -55,6 +55,11 @@
     return [...this.#links.values()]
   }
 
+  /** Whether runs of earlier holders may be going on on workers that are not registered. */
+  get hasUnmetRuns (): boolean {
+    return this.#orphans.size > 0
+  }
+
   /** @param run - any @returns the link to its worker */
   linkOf (run: Run): WorkerLink | undefined {
     return this.#links.get(run.instanceId)
@@ -128,7 +133,7 @@
       this.#orphans.delete(run)
       link.runs.set(runKey(run), run)
     }
-    log.info({ instanceId, address, labels, capacity }, 'worker met')
+    log.info({ instanceId, machineId: instance.machineId, address, labels, capacity }, 'worker met')
     void link.run()
   }
 
--- a/packages/scheduler/src/lib/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobProgress.ts
@@ -12,7 +12,7 @@
   lastRunNumber: z.number(),
   failures: z.number().optional(),
   checkpoint: z.string().optional(),
-  runs: z.array(z.object({ runNumber: z.number(), instanceId: z.string() })).optional()
+  runs: z.array(z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })).optional()
 })
 
 const progressSchema = z.object({
@@ -37,7 +37,7 @@
       lastRunNumber: task.lastRunNumber,
       failures: task.failures === 0 ? undefined : task.failures,
       checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
-      runs: task.runs.length === 0 ? undefined : task.runs.map(({ runNumber, instanceId }) => ({ runNumber, instanceId }))
+      runs: task.runs.length === 0 ? undefined : task.runs.map(({ runNumber, instanceId, phase }) => ({ runNumber, instanceId, isStopping: phase === 'stopping' || undefined }))
     }))
   }
   return JSON.stringify(progress)
@@ -66,7 +66,7 @@
     task.lastRunNumber = kept.lastRunNumber
     task.failures = kept.failures ?? 0
     task.checkpoint = kept.checkpoint ?? ''
-    for (const { runNumber, instanceId } of kept.runs ?? []) {
+    for (const { runNumber, instanceId, isStopping } of kept.runs ?? []) {
       const run: Run = {
         task,
         taskKey: kept.key,
@@ -76,6 +76,7 @@
         startedMs: undefined,
         stopConfirmedMs: undefined,
         isUncertain: true,
+        isToStop: isStopping === true,
         seenMs: -Infinity,
         percent: 0,
         progressMs: nowMs,
--- /dev/null
+++ b/packages/scheduler/src/test/MachineVacator.test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai'
+import { systemClock } from '@quillscale/utils'
+import { MachineVacator } from '../lib/MachineVacator.js'
+import { vacatedKey } from '../lib/storeKeys.js'
+import type { WorkerLink } from '../lib/WorkerLink.js'
+import { TestLog } from './TestService.js'
+
+describe('MachineVacator', () => {
+  const link = { instance: { machineId: 'm1' }, runs: new Map() } as unknown as WorkerLink
+  const cases = [
+    { name: 'a worker on which nothing runs', links: [link], hasUnmetRuns: false, isReported: true },
+    { name: 'no registered worker, while an earlier holder’s runs may go on somewhere', links: [], hasUnmetRuns: true, isReported: false },
+    { name: 'no registered worker, and no runs that are not accounted for', links: [], hasUnmetRuns: false, isReported: true },
+    { name: 'a worker on which nothing runs, while runs may go on elsewhere', links: [link], hasUnmetRuns: true, isReported: true }
+  ]
+  for (const { name, links, hasUnmetRuns, isReported } of cases) {
+    it(`${isReported ? 'reports' : 'does not report'} a machine as empty with ${name}`, () => {
+      const written: string[] = []
+      const vacator = new MachineVacator({ clock: systemClock, log: new TestLog(), put: (key) => written.push(key), stop: () => {} })
+      vacator.request('m1', 'upkeep 1.1')
+      vacator.step({ links, hasUnmetRuns }, systemClock.monotonicMs())
+      expect(written).to.deep.equal(isReported ? [vacatedKey('m1')] : [])
+    })
+  }
+})
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
-import { cancelKey, inboxPrefix } from '../lib/storeKeys.js'
+import type { StandInWorker } from '@quillscale/standins'
+import { cancelKey, inboxPrefix, vacateKey } from '../lib/storeKeys.js'
 import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 describe('ServiceScheduler', () => {
@@ -208,4 +209,25 @@
     await service.untilStatus(jobId, 'cancelled')
     expect(service.runs.records).to.have.length(0)
   })
+
+  it('a next holder takes no lasting task away while another of its step, stopped by the former one, is away', async () => {
+    service = new TestService(2, 1000)
+    service.maxLeaseMs = 10_000
+    const [first, second] = ['w1-1', 'w0-1'].map((instanceId) => service.runs.workers.get(instanceId) as StandInWorker)
+    const former = await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ taskCount: 2, isLasting: true, maxAway: 1 }])
+    await service.until('both are at work', () => first?.active.size === 1 && second?.active.size === 1)
+    await delay(100)
+    if (first !== undefined) first.stopTakesMs = 400
+    const next = service.addWorker(2, 1, 2000)
+    service.write(vacateKey(SERVICE, 'm1'), 'upkeep 1.1')
+    await service.until('one is being stopped', () => first?.stopsTaken === 1)
+    former.scheduler.close()
+    service.write(vacateKey(SERVICE, 'm0'), 'upkeep 1.1')
+    await service.takeOver()
+    await service.until('both moved', () => next.active.size === 2 && second?.active.size === 0)
+    const firstIsBackMs = Math.min(...next.records.map(({ startedMs }) => startedMs))
+    expect(first?.records[0]?.endedMs).to.be.below(firstIsBackMs)
+    expect(second?.records[0]?.endedMs).to.be.above(firstIsBackMs)
+  })
 })
--- a/packages/scheduler/src/test/planVacate.test.ts
+++ b/packages/scheduler/src/test/planVacate.test.ts
@@ -21,6 +21,7 @@
     startedMs: 0,
     stopConfirmedMs: undefined,
     isUncertain: false,
+    isToStop: false,
     seenMs: NOW_MS - seenAgoMs,
     percent,
     progressMs: 0,
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -58,6 +58,10 @@
   readonly records: RunRecord[] = []
   /** How long a hold takes to be answered, besides what it waits for. */
   holdDelayMs = 0
+  /** How long a run that is stopped goes on. */
+  stopTakesMs = 0
+  /** Stops that were taken in. */
+  stopsTaken = 0
   #fencingToken = 0
   #sequence = 0
   #ends: Array<EndReport & { readonly record: RunRecord }> = []
@@ -134,8 +138,10 @@
   /** @param run - to be stopped @param fencingToken - of the caller @returns the clock */
   stop (run: RunRef, fencingToken: number): Result<number, RunOrderError> {
     if (!this.#obeys(fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
+    this.stopsTaken++
     const active = this.active.get(nameOf(run))
-    if (active !== undefined) this.#end(active, 'stopped')
+    if (active !== undefined && this.stopTakesMs === 0) this.#end(active, 'stopped')
+    else if (active !== undefined) setTimeout(() => { if (this.active.has(nameOf(run))) this.#end(active, 'stopped') }, this.stopTakesMs).unref()
     this.#closed.set(run.taskKey, Math.max(run.runNumber, this.#closed.get(run.taskKey) ?? 0))
     return Ok(this.clock.monotonicMs())
   }
