Machines listed as down end the wait for a silent worker's leases

Ruled out: shorter leases (they do not outlast cuts of 5.5 s); a refused connection as a proof (cuts may refuse too). Change: the holder of machine upkeep compares its lists and tells the scheduler through its inbox; the scheduler closes the runs of that lifetime and believes its registration no more. The idle list is read each 0.5 s instead of 1.5 s. The first list of a new holder tells nothing: then the leases decide as before.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -13,13 +13,14 @@
 import { createReplica } from './createReplica.js'
 import type { DutyGrant, DutyTask } from './DutyRoster.js'
 import type { EventLog } from './EventLog.js'
+import { findGone, type GoneWorker } from './findGone.js'
 import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
 import { openCommitLog } from './openCommitLog.js'
 import { machinesNeeded, planPools, type ServiceDemand } from './planPools.js'
 import { planWave } from './planWave.js'
 import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
 import { untilAnswered } from './untilAnswered.js'
-import { chainKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
+import { chainKey, goneKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
 
 /** What it works with. @public */
 export interface MachineDutyOptions extends DutyGrant {
@@ -43,9 +44,9 @@
 const CHAIN = 'machines'
 /** Between rounds. */
 const ROUND_MS = 100
-/** The list of machines is read this often while something is under way, and otherwise; the platform allows 64 readings a second. */
+/** How often the list of machines is read, while something is under way and otherwise; it tells first who is down. 64 pages a second are allowed. */
 const LIST_BUSY_MS = 300
-const LIST_IDLE_MS = 1500
+const LIST_IDLE_MS = 500
 /** Demands that come close together cost one call. */
 const DEMAND_SPACING_MS = 30
 /** Added to the pause after a former holder's order. */
@@ -186,10 +187,22 @@
       log.warn({ error: listed.val }, 'machines not listed')
       return
     }
-    this.#machines = new Map(listed.val.map((machine) => [machine.machineId, machine]))
+    const listedMachines = new Map(listed.val.map((machine) => [machine.machineId, machine]))
+    this.#tellOfGone(findGone(this.#machines, listedMachines))
+    this.#machines = listedMachines
     this.#listedMs = askedMs
   }
 
+  /** A scheduler would wait until all leases of a worker that went silent are over; a machine that is down ends that wait. */
+  #tellOfGone (gone: readonly GoneWorker[]): void {
+    const services = this.#options.services()
+    for (const { service, instanceId, machineId } of gone) {
+      if (!services.includes(service)) continue
+      this.#put({ key: goneKey(service, instanceId), value: machineId })
+      this.#options.log.warn({ service, instanceId, machineId }, 'machine is down')
+    }
+  }
+
   #openWaves (): WaveProgress[] {
     return [...this.#waves.values()].filter(({ isDone }) => !isDone)
   }
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -25,7 +25,7 @@
 import { RunTracker } from './RunTracker.js'
 import type { SchedulerMetrics } from './SchedulerMetrics.js'
 import { StatusWriter } from './StatusWriter.js'
-import { cancelKey, chainKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix } from './storeKeys.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix } from './storeKeys.js'
 import { untilAnswered } from './untilAnswered.js'
 import { WorkerSet, type WorkerSetOptions } from './WorkerSet.js'
 
@@ -142,7 +142,7 @@
   }
 
   #createWorkers (): WorkerSet {
-    const { orders, fencingToken, clock, log, mayOrder, bounds } = this.#options
+    const { service, orders, fencingToken, clock, log, mayOrder, bounds } = this.#options
     const linkOptions: WorkerSetOptions['linkOptions'] = {
       orders,
       fencingToken,
@@ -166,6 +166,7 @@
       linkOptions,
       isVacating: (machineId) => this.#vacator.isVacating(machineId),
       onLost: (run) => this.#book.close(run, 'lost'),
+      onGoneForgotten: (instanceId) => this.#commits.put(goneKey(service, instanceId), () => undefined),
       onChange: () => this.#wake()
     })
   }
@@ -248,10 +249,11 @@
       if (subject.kind === 'vacate') this.#vacator.request(subject.machineId, item.value)
       else if (subject.kind === 'job') this.#addJob(item)
     }
-    // Cancels last: a list may bring one before its job.
+    // These last: a list may bring them before the jobs that they are about.
     for (const item of changed) {
       const subject = parseInboxKey(item.key, prefix)
       if (subject.kind === 'cancel') this.#cancel(subject.jobId)
+      else if (subject.kind === 'gone') this.#workers.noteGone(subject.instanceId)
     }
     for (const key of removed) {
       const subject = parseInboxKey(key, prefix)
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -22,6 +22,8 @@
   readonly isVacating: (machineId: string) => boolean
   /** Called for each run that is lost with its worker. */
   readonly onLost: (run: Run) => void
+  /** Called when a lifetime that was over need not be remembered any more. */
+  readonly onGoneForgotten: (instanceId: string) => void
   /** Called when room or runs changed. */
   readonly onChange: () => void
 }
@@ -42,7 +44,10 @@
   readonly #links = new Map<string, WorkerLink>()
   /** Runs of earlier holders on workers that are not listed. */
   readonly #orphans = new Set<Run>()
+  /** Lifetimes that are over, although they may still be registered. */
+  readonly #gone = new Set<string>()
   readonly #tookOverMs: number
+  #listedIds: ReadonlySet<string> = new Set()
 
   /** @param options - what it works with; leases that a former holder gave are counted from now */
   constructor (options: WorkerSetOptions) {
@@ -76,6 +81,7 @@
   follow (listed: readonly WorkerInstance[]): void {
     for (const instance of listed) this.#meet(instance)
     const ids = new Set(listed.map(({ instanceId }) => instanceId))
+    this.#listedIds = ids
     const liveMachines = new Map(listed.map(({ machineId, instanceId }) => [machineId, instanceId]))
     for (const link of this.links) {
       const { instanceId, machineId } = link.instance
@@ -86,9 +92,19 @@
       const successor = liveMachines.get(machineId)
       if (machineId !== '' && successor !== undefined && successor !== instanceId) this.#instanceOver(link, 'its machine has another worker')
     }
+    this.#forgetGone()
     this.#options.onChange()
   }
 
+  /** Takes note that a lifetime is over, whatever its registration says: its runs are. @param instanceId - whose */
+  noteGone (instanceId: string): void {
+    this.#gone.add(instanceId)
+    const link = this.#links.get(instanceId)
+    if (link !== undefined) this.#instanceOver(link, 'its machine is down')
+    for (const run of this.#orphans) if (run.instanceId === instanceId) this.#loseOrphan(run)
+    this.#forgetGone()
+  }
+
   /** Runs on workers that do not answer are over once their leases surely are. @param nowMs - monotonic */
   closeLapsed (nowMs: number): void {
     const slackMs = this.#options.bounds().stopMs + LEASE_END_SLACK_MS
@@ -101,8 +117,7 @@
       else for (const run of [...link.runs.values()]) if (run.phase !== 'recording') this.#options.onLost(run)
     }
     if (nowMs <= formerLeasesEndMs) return
-    for (const run of this.#orphans) this.#options.onLost(run)
-    this.#orphans.clear()
+    for (const run of this.#orphans) this.#loseOrphan(run)
   }
 
   /** Ends all links; what runs goes on under its lease. */
@@ -110,9 +125,23 @@
     for (const link of this.links) link.close()
   }
 
+  #loseOrphan (run: Run): void {
+    this.#orphans.delete(run)
+    this.#options.onLost(run)
+  }
+
+  #forgetGone (): void {
+    for (const instanceId of this.#gone) {
+      if (this.#listedIds.has(instanceId)) continue
+      this.#gone.delete(instanceId)
+      this.#options.onGoneForgotten(instanceId)
+    }
+  }
+
   #meet (instance: WorkerInstance): void {
     const { clock, log, linkOptions } = this.#options
     const { instanceId, state, address, labels, capacity } = instance
+    if (this.#gone.has(instanceId)) return
     const known = this.#links.get(instanceId)
     if (known !== undefined) {
       if (known.instance.state !== state) log.info({ instanceId, state }, 'worker changed its state')
--- a/packages/scheduler/src/lib/storeKeys.ts
+++ b/packages/scheduler/src/lib/storeKeys.ts
@@ -15,6 +15,8 @@
 export const vacatePrefix = (service: string): string => `inbox/${service}/vacate/`
 /** That a machine is to be emptied; written by the holder of machine upkeep. @public */
 export const vacateKey = (service: string, machineId: string): string => `inbox/${service}/vacate/${machineId}`
+/** That a worker's lifetime is over, as its machine is down; written by the holder of machine upkeep, removed by the scheduler. @public */
+export const goneKey = (service: string, instanceId: string): string => `inbox/${service}/gone/${instanceId}`
 /** Progress of the service's jobs; written by the scheduler alone. @public */
 export const progressPrefix = (service: string): string => `progress/${service}/`
 /** Progress of a job. @public */
@@ -38,11 +40,13 @@
 export type InboxSubject =
   | { readonly kind: 'job' | 'cancel', readonly jobId: JobId }
   | { readonly kind: 'vacate', readonly machineId: string }
+  | { readonly kind: 'gone', readonly instanceId: string }
 
 /** @param key - of the inbox @param prefix - of the inbox @returns what it is about @public */
 export function parseInboxKey (key: string, prefix: string): InboxSubject {
   const [first = '', second] = key.slice(prefix.length).split('/')
   if (first === 'vacate') return { kind: 'vacate', machineId: second ?? '' }
+  if (first === 'gone') return { kind: 'gone', instanceId: second ?? '' }
   return { kind: second === 'cancel' ? 'cancel' : 'job', jobId: first as JobId }
 }
 /** How strong each host is; written by each at its start. @public */
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
-import { cancelKey, inboxPrefix, vacateKey } from '../lib/storeKeys.js'
+import { cancelKey, goneKey, inboxPrefix, vacateKey } from '../lib/storeKeys.js'
 import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 describe('ServiceScheduler', () => {
@@ -48,6 +48,21 @@
     expect(service.runs.records).to.have.length(2)
   })
 
+  it('runs of a worker whose machine is down run again elsewhere at once, and its registration is not believed', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 10_000
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    const lostId = service.runs.records[0]?.instanceId ?? ''
+    service.runs.workers.get(lostId)?.crash()
+    service.write(goneKey(SERVICE, lostId), 'm')
+    await service.until('it runs again', () => service.runs.records.length === 2, 1000)
+    expect(service.runs.records[1]?.instanceId).not.to.equal(lostId)
+    service.unlist(lostId)
+    await service.until('the note is removed', async () => (await service.store.get(goneKey(SERVICE, lostId))).unwrap() === undefined)
+  })
+
   it('a lasting task whose worker crashed runs again elsewhere once its lease is over', async () => {
     service = new TestService(2)
     await service.takeOver()
