--- a/packages/leases/src/lib/LeaseHolder.ts
+++ b/packages/leases/src/lib/LeaseHolder.ts
@@ -67,7 +67,7 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.#leaseId === undefined) await this.#tryTake()
-      else await this.#renew()
+      else void this.#renew(this.#leaseId)
       this.#report()
       await this.#pause(signal)
     }
@@ -122,16 +122,17 @@
     else await store.revokeLease(lease.val)
   }
 
-  async #renew (): Promise<void> {
-    const leaseId = this.#leaseId as string
+  /** Not waited for: one that gets no answer must not hold up the next. */
+  async #renew (leaseId: string): Promise<void> {
     const startedMs = this.#options.clock.monotonicMs()
     const renewed = await this.#options.store.renewLease(leaseId)
     // It may have been given up meanwhile.
     if (this.#leaseId !== leaseId) return
-    if (renewed.ok && renewed.val) this.#validUntilMs = startedMs + this.#options.ttlMs * SAFETY_SHARE
+    if (renewed.ok && renewed.val) this.#validUntilMs = Math.max(this.#validUntilMs, startedMs + this.#options.ttlMs * SAFETY_SHARE)
     else if (renewed.ok) this.#drop()
     // Without an answer the lease is kept: the grant ends by itself, and comes back if the lease turns out to have waited.
     else this.#options.onStoreError?.('the lease was not renewed', renewed.val)
+    this.#report()
   }
 
   #hold (leaseId: string, fencingToken: number, startedMs: number): void {
--- a/packages/leases/src/test/LeaseHolder.test.ts
+++ b/packages/leases/src/test/LeaseHolder.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { Ok, delay, type Clock } from '@quillscale/utils'
+import { Ok, delay, systemClock, type Clock } from '@quillscale/utils'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { LeaseHolder } from '../lib/LeaseHolder.js'
 
@@ -10,8 +10,11 @@
   monotonicMs (): number { return this.nowMs }
 }
 
-function holderOf (store: MemoryKeyValueStore, clock: Clock, name: string): LeaseHolder {
-  return new LeaseHolder({ key: 'lease', value: name, ttlMs: 60, store, clock, mayTry: () => true })
+/** Long enough that a busy machine does not miss renewals. */
+const TTL_MS = 400
+
+function holderOf (store: MemoryKeyValueStore, clock: Clock, name: string, ttlMs = 60): LeaseHolder {
+  return new LeaseHolder({ key: 'lease', value: name, ttlMs, store, clock, mayTry: () => true })
 }
 
 describe('LeaseHolder', () => {
@@ -52,4 +55,23 @@
     await running
     expect(holder.grantAt(clock.nowMs + 5)).to.equal(undefined)
   })
+
+  it('keeps its grant when one renewal gets no answer for longer than the lease', async () => {
+    const store = new MemoryKeyValueStore(systemClock)
+    const renew = store.renewLease.bind(store)
+    let calls = 0
+    store.renewLease = async (leaseId) => {
+      if (++calls === 1) await delay(TTL_MS * 2)
+      return await renew(leaseId)
+    }
+    const holder = holderOf(store, systemClock, 'first', TTL_MS)
+    const stop = new AbortController()
+    const running = holder.run(stop.signal)
+    await delay(TTL_MS * 1.5)
+    const grant = holder.grantAt(systemClock.monotonicMs())
+    stop.abort()
+    await running
+    expect(calls).to.be.above(1)
+    expect(grant).not.to.equal(undefined)
+  })
 })
