A next holder of machines waits after orders of the former one that are done, too

Cause: found by the fault soak: two holders ordered the same machine within 2.1 to 2.7 s, four times. Only orders whose outcome was open were in the record that a next holder reads; a move that was done had left it. Ruled out: orders of a deposed holder that came late (its tokens were lower, and each order had been answered). Change: the record names the machines that were ordered within the users' bound and half a second; a next holder leaves those alone for that long. Before: MachineDuty.test.ts, a wave's order follows a move after 618 ms with a bound of 2,000. After: it waits.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -81,6 +81,8 @@
   readonly #needs = new Map<string, Need[]>()
   /** Machines that a former holder ordered. */
   readonly #formerOrders = new Set<string>()
+  /** When this holder last ordered a machine, monotonic. */
+  readonly #orderedMs = new Map<string, number>()
   readonly #demandSeen = new Map<string, { readonly revision: number, readonly atMs: number }>()
   readonly #watch = new MachineWatch()
   #commits!: CommitLog
@@ -135,11 +137,11 @@
   }
 
   #restore (text: string): void {
-    const { tasks, waves } = decodeMachineRecord(text)
+    const { tasks, waves, ordered } = decodeMachineRecord(text)
+    for (const machineId of ordered) this.#formerOrders.add(machineId)
     for (const wave of waves) this.#waves.set(wave.wave, wave)
     for (const task of tasks) {
       this.#tasks.set(task.machineId, { ...task, sinceMs: this.#tookOverMs, orderedMs: this.#tookOverMs })
-      if (task.state === 'ordered') this.#formerOrders.add(task.machineId)
     }
     this.#options.log.info({ tasks: tasks.length, waves: waves.length }, 'work on machines taken over')
   }
@@ -347,6 +349,7 @@
     for (const task of ready) {
       task.state = 'ordered'
       task.orderedMs = this.#options.clock.monotonicMs()
+      this.#orderedMs.set(task.machineId, task.orderedMs)
     }
     this.#record()
     if (!await this.#commits.flushed()) return
@@ -361,6 +364,7 @@
     const outcome = sent.ok ? sent.val : sent.val.kind
     log.info({ machineId: task.machineId, kind: task.kind, wave: task.wave, to: task.to, fencingToken, outcome }, 'machine ordered')
     task.orderedMs = clock.monotonicMs()
+    this.#orderedMs.set(task.machineId, task.orderedMs)
     if (sent.ok) this.#applyOutcome(task, sent.val)
   }
 
@@ -380,6 +384,13 @@
   }
 
   #record (): void {
-    this.#commits.put(MACHINE_RECORD_KEY, () => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()]), true)
+    this.#commits.put(MACHINE_RECORD_KEY, () => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()], this.#orderedLately()), true)
+  }
+
+  /** Machines that a next holder must not order yet. */
+  #orderedLately (): string[] {
+    const sinceMs = this.#options.clock.monotonicMs() - this.#options.holderChangeMs() - HOLDER_CHANGE_SLACK_MS
+    for (const [machineId, atMs] of this.#orderedMs) if (atMs < sinceMs) this.#orderedMs.delete(machineId)
+    return [...this.#orderedMs.keys()]
   }
 }
--- a/packages/scheduler/src/lib/machineRecord.ts
+++ b/packages/scheduler/src/lib/machineRecord.ts
@@ -29,7 +29,12 @@
   settled: z.array(z.string()),
   isDone: z.boolean()
 })
-const recordSchema = z.object({ tasks: z.array(taskSchema), waves: z.array(waveSchema) })
+const recordSchema = z.object({
+  tasks: z.array(taskSchema),
+  waves: z.array(waveSchema),
+  /** Machines that the holder ordered lately, whatever became of it. */
+  ordered: z.array(z.string()).default([])
+})
 
 /** Something under way with a machine. @public */
 export type MachineTask = z.infer<typeof taskSchema> & {
@@ -41,11 +46,11 @@
 /** How far a wave is. @public */
 export type WaveProgress = z.infer<typeof waveSchema>
 
-/** @param tasks - under way @param waves - all @returns the record @public */
-export function encodeMachineRecord (tasks: readonly MachineTask[], waves: readonly WaveProgress[]): string {
+/** @param tasks - under way @param waves - all @param ordered - machines that were ordered lately @returns the record @public */
+export function encodeMachineRecord (tasks: readonly MachineTask[], waves: readonly WaveProgress[], ordered: readonly string[]): string {
   const kept = tasks.map(({ machineId, kind, wave, from, to, state, request }) => ({ machineId, kind, wave, from, to, state, request }))
-  return JSON.stringify({ tasks: kept, waves })
+  return JSON.stringify({ tasks: kept, waves, ordered })
 }
 
-/** @param text - as kept @returns tasks and waves @public */
+/** @param text - as kept @returns what it holds @public */
 export const decodeMachineRecord = (text: string): z.infer<typeof recordSchema> => recordSchema.parse(JSON.parse(text))
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -71,10 +71,12 @@
   let service: TestService
   const duties: MachineDuty[] = []
   const statuses: string[] = []
+  let holderChangeMs = HOLDER_CHANGE_MS
   afterEach(() => {
     service.close()
     for (const duty of duties.splice(0)) duty.close()
     statuses.splice(0)
+    holderChangeMs = HOLDER_CHANGE_MS
   })
 
   async function take (machines: MachineControl, waves: readonly WaveRequest[], hostName = 'host'): Promise<MachineDuty> {
@@ -97,7 +99,7 @@
         statuses.push(`${wave} ${isDone ? 'done' : 'running'}`)
         return { key: `status/${wave}`, value: String(isDone) }
       },
-      holderChangeMs: () => HOLDER_CHANGE_MS
+      holderChangeMs: () => holderChangeMs
     })
     duties.push(duty)
     void duty.run()
@@ -153,6 +155,22 @@
     }
   }).timeout(20_000)
 
+  it('a next holder orders no machine so soon after a former one’s order, though that was done', async () => {
+    service = new TestService(1)
+    holderChangeMs = 2000
+    const machines = new StandInMachines(service, 1, 1)
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ taskCount: 4, isLasting: true }])
+    const first = await take(machines, [], 'first')
+    await service.until('a machine came', () => machines.poolOf('m1') === SERVICE)
+    await service.until('its move is over', () => service.log.lines.some((line) => line.startsWith('machine released') && line.includes('m1')))
+    first.close()
+    await take(machines, [{ wave: 1, machineIds: ['m1'], deadlineMs: 20_000, maxAtOnce: 1 }], 'second')
+    await service.until('the wave is done', () => statuses.includes('1 done'))
+    const [former, next] = machines.orders.filter(({ machineId }) => machineId === 'm1')
+    expect((next?.atMs ?? 0) - (former?.atMs ?? 0)).to.be.above(holderChangeMs)
+  }).timeout(20_000)
+
   it('withdraws requests to empty a machine that a former holder left without a record', async () => {
     service = new TestService(1)
     service.write(vacateKey(SERVICE, 'm0'), 'move 1.1')
