--- a/packages/ports/src/lib/RunOrders.ts
+++ b/packages/ports/src/lib/RunOrders.ts
@@ -84,7 +84,10 @@
   /** The worker's own steady clock. */
   readonly clockMs: number
   readonly running: readonly RunReport[]
+  /** The oldest that were not acknowledged. */
   readonly ended: readonly EndReport[]
+  /** There may be more ends than these: a run in neither list may have ended. */
+  readonly hasMoreEnds: boolean
 }
 
 /**
--- a/packages/scheduler/src/lib/RunTracker.ts
+++ b/packages/scheduler/src/lib/RunTracker.ts
@@ -48,7 +48,7 @@
     for (const [key, run] of [...link.runs]) {
       const seen = running.get(key)
       if (seen !== undefined) this.#seen(run, seen.percent, seen.load, seen.checkpoint, nowMs)
-      else this.#notSeen(run, askedMs)
+      else if (!report.hasMoreEnds) this.#notSeen(run, askedMs)
     }
     for (const [key, seen] of running) {
       if (link.runs.has(key)) continue
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -52,8 +52,12 @@
 
 /** Collects lines, so that a failed test can show them. */
 export class TestLog implements EventLog {
+  /** What the program would write. */
   readonly lines: string[] = []
-  debug (fields: object, message: string): void { this.#add(fields, message) }
+  debug (): void {
+    // Below the level that is written.
+  }
+
   info (fields: object, message: string): void { this.#add(fields, message) }
   warn (fields: object, message: string): void { this.#add(fields, message) }
   #add (fields: object, message: string): void {
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -158,7 +158,7 @@
     const nowMs = this.clock.monotonicMs()
     const running = [...this.active.values()].map(({ record, percentOf }): RunReport =>
       ({ taskKey: record.taskKey, runNumber: record.runNumber, checkpoint: '', percent: percentOf(nowMs), load: 0 }))
-    return Ok({ clockMs: nowMs, running, ended: this.#ends.slice(0, MAX_ENDS_LISTED) })
+    return Ok({ clockMs: nowMs, running, ended: this.#ends.slice(0, MAX_ENDS_LISTED), hasMoreEnds: this.#ends.length > MAX_ENDS_LISTED })
   }
 
   #obeys (fencingToken: number): boolean {
