Machines move as fast as the platform takes orders, and ahead of what arrivals foretell

Cause: on the grown sites the load turns to another service each 4.5 s and asks for 100 machines and more. Ruled out: slow rounds of the holder (100 to 150 ms), a lack of parked machines, refused orders (all 279 accepted). Change: the rate comes from the settings; four fifths of it may be moves. A scheduler also tells what the jobs of the last 0.75 s would keep busy if they came on like this; where that asks for 1.3 times the machines, they are ordered at once.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -15,9 +15,10 @@
 import type { EventLog } from './EventLog.js'
 import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
 import { openCommitLog } from './openCommitLog.js'
-import { machinesNeeded, planPools, type ServiceDemand } from './planPools.js'
+import { planPools } from './planPools.js'
 import { planWave } from './planWave.js'
-import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
+import { DEMAND_PREFIX } from './serviceDemand.js'
+import { NEED_MEMORY_MS, ServiceNeeds } from './ServiceNeeds.js'
 import { MachineWatch, type GoneWorker } from './MachineWatch.js'
 import { untilAnswered } from './untilAnswered.js'
 import { chainKey, goneKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
@@ -37,6 +38,8 @@
   readonly headroomPools: () => readonly string[]
   /** How a wave's state is shown to operators. */
   readonly waveStatus: (wave: number, isDone: boolean) => { readonly key: string, readonly value: string }
+  /** How many orders the platform takes in a second, from all hosts together. */
+  readonly ordersPerS: () => number
   /** For so long after a holder's last order no other may order the same machine. */
   readonly holderChangeMs: () => number
 }
@@ -53,20 +56,16 @@
 const HOLDER_CHANGE_SLACK_MS = 500
 /** An order that got no answer, or came at a bad moment, is repeated after this. */
 const REPEAT_MS = 1000
+/** Share of the platform's rate that is used for moves: upkeep and repeated orders need the rest. */
+const MOVES_SHARE = 0.8
+/** What was not used for so long is not caught up with: the rate counts each second. */
+const MOST_PAUSE_MS = 250
 /** The list may lag behind an order. */
 const SETTLE_MS = 400
-/** Room that was needed so lately is not given back. */
-const NEED_MEMORY_MS = 1200
-/** Growth of a need is measured over this, and extended by how long a move takes until the machine works; at most by this factor. */
-const GROWTH_MS = 1000
-const MOVE_LEAD_MS = 1500
-const MOST_GROWTH = 2
 /** A machine whose move waits so long for its tasks to leave is left where it is. */
 const MOVE_PATIENCE_MS = 3000
-/** Demands that are older are of a scheduler that is gone: nothing is moved by them. */
-const STALE_ROUNDS_MS = 5000
 
-interface Need { readonly machines: number, readonly atMs: number }
+const MS_PER_S = 1000
 
 /** The task. @public */
 export class MachineDuty implements DutyTask {
@@ -78,17 +77,17 @@
   readonly #waves = new Map<number, WaveProgress>()
   readonly #requests = new Map<number, WaveRequest>()
   readonly #refused = new Set<string>()
-  readonly #needs = new Map<string, Need[]>()
+  readonly #needs = new ServiceNeeds()
   /** Machines that a former holder ordered. */
   readonly #formerOrders = new Set<string>()
   /** When this holder last ordered a machine, monotonic. */
   readonly #orderedMs = new Map<string, number>()
-  readonly #demandSeen = new Map<string, { readonly revision: number, readonly atMs: number }>()
   readonly #watch = new MachineWatch()
   #commits!: CommitLog
   #machines = new Map<string, ListedMachine>()
   #listedMs = -Infinity
   #tookOverMs = 0
+  #movesPlannedMs = -Infinity
 
   /** @param options - what it works with */
   constructor (options: MachineDutyOptions) {
@@ -260,7 +259,7 @@
     }
     const underWay = [...this.#tasks.values()].filter(({ kind, wave }) => kind === 'upkeep' && wave === progress.wave).map(({ machineId }) => machineId)
     const headroom = new Set(headroomPools())
-    const demands = this.#demands()
+    const demands = this.#needs.current(this.#demandItems.items, clock.monotonicMs())
     const begin = planWave({
       open: request.machineIds.filter((machineId) => !settled.has(machineId) && !underWay.includes(machineId)),
       machines: this.#machines,
@@ -285,20 +284,10 @@
     this.#options.log.info({ ...what, isIdle }, 'machine is to be emptied')
   }
 
-  /** Demands of services whose scheduler has spoken lately. */
-  #demands (): ServiceDemand[] {
-    const nowMs = this.#options.clock.monotonicMs()
-    return [...this.#demandItems.items.values()].flatMap(({ key, value, modRevision }) => {
-      const seen = this.#demandSeen.get(key)
-      if (seen?.revision !== modRevision) this.#demandSeen.set(key, { revision: modRevision, atMs: nowMs })
-      const isFresh = seen === undefined || seen.revision !== modRevision || nowMs - seen.atMs < STALE_ROUNDS_MS
-      return isFresh ? [decodeDemand(key.slice(DEMAND_PREFIX.length), value)] : []
-    })
-  }
-
   #balance (): void {
     const headroomPools = this.#options.headroomPools()
-    const demands = this.#demands()
+    const nowMs = this.#options.clock.monotonicMs()
+    const demands = this.#needs.current(this.#demandItems.items, nowMs)
     const busy = new Map([...this.#tasks.values()].map(({ machineId, kind, to }) => [machineId, kind === 'move' ? to : this.#machines.get(machineId)?.pool ?? '']))
     const moves = planPools({
       demands,
@@ -306,33 +295,20 @@
       machines: this.#machines,
       busy,
       isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
-      recentNeed: this.#recentNeed(demands),
-      comingNeed: this.#comingNeed(demands),
-      mayPark: this.#options.clock.monotonicMs() - this.#tookOverMs > NEED_MEMORY_MS
+      recentNeed: this.#needs.recent(demands, nowMs),
+      comingNeed: this.#needs.coming(demands, nowMs),
+      mostMoves: this.#mostMoves(),
+      mayPark: nowMs - this.#tookOverMs > NEED_MEMORY_MS
     })
     for (const { machineId, from, to } of moves) this.#begin({ machineId, kind: 'move', wave: 0, from, to })
   }
 
-  #recentNeed (demands: readonly ServiceDemand[]): Map<string, number> {
-    const nowMs = this.#options.clock.monotonicMs()
-    return new Map(demands.map((demand) => {
-      const needs = (this.#needs.get(demand.service) ?? []).filter(({ atMs }) => nowMs - atMs < NEED_MEMORY_MS)
-      needs.push({ machines: machinesNeeded(demand), atMs: nowMs })
-      this.#needs.set(demand.service, needs)
-      return [demand.service, Math.max(...needs.map(({ machines }) => machines))]
-    }))
-  }
-
-  /** Extends the growth of the last second to when a machine that is ordered now will work. */
-  #comingNeed (demands: readonly ServiceDemand[]): Map<string, number> {
+  /** As many as the platform takes in the time since they were planned last. */
+  #mostMoves (): number {
     const nowMs = this.#options.clock.monotonicMs()
-    return new Map(demands.map(({ service }) => {
-      const needs = this.#needs.get(service) ?? []
-      const last = needs.at(-1)?.machines ?? 0
-      const before = needs.find(({ atMs }) => nowMs - atMs <= GROWTH_MS)?.machines ?? last
-      const growth = Math.max(0, last - before) / GROWTH_MS
-      return [service, Math.min(Math.ceil(last * MOST_GROWTH), Math.round(last + growth * MOVE_LEAD_MS))]
-    }))
+    const sinceMs = Math.min(MOST_PAUSE_MS, nowMs - this.#movesPlannedMs)
+    this.#movesPlannedMs = nowMs
+    return Math.max(1, Math.floor(this.#options.ordersPerS() * MOVES_SHARE * sinceMs / MS_PER_S))
   }
 
   #isReady (task: MachineTask): boolean {
--- /dev/null
+++ b/packages/scheduler/src/lib/ServiceNeeds.ts
@@ -0,0 +1,62 @@
+/**
+ * What services need of machines, now, lately and soon, by what their schedulers write.
+ *
+ * @module
+ */
+import type { KeyValue } from '@quillscale/ports'
+import { machinesFor, machinesNeeded, type ServiceDemand } from './planPools.js'
+import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
+
+/** Room that was needed so lately is not given back. @public */
+export const NEED_MEMORY_MS = 1200
+/** Growth of a need is measured over this, and extended by how long a move takes until the machine works; at most by this factor. */
+const GROWTH_MS = 1000
+const MOVE_LEAD_MS = 1500
+const MOST_GROWTH = 2
+/** Arrivals of less than a second vary by a third: only a rate that asks for clearly more machines is believed. */
+const CLEARLY_MORE = 1.3
+/** A demand that did not change for so long is of a scheduler that is gone: nothing is moved by it. A living one repeats it each 2 s. */
+const DEMAND_VALID_MS = 5000
+
+interface Need { readonly machines: number, readonly atMs: number }
+interface Seen { readonly revision: number, readonly atMs: number }
+
+/** The needs. @public */
+export class ServiceNeeds {
+  readonly #needs = new Map<string, Need[]>()
+  readonly #seen = new Map<string, Seen>()
+
+  /** @param items - demands as kept @param nowMs - monotonic @returns those whose scheduler has spoken lately */
+  current (items: ReadonlyMap<string, KeyValue>, nowMs: number): ServiceDemand[] {
+    return [...items.values()].flatMap(({ key, value, modRevision }) => {
+      const seen = this.#seen.get(key)
+      const isNew = seen?.revision !== modRevision
+      if (isNew) this.#seen.set(key, { revision: modRevision, atMs: nowMs })
+      return isNew || nowMs - seen.atMs < DEMAND_VALID_MS ? [decodeDemand(key.slice(DEMAND_PREFIX.length), value)] : []
+    })
+  }
+
+  /** Takes note of the present needs. @param demands - present @param nowMs - monotonic @returns by service, the most that was needed lately */
+  recent (demands: readonly ServiceDemand[], nowMs: number): Map<string, number> {
+    return new Map(demands.map((demand) => {
+      const needs = (this.#needs.get(demand.service) ?? []).filter(({ atMs }) => nowMs - atMs < NEED_MEMORY_MS)
+      needs.push({ machines: machinesNeeded(demand), atMs: nowMs })
+      this.#needs.set(demand.service, needs)
+      return [demand.service, Math.max(...needs.map(({ machines }) => machines))]
+    }))
+  }
+
+  /** @param demands - present, taken note of @param nowMs - monotonic @returns by service, what a growing need will be when a machine ordered now works */
+  coming (demands: readonly ServiceDemand[], nowMs: number): Map<string, number> {
+    return new Map(demands.map((demand) => {
+      const { service } = demand
+      const needs = this.#needs.get(service) ?? []
+      const last = needs.at(-1)?.machines ?? 0
+      const before = needs.find(({ atMs }) => nowMs - atMs <= GROWTH_MS)?.machines ?? last
+      const growth = Math.max(0, last - before) / GROWTH_MS
+      const grown = Math.min(Math.ceil(last * MOST_GROWTH), Math.round(last + growth * MOVE_LEAD_MS))
+      const arriving = machinesFor(demand.arrivingMillis, demand)
+      return [service, arriving > last * CLEARLY_MORE ? Math.max(grown, arriving) : grown]
+    }))
+  }
+}
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -11,7 +11,7 @@
 import type { FleetConfiguration, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, WorkerInstance } from '@quillscale/ports'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import { AdviceBook } from './AdviceBook.js'
-import type { CommitLog } from './CommitLog.js'
+import type { CommitLog, RecordSource } from './CommitLog.js'
 import { createReplica } from './createReplica.js'
 import type { EventLog } from './EventLog.js'
 import { jobSpecSchema, type JobId } from './JobSpec.js'
@@ -93,6 +93,8 @@
   #commits!: CommitLog
   #tookOverMs = 0
   #isRoundDue = false
+  /** The first list was read: jobs that come from now on are new. */
+  #hasHeardOfAll = false
 
   /** @param options - what it works with */
   constructor (options: ServiceSchedulerOptions) {
@@ -113,11 +115,10 @@
     })
     this.#tracker = this.#createTracker()
     this.#workers = this.#createWorkers()
-    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent) })
+    const put = (key: string, source: RecordSource, isUrgent: boolean): void => this.#commits.put(key, source, isUrgent)
+    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, times: this.#times, put })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
-    this.#vacator = new MachineVacator({
-      clock, log: options.log, put: (key, source, isUrgent) => this.#commits.put(key, source, isUrgent), stop: (run) => { void this.#takeAway(run) }
-    })
+    this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#takeAway(run) } })
     this.#registrations = createReplica(options.log, {
       store, clock, prefix: options.workersPrefix, spacingMs: WORKERS_SPACING_MS, onChange: () => this.#followWorkers()
     })
@@ -242,7 +243,6 @@
   }
 
   #readInbox ({ changed, removed }: PrefixChange): void {
-    this.#noteInboxListed()
     const prefix = inboxPrefix(this.#options.service)
     for (const item of changed) {
       const subject = parseInboxKey(item.key, prefix)
@@ -259,6 +259,8 @@
       const subject = parseInboxKey(key, prefix)
       if (subject.kind === 'vacate') this.#vacator.withdraw(subject.machineId)
     }
+    this.#hasHeardOfAll = true
+    this.#noteInboxListed()
     this.#wake()
   }
 
@@ -270,7 +272,7 @@
     }
     const spec = parsed.data
     if (this.#book.jobs.has(spec.jobId)) return
-    const job = createJob(spec)
+    const job = createJob(spec, this.#hasHeardOfAll ? this.#options.clock.monotonicMs() : undefined)
     this.#book.jobs.set(spec.jobId, job)
     const recorded = this.#recorded.get(spec.jobId)
     this.#recorded.delete(spec.jobId)
--- a/packages/scheduler/src/lib/StatusWriter.ts
+++ b/packages/scheduler/src/lib/StatusWriter.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from './EventLog.js'
 import type { Job } from './JobState.js'
 import { machinesNeeded } from './planPools.js'
+import type { RunTimes } from './RunTimes.js'
 import { demandKey, encodeDemand } from './serviceDemand.js'
 import { waitingKey } from './storeKeys.js'
 import type { WorkerLink } from './WorkerLink.js'
@@ -18,6 +19,7 @@
   readonly service: string
   readonly clock: Clock
   readonly log: EventLog
+  readonly times: RunTimes
   readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
 }
 
@@ -66,8 +68,8 @@
   /** More need is told at once, anything else now and then. */
   #writeDemand (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
     this.#demandMadeMs = nowMs
-    const { service, clock, log, put } = this.#options
-    const demand = demandOf({ service, jobs, links, nowMs, wallMs: clock.wallMs() })
+    const { service, clock, log, times, put } = this.#options
+    const demand = demandOf({ service, jobs, links, times, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#demandNeed
--- a/packages/scheduler/src/lib/demandOf.ts
+++ b/packages/scheduler/src/lib/demandOf.ts
@@ -6,6 +6,7 @@
 import { hasEnded, openSteps, stepOf, type Job } from './JobState.js'
 import { cpuDemandOf } from './placeTasks.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
+import type { RunTimes } from './RunTimes.js'
 import type { WorkerLink } from './WorkerLink.js'
 
 /** What the sum is made of. @public */
@@ -13,6 +14,7 @@
   readonly service: string
   readonly jobs: readonly Job[]
   readonly links: readonly WorkerLink[]
+  readonly times: RunTimes
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -20,11 +22,15 @@
 
 /** Lasting tasks are spread over so many machines at least: one that is lost takes only a part of them. */
 const LEAST_MACHINES = 2
+/** Arrivals are counted over this: half of how long a machine takes to come. */
+const ARRIVALS_MS = 750
+/** Fewer say nothing of a rate. */
+const LEAST_ARRIVALS = 4
 /** For a service none of whose workers is known: a machine of the smaller users' sites. */
 const DEFAULT_MACHINE_MILLIS = 16_000
 
 /** @param sources - jobs and workers of a service @returns its demand @public */
-export function demandOf ({ service, jobs, links, nowMs, wallMs }: DemandSources): ServiceDemand {
+export function demandOf ({ service, jobs, links, times, nowMs, wallMs }: DemandSources): ServiceDemand {
   let wantedMillis = 0
   let leastMachines = LEAST_MACHINES
   for (const job of jobs) {
@@ -42,12 +48,24 @@
   return {
     service,
     wantedMillis,
+    arrivingMillis: arrivingMillis(jobs, times, nowMs),
     leastMachines,
     machineMillis: sizes.length === 0 ? DEFAULT_MACHINE_MILLIS : sizes.reduce((sum, size) => sum + size, 0) / sizes.length,
     runsByMachine: new Map(open.filter(({ instance }) => instance.machineId !== '').map((link) => [link.instance.machineId, weightOf(link)]))
   }
 }
 
+/**
+ * What the jobs of the last moment, coming on like this, keep busy for good: a service whose turn comes is seen to need many
+ * machines long before its work has piled up.
+ */
+function arrivingMillis (jobs: readonly Job[], times: RunTimes, nowMs: number): number {
+  const arrived = jobs.filter(({ arrivedMs }) => arrivedMs !== undefined && nowMs - arrivedMs < ARRIVALS_MS)
+  if (arrived.length < LEAST_ARRIVALS) return 0
+  const steps = arrived.flatMap(({ spec }) => spec.steps).filter(({ isLasting }) => !isLasting)
+  return steps.reduce((sum, step) => sum + step.taskCount * step.cpuMillis * times.expectedMs(step), 0) / ARRIVALS_MS
+}
+
 function weightOf (link: WorkerLink): number {
   return [...link.runs.values()].reduce((sum, run) => sum + (stepOf(run.task).isLasting ? LASTING_RUN_WEIGHT : 1), 0)
 }
--- a/packages/scheduler/src/lib/planPools.ts
+++ b/packages/scheduler/src/lib/planPools.ts
@@ -11,6 +11,8 @@
   readonly service: string
   /** Processor time, in thousandths of a core, of what runs and of what could start at once. */
   readonly wantedMillis: number
+  /** Processor time that jobs coming on at the present rate keep busy; 0 where the rate is not known. */
+  readonly arrivingMillis: number
   /** Fewest machines over which its lasting tasks are spread. */
   readonly leastMachines: number
   /** Runs on each of its machines that take work; lasting tasks weigh as {@link LASTING_RUN_WEIGHT}. */
@@ -40,6 +42,8 @@
   readonly mayPark: boolean
   /** The most that a service needed lately: room is given back only after a while without need. */
   readonly recentNeed: ReadonlyMap<string, number>
+  /** So many changes may begin now. */
+  readonly mostMoves: number
   /** What a growing service will need by the time a machine has moved. */
   readonly comingNeed: ReadonlyMap<string, number>
 }
@@ -51,13 +55,15 @@
 const FULL_SHARE = 0.85
 /** A machine with more runs is not emptied for another service: what runs would take too long to leave. */
 const MOST_RUNS_TO_LEAVE = 4
-/** So many changes begin in one round at most: demands are a moment old. */
-const MAX_MOVES_A_ROUND = 6
 
 /** @param demand - of a service @returns how many machines it needs now @public */
 export function machinesNeeded (demand: ServiceDemand): number {
-  const forWork = Math.ceil(demand.wantedMillis / (Math.max(1, demand.machineMillis) * FULL_SHARE))
-  return Math.max(demand.leastMachines, forWork)
+  return Math.max(demand.leastMachines, machinesFor(demand.wantedMillis, demand))
+}
+
+/** @param millis - processor time @param demand - of the service @returns how many of its machines carry that @public */
+export function machinesFor (millis: number, { machineMillis }: ServiceDemand): number {
+  return Math.ceil(millis / (Math.max(1, machineMillis) * FULL_SHARE))
 }
 
 interface PoolCount { readonly demand: ServiceDemand, readonly need: number, readonly keep: number, have: number }
@@ -77,13 +83,13 @@
   const taken = new Set<string>()
   const moves: PoolMove[] = []
   for (const wanting of [...counts].sort((a, b) => (b.need - b.have) - (a.need - a.have))) {
-    while (wanting.have < wanting.need && moves.length < MAX_MOVES_A_ROUND) {
+    while (wanting.have < wanting.need && moves.length < view.mostMoves) {
       const move = findMachine(wanting, counts, view, taken)
       if (move === undefined) break
       apply(move, counts, taken, moves)
     }
   }
-  moves.push(...giveBack(counts, view, taken, MAX_MOVES_A_ROUND - moves.length))
+  moves.push(...giveBack(counts, view, taken, view.mostMoves - moves.length))
   return moves
 }
 
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -99,6 +99,7 @@
         statuses.push(`${wave} ${isDone ? 'done' : 'running'}`)
         return { key: `status/${wave}`, value: String(isDone) }
       },
+      ordersPerS: () => 64,
       holderChangeMs: () => holderChangeMs
     })
     duties.push(duty)
--- a/packages/scheduler/src/test/planPools.test.ts
+++ b/packages/scheduler/src/test/planPools.test.ts
@@ -22,6 +22,7 @@
     demands.push({
       service: name,
       wantedMillis: wantedCores * 1000,
+      arrivingMillis: 0,
       leastMachines: 2,
       machineMillis: 16_000,
       runsByMachine: new Map(ids.map((machineId, index) => [machineId, index < idle ? 0 : busyRuns]))
@@ -32,6 +33,7 @@
     machines,
     headroomPools: ['off'],
     mayPark: true,
+    mostMoves: 6,
     comingNeed: new Map(),
     busy: new Map(),
     isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
