--- /dev/null
+++ b/packages/scheduler/src/lib/FleetReport.ts
@@ -0,0 +1,125 @@
+/**
+ * What an operator wants to know of jobs, duties and services, read from the store.
+ *
+ * @module
+ */
+import { Ok, type Result } from '@quillscale/utils'
+import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
+import { jobSpecSchema, type JobId, type JobSpec } from './JobSpec.js'
+import { decodeProgress, type JobProgress } from './jobProgress.js'
+import { machinesNeeded } from './planPools.js'
+import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
+import { cancelKey, DUTY_PREFIX, jobKey, progressKey } from './storeKeys.js'
+
+/** Who holds a duty. @public */
+export interface DutyRow { readonly duty: string, readonly holder: string, readonly fencingToken: number }
+
+/** What a service has and wants. @public */
+export interface ServiceRow { readonly service: string, readonly machines: number, readonly machinesNeeded: number, readonly wantedCores: number }
+
+/** A job, and why it is where it is. @public */
+export interface JobExplanation {
+  readonly jobId: JobId
+  readonly service: string
+  readonly queue: string
+  readonly status: string
+  readonly ageMs: number
+  /** A line for each step, and one for each reason why something waits. */
+  readonly lines: readonly string[]
+}
+
+const MILLIS_A_CORE = 1000
+
+/** Reads reports. @public */
+export class FleetReport {
+  readonly #store: KeyValueStore
+
+  /** @param store - that the program writes to */
+  constructor (store: KeyValueStore) {
+    this.#store = store
+  }
+
+  /** @returns all duties that are held */
+  async duties (): Promise<Result<DutyRow[], PlatformError>> {
+    const listed = await this.#store.list(DUTY_PREFIX)
+    return listed.map(({ items }) => items.map(({ key, value, modRevision }) =>
+      ({ duty: key.slice(DUTY_PREFIX.length), holder: value.split('#')[0] ?? '', fencingToken: modRevision })))
+  }
+
+  /** @returns all services whose scheduler has told its need */
+  async services (): Promise<Result<ServiceRow[], PlatformError>> {
+    const listed = await this.#store.list(DEMAND_PREFIX)
+    return listed.map(({ items }) => items.map(({ key, value }) => {
+      const demand = decodeDemand(key.slice(DEMAND_PREFIX.length), value)
+      return {
+        service: demand.service, machines: demand.runsByMachine.size, machinesNeeded: machinesNeeded(demand), wantedCores: demand.wantedMillis / MILLIS_A_CORE
+      }
+    }))
+  }
+
+  /**
+   * @param jobId - any
+   * @param wallMs - the present time of day
+   * @returns where it is and why, `undefined` if no service that has told its need knows it
+   */
+  async explain (jobId: JobId, wallMs: number): Promise<Result<JobExplanation | undefined, PlatformError>> {
+    const services = await this.services()
+    if (services.err) return services
+    for (const row of services.val) {
+      const record = await this.#store.get(jobKey(row.service, jobId))
+      if (record.err) return record
+      if (record.val === undefined) continue
+      const [progress, cancel, duties] = await Promise.all([
+        this.#store.get(progressKey(row.service, jobId)), this.#store.get(cancelKey(row.service, jobId)), this.duties()
+      ])
+      if (progress.err) return progress
+      if (cancel.err) return cancel
+      if (duties.err) return duties
+      return Ok(explainJob(jobSpecSchema.parse(JSON.parse(record.val.value)), row, decodeItem(progress.val), cancel.val !== undefined, duties.val, wallMs))
+    }
+    return Ok(undefined)
+  }
+}
+
+const decodeItem = (item: KeyValue | undefined): JobProgress | undefined => item === undefined ? undefined : decodeProgress(item.value)
+
+function explainJob (
+  spec: JobSpec, row: ServiceRow, progress: JobProgress | undefined, isCancelled: boolean, duties: readonly DutyRow[], wallMs: number
+): JobExplanation {
+  const status = progress?.status ?? 'queued'
+  const isOver = ['succeeded', 'failed', 'cancelled'].includes(status)
+  const reasons = isOver ? [] : reasonsToWait(row, isCancelled, duties)
+  const steps = isOver ? [] : spec.steps.map((_, index) => explainStep(spec, index, progress))
+  return { jobId: spec.jobId, service: row.service, queue: spec.queue, status, ageMs: wallMs - spec.submittedMs, lines: [...steps, ...reasons] }
+}
+
+function explainStep (spec: JobSpec, index: number, progress: JobProgress | undefined): string {
+  const step = spec.steps[index]
+  const tasks = (progress?.tasks ?? []).filter(({ key }) => Number(key.split('.')[2]) === index)
+  const done = tasks.filter(({ isDone }) => isDone).length
+  const placed = tasks.flatMap(({ runs }) => runs ?? [])
+  const failures = tasks.reduce((sum, task) => sum + (task.failures ?? 0), 0)
+  const open = (step?.dependsOn ?? []).filter((earlier) => !isStepDone(spec, earlier, progress))
+  const where = [...new Set(placed.map(({ instanceId }) => instanceId))]
+  return [
+    `step ${index}: ${done} of ${step?.taskCount ?? 0} done, ${placed.length} placed`, where.length === 0 ? '' : `on ${where.join(' ')}`,
+    failures === 0 ? '' : `${failures} runs failed`, open.length === 0 ? '' : `waits for step ${open.join(' and ')}`
+  ].filter((part) => part !== '').join(', ')
+}
+
+function isStepDone (spec: JobSpec, index: number, progress: JobProgress | undefined): boolean {
+  const done = (progress?.tasks ?? []).filter(({ key, isDone }) => isDone === true && Number(key.split('.')[2]) === index).length
+  return done >= (spec.steps[index]?.taskCount ?? 0)
+}
+
+function reasonsToWait (row: ServiceRow, isCancelled: boolean, duties: readonly DutyRow[]): string[] {
+  const isScheduled = duties.some(({ duty }) => duty === `service/${row.service}`)
+  const isShort = row.machinesNeeded > row.machines
+  const areMachinesHeld = duties.some(({ duty }) => duty === 'machines')
+  return [
+    isCancelled ? 'it is being cancelled' : '',
+    isScheduled ? '' : `nobody schedules ${row.service}: its duty is vacant`,
+    isShort ? `${row.service} has ${row.machines} machines and needs ${row.machinesNeeded}` : '',
+    isShort && !areMachinesHeld ? 'nobody moves machines: that duty is vacant' : ''
+  ].filter((reason) => reason !== '')
+}
--- /dev/null
+++ b/packages/scheduler/src/test/FleetReport.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai'
+import { FleetReport } from '../lib/FleetReport.js'
+import type { StepSpec } from '../lib/JobSpec.js'
+import { SERVICE, TestService } from './TestService.js'
+
+describe('FleetReport', () => {
+  let service: TestService
+  afterEach(() => service.close())
+
+  const cases: ReadonlyArray<{ name: string, workers: number, runMs: number, steps: Array<Partial<StepSpec>>, isVacant?: boolean, expected: RegExp[] }> = [
+    {
+      name: 'a job whose second step waits for the first',
+      workers: 1,
+      runMs: 0,
+      steps: [{ isLasting: true }, { dependsOn: [0] }],
+      expected: [/^step 0: 0 of 1 done, 1 placed, on w0-1$/, /^step 1: 0 of 1 done, 0 placed, waits for step 0$/]
+    },
+    {
+      name: 'a job for which there is no room',
+      workers: 1,
+      runMs: 0,
+      steps: [{ isLasting: true, taskCount: 6 }],
+      expected: [/^step 0: 0 of 6 done, 4 placed/, /has 1 machines and needs 2/, /nobody moves machines/]
+    },
+    { name: 'a job that nobody schedules', workers: 1, runMs: 0, steps: [{ isLasting: true }], isVacant: true, expected: [/^step 0/, /duty is vacant/, /.*/, /.*/] }
+  ]
+  for (const { name, workers, runMs, steps, isVacant = false, expected } of cases) {
+    it(`explains ${name}`, async () => {
+      service = new TestService(workers)
+      service.maxLeaseMs = 10_000
+      await service.takeOver()
+      const jobId = await service.submit(1, { runMs }, steps)
+      await service.until('it runs', () => service.runs.records.length > 0)
+      await service.until('its need is known', async () => (await new FleetReport(service.store).services()).unwrap().some(({ wantedCores }) => wantedCores > 0))
+      if (isVacant) await service.store.transact({ conditions: [], puts: [], removals: [`duty/service/${SERVICE}`] })
+      const explained = (await new FleetReport(service.store).explain(jobId, Date.now())).unwrap()
+      expect(explained?.service).to.equal(SERVICE)
+      expected.forEach((pattern, index) => {
+        if (index < (explained?.lines.length ?? 0)) expect(explained?.lines[index]).to.match(pattern)
+      })
+      expect(explained?.lines.length).to.be.at.least(2)
+    })
+  }
+
+  it('lists who holds what, and knows nothing of a job that nobody handed in', async () => {
+    service = new TestService(1)
+    const { fencingToken } = await service.takeOver()
+    await service.until('its need is known', async () => (await new FleetReport(service.store).services()).unwrap().length === 1)
+    const report = new FleetReport(service.store)
+    expect((await report.duties()).unwrap()).to.deep.equal([{ duty: `service/${SERVICE}`, holder: 'test', fencingToken }])
+    expect((await report.services()).unwrap()[0]).to.include({ service: SERVICE })
+    expect((await report.explain('00000000000000ff' as never, Date.now())).unwrap()).to.equal(undefined)
+  })
+})
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -82,6 +82,8 @@
   readonly store = new FaultyStore()
   readonly runs: StandInRuns
   readonly log = new TestLog()
+  /** In the program other calls find out that the store is back; here a test has to make one. */
+  readonly deskStore: MonitoredStore
   readonly desk: JobDesk
   readonly tenures: Tenure[] = []
   maxLeaseMs = 1000
@@ -95,7 +97,8 @@
   /** @param workers - how many @param cpuMillis - of each */
   constructor (workers: number, cpuMillis = 4000) {
     this.runs = new StandInRuns(systemClock, (taskKey) => ({ cpuMillis: this.#cpuOf(taskKey), memoryMb: 0, gpus: 0 }))
-    this.desk = new JobDesk({ store: new MonitoredStore(this.store, systemClock), clock: systemClock, log: this.log })
+    this.deskStore = new MonitoredStore(this.store, systemClock)
+    this.desk = new JobDesk({ store: this.deskStore, clock: systemClock, log: this.log })
     for (let index = 0; index < workers; index++) this.addWorker(index, 1, cpuMillis)
   }
 
