Names and figures of the soak

Cause: read as a newcomer: queues that stay were called lasting, figures of the load had no names, a maximum of two constants stood for one of them.

--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -11,13 +11,17 @@
 import type { BrokenRequest, ConfigurationProbe, JobView, SubmitView } from './History.js'
 import { EXTRA_PATH, QUEUE_HOST, SERVICES, type SoakWorld } from './SoakWorld.js'
 
+/** The size and mix of the load: enough that every fault meets jobs in each state, little enough for one machine. */
 const WAIT_MS = 3000
 const TRIES = 5
 const MEAN_GAP_MS = 150
 const CANCEL_SHARE = 0.12
 const QUESTION_SHARE = 0.5
 const TASK_CPU_MILLIS = 1000
+const LEAST_TASK_MS = 20
 const MOST_TASK_MS = 400
+const MOST_TASKS = 3
+const ONE_STEP_SHARE = 0.5
 const LASTING_TASKS = 3
 const PROBE_MS = 250
 /** A host counts as undisturbed after this; a configuration is in force everywhere after this. From the users' sites. */
@@ -40,6 +44,8 @@
   readonly #agent = new Agent({ keepAlive: true })
   readonly #stop = new AbortController()
   readonly #under: Array<Promise<void>> = []
+  /** Of each job, by its id. */
+  readonly #paths = new Map<string, string>()
   #nextJob = 1
 
   /** @param world - where they call @param random - of the seed */
@@ -83,12 +89,12 @@
   }
 
   #drawSteps (): CallerStep[] {
-    const first: CallerStep = { taskCount: 1 + this.#random.integer(3), dependsOn: [], isLasting: false, maxAway: undefined }
-    return this.#random.next() < 0.5 ? [first] : [first, { ...first, taskCount: 1 + this.#random.integer(3), dependsOn: [0] }]
+    const first: CallerStep = { taskCount: 1 + this.#random.integer(MOST_TASKS), dependsOn: [], isLasting: false, maxAway: undefined }
+    return this.#random.next() < ONE_STEP_SHARE ? [first] : [first, { ...first, taskCount: 1 + this.#random.integer(MOST_TASKS), dependsOn: [0] }]
   }
 
   #drawMs (): number {
-    return 20 + this.#random.integer(MOST_TASK_MS)
+    return LEAST_TASK_MS + this.#random.integer(MOST_TASK_MS)
   }
 
   #begin (service: string, steps: readonly CallerStep[], runMs: number): void {
@@ -101,8 +107,6 @@
     this.#under.push(this.#follow(job, encodeSubmission(JSON.stringify({ runMs }), steps, TASK_CPU_MILLIS)))
   }
 
-  readonly #paths = new Map<string, string>()
-
   async #follow (job: JobView, body: unknown): Promise<void> {
     const isCancelled = job.steps[0]?.isLasting !== true && this.#random.next() < CANCEL_SHARE
     const isAsked = this.#random.next() < QUESTION_SHARE
--- a/packages/soak/src/lib/SoakWorld.ts
+++ b/packages/soak/src/lib/SoakWorld.ts
@@ -3,25 +3,27 @@
  *
  * @module
  */
-import { delay, type Clock } from '@quillscale/utils'
+import type { Clock, SeededRandom } from '@quillscale/utils'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { encodeConfiguration, encodeWaveRequest, StandInWireFleet, StandInWireStore, type QueuePlace } from '@quillscale/platform-fleet'
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
-import type { SeededRandom } from '@quillscale/utils'
 
 /** How large a run is. @public */
 export interface SoakSize { readonly hosts: number, readonly machinesPerService: number }
 
-/** Services and their queues; the third queue comes and goes. @public */
+/** The services; each has a queue that stays. @public */
 export const SERVICES = ['grids', 'checks'] as const
+/** The host name of all queues. @public */
 export const QUEUE_HOST = 'soak.example'
-const LASTING_QUEUES: readonly QueuePlace[] = SERVICES.map((service) => ({ host: QUEUE_HOST, pathPrefix: `/${service}/`, service }))
+const PERMANENT_QUEUES: readonly QueuePlace[] = SERVICES.map((service) => ({ host: QUEUE_HOST, pathPrefix: `/${service}/`, service }))
+/** Where the queue is that configurations add and remove. @public */
 export const EXTRA_PATH = '/extra/'
 const EXTRA_QUEUE: QueuePlace = { host: QUEUE_HOST, pathPrefix: EXTRA_PATH, service: SERVICES[0] }
 /** Of each machine: so many tasks fit. */
 const MACHINE_CPU_MILLIS = 6000
 const MAX_CLOCK_OFFSET_MS = 400
+/** The most machines of a wave that may be down. @public */
 export const MAX_IN_UPKEEP = 2
 
 /** A change of the extra queue. @public */
@@ -92,7 +94,7 @@
 
   /** Writes a configuration. @param exists - whether the extra queue is in it */
   async setExtra (exists: boolean): Promise<void> {
-    await this.#write(encodeConfiguration(++this.#version, exists ? [...LASTING_QUEUES, EXTRA_QUEUE] : LASTING_QUEUES, SERVICES))
+    await this.#write(encodeConfiguration(++this.#version, exists ? [...PERMANENT_QUEUES, EXTRA_QUEUE] : PERMANENT_QUEUES, SERVICES))
     this.extraChanges.push({ atMs: this.clock.monotonicMs(), exists })
   }
 
@@ -121,7 +123,6 @@
     for (const link of [...this.storeLinks, ...this.machineLinks.values()]) link.close()
     this.fleet.close()
     this.store.close()
-    await delay(0)
   }
 }
 
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -5,7 +5,7 @@
  */
 import type { SeededRandom } from '@quillscale/utils'
 import type { LinkFault } from './FaultProxy.js'
-import { MAX_IN_UPKEEP, type SoakWorld } from './SoakWorld.js'
+import type { SoakWorld } from './SoakWorld.js'
 
 /** Begins a fault; what it returns ends it. */
 type Fault = (world: SoakWorld, random: SeededRandom, forMs: number) => (() => void) | undefined
@@ -13,6 +13,7 @@
 const LINK_FAULTS: readonly LinkFault[] = ['delay', 'reset', 'refuse', 'silent', 'silent-to', 'silent-from']
 /** Between the stops of a rolling restart. */
 const ROLL_GAP_MS = 900
+/** More than may be down at once. */
 const MACHINES_A_WAVE = 4
 const SLOW_STORE_MS = 120
 const UNAVAILABLE = 503
@@ -91,7 +92,7 @@
   'worker fails all': misbehave({ failsAll: true }, { failsAll: false }),
   'machines due for upkeep': (world, random) => {
     const first = random.integer(world.fleet.machineIds.length)
-    void world.requestWave(world.fleet.machineIds.slice(first, first + Math.max(MACHINES_A_WAVE, MAX_IN_UPKEEP)))
+    void world.requestWave(world.fleet.machineIds.slice(first, first + MACHINES_A_WAVE))
     return undefined
   },
   'configuration changes': (world) => {
