A loaded scheduler paces itself, does not search full workers again, and sits on a strong host

Each round looked at every worker for every waiting task, 50 times a second. The small host had the duty since several fell vacant at once: a host that had tried for one, and lost, let all others wait 250 ms. Ruled out: a lack of machines (104 at 15.2 s), refused starts (30 in 8 s), the store (no error there). Change: a step's first task that fits nowhere speaks for the others; once no worker has so much processor time, steps that want as much are passed over. After a round twice its own time passes. A host that lost a race may try for the next duty at once; weaker hosts wait up to 1.2 s instead of 0.7. The options of ServiceScheduler are in a file of their own.

--- a/packages/scheduler/src/lib/AdviceBook.ts
+++ b/packages/scheduler/src/lib/AdviceBook.ts
@@ -7,7 +7,6 @@
 import type { PlacementAdvice } from '@quillscale/ports'
 import type { EventLog } from './EventLog.js'
 import type { Task } from './JobState.js'
-import { spreadKeyOf } from './placeTasks.js'
 
 /** What the book works with. @public */
 export interface AdviceBookOptions {
@@ -51,7 +50,7 @@
    * @returns the ticket for each, `undefined` until there is advice
    */
   ticketsFor (task: Task, instanceIds: readonly string[], nowMs: number): ReadonlyMap<string, string> | undefined {
-    const stepKey = spreadKeyOf(task)
+    const { stepKey } = task
     const known = this.#known.get(stepKey)
     if (known !== undefined && nowMs < known.validUntilMs) return known.tickets
     if (this.#asking.size < MAX_QUEUED && !this.#asking.has(stepKey) && instanceIds.length > 0) this.#ask(stepKey, instanceIds.slice(0, MAX_WORKERS_ASKED))
@@ -60,7 +59,7 @@
 
   /** @param task - whose ticket was refused */
   forget (task: Task): void {
-    this.#known.delete(spreadKeyOf(task))
+    this.#known.delete(task.stepKey)
   }
 
   /** Asks nothing more. */
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/DutyRoster.ts
@@ -49,7 +49,7 @@
 /** A vacant duty is left to hosts with fewer duties for so long a duty. */
 const WAIT_A_DUTY_MS = 250
 /** And to stronger hosts for so long, times the share of the strongest host's power that is missing here. */
-const WAIT_FOR_STRONGER_MS = 700
+const WAIT_FOR_STRONGER_MS = 1200
 /** What hosts said of their power is read again after this; it changes only when hosts of other kinds come. */
 const HOSTS_VALID_MS = 20_000
 /** At the start of a whole fleet, all say how strong they are before any takes a duty. */
@@ -71,6 +71,7 @@
   readonly #tryFromMs = new Map<string, number>()
   readonly #stop = new AbortController()
   #triedMs = -Infinity
+  #triedKey = ''
   #powersReadMs = -Infinity
   #mostPower = 0
 
@@ -186,6 +187,8 @@
 
   #lookForVacancies (): void {
     const nowMs = this.#options.clock.monotonicMs()
+    // Somebody has the duty that was tried last: if it is not this host, others may be tried at once.
+    if (this.#replica.items.has(this.#triedKey) && this.#duties.get(this.#triedKey)?.task === undefined) this.#triedMs = -Infinity
     for (const [dutyKey, { holder }] of this.#duties) {
       if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) {
         this.#tryFromMs.delete(dutyKey)
@@ -212,6 +215,7 @@
     const isEarly = fromMs === undefined || nowMs < fromMs + WAIT_A_DUTY_MS * this.heldCount || nowMs < this.#triedMs + WAIT_A_DUTY_MS
     if (isEarly) return false
     this.#triedMs = nowMs
+    this.#triedKey = dutyKey
     return true
   }
 }
--- a/packages/scheduler/src/lib/JobState.ts
+++ b/packages/scheduler/src/lib/JobState.ts
@@ -50,6 +50,8 @@
   readonly time: number
   readonly index: number
   readonly key: string
+  /** JOB.TIME.STEP: what it shares with the other tasks of its step. */
+  readonly stepKey: string
   isDone: boolean
   lastRunNumber: number
   failures: number
@@ -103,8 +105,9 @@
 }
 
 function createTask (job: Job, stepIndex: number, time: number, index: number): Task {
-  const key = `${job.spec.jobId}.${time}.${stepIndex}.${index}`
-  return { job, stepIndex, time, index, key, isDone: false, lastRunNumber: 0, failures: 0, checkpoint: '', runs: [], avoid: new Set(), waitingSinceMs: undefined }
+  const stepKey = `${job.spec.jobId}.${time}.${stepIndex}`
+  const key = `${stepKey}.${index}`
+  return { job, stepIndex, time, index, key, stepKey, isDone: false, lastRunNumber: 0, failures: 0, checkpoint: '', runs: [], avoid: new Set(), waitingSinceMs: undefined }
 }
 
 /** @param job - any @param taskKey - JOB.TIME.STEP.INDEX @returns the task @public */
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -7,7 +7,7 @@
 import type { AdviceBook } from './AdviceBook.js'
 import { hasEnded, openSteps, stepOf, type Job, type Run, type Task } from './JobState.js'
 import type { MachineVacator } from './MachineVacator.js'
-import { cpuDemandOf, occupy, placeTasks, spreadKeyOf, type Placement, type PlacementGroup, type WorkerRoom } from './placeTasks.js'
+import { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './placeTasks.js'
 import { compareRanks, rankStep, type StepRank } from './rankJobs.js'
 import type { RunTimes } from './RunTimes.js'
 import type { WorkerLink } from './WorkerLink.js'
@@ -142,7 +142,7 @@
         room.memoryMb += stepOf(run.task).memoryMb
       }
       const isEnough = room.cpuMillis >= step.cpuMillis && room.memoryMb >= step.memoryMb
-      const hasPlace = step.maxPerWorker === 0 || (room.runsByStep.get(spreadKeyOf(task)) ?? 0) < step.maxPerWorker
+      const hasPlace = step.maxPerWorker === 0 || (room.runsByStep.get(task.stepKey) ?? 0) < step.maxPerWorker
       return { victims, isEnough: isEnough && hasPlace }
     })
     const best = choices.filter(({ isEnough }) => isEnough).sort((a, b) => a.victims.length - b.victims.length)[0]
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -7,8 +7,8 @@
  * @module
  */
 import { setMaxListeners } from 'node:events'
-import { delay, type Clock } from '@quillscale/utils'
-import type { FleetConfiguration, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, WorkerInstance } from '@quillscale/ports'
+import { delay } from '@quillscale/utils'
+import type { KeyValue } from '@quillscale/ports'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import { AdviceBook } from './AdviceBook.js'
 import type { CommitLog, RecordSource } from './CommitLog.js'
@@ -23,47 +23,16 @@
 import { RunBook } from './RunBook.js'
 import { RunTimes } from './RunTimes.js'
 import { RunTracker } from './RunTracker.js'
-import type { SchedulerMetrics } from './SchedulerMetrics.js'
+import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from './StatusWriter.js'
 import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix } from './storeKeys.js'
 import { untilAnswered } from './untilAnswered.js'
 import { WorkerSet, type WorkerSetOptions } from './WorkerSet.js'
 
-/** Figures of the platform that the scheduler goes by. @public */
-export interface SchedulerBounds {
-  /** The longest lease that a worker grants. */
-  readonly maxLeaseMs: number
-  /** How long a stop takes at most. */
-  readonly stopMs: number
-  /** For how long an ended job is still answered for. */
-  readonly keepEndedMs: number
-}
-
-/** What a scheduler works with. @public */
-export interface ServiceSchedulerOptions {
-  readonly service: string
-  readonly dutyKey: string
-  /** The duty key's revision: it grows with each holder. */
-  readonly fencingToken: number
-  /** Whether the duty is held at this moment. */
-  readonly mayOrder: () => boolean
-  readonly store: KeyValueStore
-  readonly orders: RunOrders
-  readonly advice: PlacementAdvice
-  readonly clock: Clock
-  readonly log: EventLog
-  readonly metrics: SchedulerMetrics
-  readonly configuration: () => FleetConfiguration | undefined
-  readonly bounds: () => SchedulerBounds
-  /** Where workers register themselves, and how they are read. */
-  readonly workersPrefix: string
-  readonly decodeWorker: (item: KeyValue) => WorkerInstance | undefined
-  /** Called when another holder has taken over. */
-  readonly onDeposed: () => void
-}
-
 /** The least time between two placement rounds: tasks that end together are replaced together. */
 const ROUND_SPACING_MS = 20
+/** After a round, this many times as long passes as it took: a service that has grown leaves its host time for holds and requests. */
+const ROUND_PAUSES = 2
 /** Also without an event: retries, expiring waits, due times. */
 const TICK_MS = 200
 /** Changes of workers' registrations may wait a little; new jobs should start soon. */
@@ -298,11 +267,16 @@
   }
 
   async #rounds (): Promise<void> {
+    const { clock } = this.#options
+    let spacingMs = ROUND_SPACING_MS
     while (!this.#stop.signal.aborted) {
       if (!this.#isRoundDue) await this.#untilWoken()
-      await delay(ROUND_SPACING_MS, this.#stop.signal)
+      await delay(spacingMs, this.#stop.signal)
       this.#isRoundDue = false
-      if (!this.#stop.signal.aborted) this.#round()
+      if (this.#stop.signal.aborted) return
+      const startedMs = clock.monotonicMs()
+      this.#round()
+      spacingMs = Math.max(ROUND_SPACING_MS, (clock.monotonicMs() - startedMs) * ROUND_PAUSES)
     }
   }
 
--- a/packages/scheduler/src/lib/placeTasks.ts
+++ b/packages/scheduler/src/lib/placeTasks.ts
@@ -19,7 +19,7 @@
   /** Lasting tasks there that must answer in time. */
   servingTasks: number
   fillers: number
-  /** Runs of each step there, by {@link spreadKeyOf}. */
+  /** Runs of each step there, by {@link Task.stepKey}. */
   readonly runsByStep: Map<string, number>
 }
 
@@ -39,9 +39,6 @@
   readonly mayReserve: boolean
 }
 
-/** @param task - any @returns the name under which its step's spread over workers is counted @public */
-export const spreadKeyOf = (task: Task): string => `${task.job.spec.jobId}.${task.time}.${task.stepIndex}`
-
 /** @param step - any @returns the processor time that it takes of a worker's room @public */
 export const cpuDemandOf = (step: StepSpec): number => step.isFiller ? 0 : step.cpuMillis
 
@@ -55,10 +52,16 @@
  */
 export function placeTasks (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[]): Placement[] {
   const placements: Placement[] = []
+  // Rooms only shrink: once no worker has so much processor time left, later tasks that want as much need not look.
+  let leastRefusedMillis = Infinity
   for (const group of groups) {
     const first = group.tasks[0]
     if (first === undefined) continue
-    placements.push(...(stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, rooms)))
+    const wantedMillis = cpuDemandOf(stepOf(first))
+    if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
+    const placed = stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, rooms)
+    if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
+    placements.push(...placed)
   }
   return placements
 }
@@ -70,7 +73,11 @@
     if (room !== undefined) {
       take(room, task, 1)
       placements.push({ task, instanceId: room.instanceId, ticket: group.tickets?.get(room.instanceId) })
-    } else if (group.mayReserve) reserve(task, group, rooms)
+      continue
+    }
+    // The others of the step want the same.
+    if (!group.mayReserve) break
+    reserve(task, group, rooms)
   }
   return placements
 }
@@ -95,7 +102,7 @@
 function suits (task: Task, step: StepSpec, group: PlacementGroup, room: WorkerRoom): boolean {
   if (step.requiredLabel !== '' && !room.labels.includes(step.requiredLabel)) return false
   if (group.tickets !== undefined && !group.tickets.has(room.instanceId)) return false
-  return step.maxPerWorker === 0 || (room.runsByStep.get(spreadKeyOf(task)) ?? 0) < step.maxPerWorker
+  return step.maxPerWorker === 0 || (room.runsByStep.get(task.stepKey) ?? 0) < step.maxPerWorker
 }
 
 function fits (step: StepSpec, room: WorkerRoom): boolean {
@@ -111,7 +118,7 @@
   const isAvoided = task.avoid.has(room.instanceId)
   const disturbed = step.isFiller ? room.servingTasks + room.fillers : step.targetTailMs > 0 ? room.fillers : 0
   const used = 2 - room.cpuMillis / Math.max(1, room.capacity.cpuMillis) - room.memoryMb / Math.max(1, room.capacity.memoryMb)
-  const together = step.isLasting ? room.runsByStep.get(spreadKeyOf(task)) ?? 0 : 0
+  const together = step.isLasting ? room.runsByStep.get(task.stepKey) ?? 0 : 0
   return (isNear ? NEAR_WEIGHT : 0) - (isAvoided ? AVOIDED_WEIGHT : 0) - disturbed * DISTURBED_WEIGHT - together * TOGETHER_WEIGHT + used
 }
 
@@ -148,7 +155,7 @@
   room.gpus -= sign * step.gpus
   if (step.isFiller) room.fillers += sign
   else if (step.targetTailMs > 0) room.servingTasks += sign
-  const key = spreadKeyOf(task)
+  const key = task.stepKey
   room.runsByStep.set(key, (room.runsByStep.get(key) ?? 0) + sign)
 }
 
