FleetReport calls what the project had: ended states, keys of duties, tasks of a step

Cause: read once more: the report listed the states of ended jobs again, spelled the keys of duties itself, and filtered the tasks of a step twice. The serving path is untouched. Ruled out: one piece for the openings of commit logs beyond openCommitLog: what is left differs in what is told to whom. Conclusion: no behaviour changes.

--- a/packages/scheduler/src/lib/FleetReport.ts
+++ b/packages/scheduler/src/lib/FleetReport.ts
@@ -6,10 +6,11 @@
 import { Ok, type Result } from '@quillscale/utils'
 import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
 import { jobSpecSchema, type JobId, type JobSpec } from './JobSpec.js'
+import { hasEnded } from './JobState.js'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
 import { machinesNeeded } from './planPools.js'
 import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
-import { cancelKey, DUTY_PREFIX, jobKey, progressKey } from './storeKeys.js'
+import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from './storeKeys.js'
 
 /** Who holds a duty. @public */
 export interface DutyRow { readonly duty: string, readonly holder: string, readonly fencingToken: number }
@@ -87,7 +88,7 @@
   spec: JobSpec, row: ServiceRow, progress: JobProgress | undefined, isCancelled: boolean, duties: readonly DutyRow[], wallMs: number
 ): JobExplanation {
   const status = progress?.status ?? 'queued'
-  const isOver = ['succeeded', 'failed', 'cancelled'].includes(status)
+  const isOver = hasEnded({ status })
   const reasons = isOver ? [] : reasonsToWait(row, isCancelled, duties)
   const steps = isOver ? [] : spec.steps.map((_, index) => explainStep(spec, index, progress))
   return { jobId: spec.jobId, service: row.service, queue: spec.queue, status, ageMs: wallMs - spec.submittedMs, lines: [...steps, ...reasons] }
@@ -95,27 +96,34 @@
 
 function explainStep (spec: JobSpec, index: number, progress: JobProgress | undefined): string {
   const step = spec.steps[index]
-  const tasks = (progress?.tasks ?? []).filter(({ key }) => Number(key.split('.')[2]) === index)
-  const done = tasks.filter(({ isDone }) => isDone).length
+  const tasks = tasksOfStep(index, progress)
   const placed = tasks.flatMap(({ runs }) => runs ?? [])
   const failures = tasks.reduce((sum, task) => sum + (task.failures ?? 0), 0)
   const open = (step?.dependsOn ?? []).filter((earlier) => !isStepDone(spec, earlier, progress))
   const where = [...new Set(placed.map(({ instanceId }) => instanceId))]
   return [
-    `step ${index}: ${done} of ${step?.taskCount ?? 0} done, ${placed.length} placed`, where.length === 0 ? '' : `on ${where.join(' ')}`,
+    `step ${index}: ${doneOf(tasks)} of ${step?.taskCount ?? 0} done, ${placed.length} placed`, where.length === 0 ? '' : `on ${where.join(' ')}`,
     failures === 0 ? '' : `${failures} runs failed`, open.length === 0 ? '' : `waits for step ${open.join(' and ')}`
   ].filter((part) => part !== '').join(', ')
 }
 
 function isStepDone (spec: JobSpec, index: number, progress: JobProgress | undefined): boolean {
-  const done = (progress?.tasks ?? []).filter(({ key, isDone }) => isDone === true && Number(key.split('.')[2]) === index).length
-  return done >= (spec.steps[index]?.taskCount ?? 0)
+  return doneOf(tasksOfStep(index, progress)) >= (spec.steps[index]?.taskCount ?? 0)
 }
 
+/** Those that were placed at least once. */
+function tasksOfStep (index: number, progress: JobProgress | undefined): JobProgress['tasks'] {
+  return (progress?.tasks ?? []).filter(({ key }) => Number(key.split('.')[2]) === index)
+}
+
+const doneOf = (tasks: JobProgress['tasks']): number => tasks.filter(({ isDone }) => isDone).length
+
+const isHeld = (dutyKey: string, duties: readonly DutyRow[]): boolean => duties.some(({ duty }) => `${DUTY_PREFIX}${duty}` === dutyKey)
+
 function reasonsToWait (row: ServiceRow, isCancelled: boolean, duties: readonly DutyRow[]): string[] {
-  const isScheduled = duties.some(({ duty }) => duty === `service/${row.service}`)
+  const isScheduled = isHeld(serviceDutyKey(row.service), duties)
   const isShort = row.machinesNeeded > row.machines
-  const areMachinesHeld = duties.some(({ duty }) => duty === 'machines')
+  const areMachinesHeld = isHeld(MACHINE_DUTY_KEY, duties)
   return [
     isCancelled ? 'it is being cancelled' : '',
     isScheduled ? '' : `nobody schedules ${row.service}: its duty is vacant`,
--- a/packages/scheduler/src/lib/JobState.ts
+++ b/packages/scheduler/src/lib/JobState.ts
@@ -80,8 +80,8 @@
   return { spec, times: new Map(), status: 'queued', arrivedMs, endedMs: undefined }
 }
 
-/** @param job - any @returns whether nothing more is to be run @public */
-export const hasEnded = (job: Job): boolean => job.status === 'succeeded' || job.status === 'failed' || job.status === 'cancelled'
+/** @param job - any, or what is kept of it @returns whether nothing more is to be run @public */
+export const hasEnded = (job: Pick<Job, 'status'>): boolean => job.status === 'succeeded' || job.status === 'failed' || job.status === 'cancelled'
 
 /** @param task - any @returns its step @public */
 export const stepOf = (task: Task): StepSpec => task.job.spec.steps[task.stepIndex] as StepSpec
