--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -99,7 +99,7 @@
   step (): void {
     const nowMs = this.clock.monotonicMs()
     for (const run of [...this.active.values()]) {
-      if (nowMs >= this.#leaseEndsAtMs) this.#end(run, 'lapsed')
+      if (nowMs >= this.#leaseEndsAtMs) this.#end(run, 'lapsed', this.#leaseEndsAtMs)
       else if (nowMs >= run.endsAtMs) this.#end(run, this.faults.failsAll || isFailing(run.record) ? 'failed' : 'done')
     }
   }
@@ -172,11 +172,12 @@
     return used + wanted.cpuMillis <= this.instance.capacity.cpuMillis
   }
 
-  #end (run: ActiveRun, end: RunEnd): void {
+  /** A lease ends when it ends, however late that is noticed here. */
+  #end (run: ActiveRun, end: RunEnd, endedMs = this.clock.monotonicMs()): void {
     const { record } = run
     this.active.delete(nameOf(record))
     record.end = end
-    record.endedMs = this.clock.monotonicMs()
+    record.endedMs = endedMs
     this.#closed.set(record.taskKey, Math.max(record.runNumber, this.#closed.get(record.taskKey) ?? 0))
     this.#ends.push({ taskKey: record.taskKey, runNumber: record.runNumber, sequence: ++this.#sequence, end, checkpoint: '', record })
     this.#wake()
