A next holder waits only for what is left of a silent worker's leases

A holder that cannot reach a worker waits until every lease that former holders gave there is over, and counted that from its own take-over: 7.33 s with the users' bounds. Each change of holder began the wait anew. Class: what a holder knows only since its own take-over, used as a wait with a bound. Ruled out: shorter leases (they do not outlast cuts of 5.5 s); wall clocks in the record (they may differ by seconds); adding up what each holder measured (a kill loses what was not written yet, so the wait still grows with kills). Change: SilentWorkers. A holder writes down the workers with runs that it cannot reach, each with a timer: a key under a lease of the store that lasts as long as the worker's leases still may. A next holder waits until that key is gone. No lease is extended on a worker that may stand in the record; one that answers is taken out first, and that is durable before its leases are extended. A planned stop writes before it hands over. The stand-in store tells watchers of keys that lapse, as the users' store does.

--- a/packages/platform-memory/src/lib/MemoryKeyValueStore.ts
+++ b/packages/platform-memory/src/lib/MemoryKeyValueStore.ts
@@ -70,6 +70,7 @@
   async grantLease (ttlMs: number): Promise<Result<string, PlatformError>> {
     const leaseId = String(this.#nextLease++)
     this.#leases.set(leaseId, { ttlMs, expiresAtMs: this.#clock.monotonicMs() + ttlMs })
+    this.#expireAfter(ttlMs)
     return Ok(leaseId)
   }
 
@@ -78,6 +79,7 @@
     const lease = this.#leases.get(leaseId)
     if (lease === undefined) return Ok(false)
     lease.expiresAtMs = this.#clock.monotonicMs() + lease.ttlMs
+    this.#expireAfter(lease.ttlMs)
     return Ok(true)
   }
 
@@ -156,6 +158,11 @@
     })
   }
 
+  /** Watchers hear of keys that lapse, also while nobody calls. */
+  #expireAfter (ttlMs: number): void {
+    setTimeout(() => this.#expireLeases(), ttlMs + 1).unref()
+  }
+
   #expireLeases (): void {
     const nowMs = this.#clock.monotonicMs()
     for (const [leaseId, lease] of [...this.#leases]) if (lease.expiresAtMs <= nowMs) this.#endLease(leaseId)
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/scheduler/src/lib/PlacementRound.ts
@@ -111,7 +111,7 @@
 
   #isOpen (link: WorkerLink): boolean {
     const { nowMs, vacating } = this.#options
-    return link.isListed && link.instance.state === 'ready' && link.clock.isKnown && link.isAnswering(nowMs) &&
+    return link.isListed && link.instance.state === 'ready' && link.clock.isKnown && link.isAnswering(nowMs) && !link.isNotedSilent &&
       nowMs >= link.refusingUntilMs && !link.health.isApart(nowMs) && !vacating.isVacating(link.instance.machineId)
   }
 
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -25,7 +25,8 @@
 import { RunTracker } from './RunTracker.js'
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from './StatusWriter.js'
-import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix } from './storeKeys.js'
+import { SilentWorkers } from './SilentWorkers.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, silentWorkersKey } from './storeKeys.js'
 import { untilAnswered } from './untilAnswered.js'
 import { WorkerSet, type WorkerSetOptions } from './WorkerSet.js'
 
@@ -47,6 +48,7 @@
   readonly #times = new RunTimes()
   readonly #advice: AdviceBook
   readonly #vacator: MachineVacator
+  readonly #silentWorkers: SilentWorkers
   readonly #workers: WorkerSet
   readonly #tracker: RunTracker
   readonly #statusWriter: StatusWriter
@@ -83,8 +85,9 @@
       onUnneeded: (run) => this.#tracker.discard(run)
     })
     this.#tracker = this.#createTracker()
-    this.#workers = this.#createWorkers()
     const put = (key: string, source: RecordSource, isUrgent: boolean): void => this.#commits.put(key, source, isUrgent)
+    this.#silentWorkers = this.#createSilentWorkers(put)
+    this.#workers = this.#createWorkers()
     this.#statusWriter = new StatusWriter({ service, clock, log: options.log, times: this.#times, put })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
     this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#takeAway(run) } })
@@ -111,6 +114,22 @@
     })
   }
 
+  #createSilentWorkers (put: (key: string, source: RecordSource, isUrgent: boolean) => void): SilentWorkers {
+    const { service, fencingToken, store, clock, log, bounds } = this.#options
+    return new SilentWorkers({
+      service,
+      fencingToken,
+      store,
+      clock,
+      log,
+      put,
+      minTtlMs: () => bounds().minTtlMs,
+      flushed: () => this.#commits.flushed(),
+      isKnown: (instanceId) => this.#workers.isKnown(instanceId),
+      isInInbox: (key) => this.#inbox.isListed ? this.#inbox.items.has(key) : undefined
+    })
+  }
+
   #createWorkers (): WorkerSet {
     const { service, orders, fencingToken, clock, log, mayOrder, bounds } = this.#options
     const linkOptions: WorkerSetOptions['linkOptions'] = {
@@ -134,6 +153,7 @@
       log,
       bounds,
       linkOptions,
+      silentWorkers: this.#silentWorkers,
       isVacating: (machineId) => this.#vacator.isVacating(machineId),
       onLost: (run, evidence) => {
         this.#options.metrics.record('lost_run_silence', evidence.reason, evidence.silentMs)
@@ -179,13 +199,15 @@
 
   /** Writes what is known, for a planned hand-over. @param timeoutMs - how long at most */
   async flush (timeoutMs: number): Promise<void> {
-    await this.#commits?.flushWithin(timeoutMs)
+    if (this.#commits === undefined) return
+    await Promise.race([this.#workers.noteSilent(this.#options.clock.monotonicMs()), delay(timeoutMs)])
+    await this.#commits.flushWithin(timeoutMs)
   }
 
   /** Reads what earlier holders recorded. @returns whether that came to an end */
   async #recover (): Promise<boolean> {
     const { store, service, dutyKey, fencingToken, clock, metrics } = this.#options
-    const [commits, progress] = await Promise.all([
+    const [commits, progress, silent] = await Promise.all([
       openCommitLog({
         store,
         clock,
@@ -199,10 +221,12 @@
           metrics.record('commit', service, latencyMs)
         }
       }, this.#stop.signal),
-      untilAnswered(() => store.list(progressPrefix(service)), this.#stop.signal)
+      untilAnswered(() => store.list(progressPrefix(service)), this.#stop.signal),
+      untilAnswered(async () => (await store.get(silentWorkersKey(service))).map((item) => ({ text: item?.value })), this.#stop.signal)
     ])
-    if (commits === undefined || progress === undefined) return false
+    if (commits === undefined || progress === undefined || silent === undefined) return false
     for (const item of progress.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
+    if (silent.text !== undefined) this.#silentWorkers.restore(silent.text)
     this.#commits = commits
     return true
   }
--- a/packages/scheduler/src/lib/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/ServiceSchedulerOptions.ts
@@ -14,6 +14,8 @@
   readonly maxLeaseMs: number
   /** How long a stop takes at most. */
   readonly stopMs: number
+  /** The shortest lease that the store grants. */
+  readonly minTtlMs: number
   /** For how long an ended job is still answered for. */
   readonly keepEndedMs: number
 }
--- a/packages/scheduler/src/lib/WorkerClock.ts
+++ b/packages/scheduler/src/lib/WorkerClock.ts
@@ -44,6 +44,12 @@
     return this.#readMs !== undefined && this.#earliestMs(nowMs) > this.#latestLeaseEndMs + slackMs
   }
 
+  /** @param nowMs - monotonic @param slackMs - for what is still being stopped @returns after how long all leases that were ever given have surely ended */
+  leasesLeftMs (nowMs: number, slackMs: number): number {
+    if (this.#readMs === undefined || this.#latestLeaseEndMs === -Infinity) return 0
+    return Math.max(0, (this.#latestLeaseEndMs + slackMs - this.#earliestMs(nowMs)) / (1 - CLOCK_DRIFT_SHARE))
+  }
+
   /** The least that the clock shows now. */
   #earliestMs (nowMs: number): number {
     return (this.#readMs ?? 0) + (nowMs - this.#readAtMs) * (1 - CLOCK_DRIFT_SHARE)
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -19,6 +19,10 @@
   readonly leaseMs: number
   /** Whether the duty is held at this moment; checked right before each start and extension. */
   readonly mayOrder: () => boolean
+  /** Whether no lease may be extended there yet: a next holder might count it from an earlier time. */
+  readonly isNotedSilent: (link: WorkerLink) => boolean
+  /** Makes extensions possible again; called once it answers. */
+  readonly clearSilence: (link: WorkerLink) => Promise<unknown>
   /** Called with each answer. @param askedMs - monotonic, when the question was sent */
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
   /** Called when a start is known to have happened, or never to happen. */
@@ -36,8 +40,8 @@
   readonly holdWaitMs: () => number
 }
 
-/** Without an answer for so long, a worker gets no new work: two holds and a retry. */
-const SILENT_AFTER_MS = 2500
+/** Without an answer for so long, a worker gets no new work: two holds and a retry. @public */
+export const SILENT_AFTER_MS = 2500
 /** While ends wait for the store, leases are extended this often. */
 const EXTEND_WHILE_WAITING_MS = 500
 const RETRY_FIRST_MS = 100
@@ -87,6 +91,11 @@
     return this.hasAnswered ? nowMs - this.#answeredMs : undefined
   }
 
+  /** Whether it is written down as silent: it gets no lease, and no new work, until that is taken back. */
+  get isNotedSilent (): boolean {
+    return this.#options.isNotedSilent(this)
+  }
+
   /** Ends all that this link does. */
   close (): void {
     this.#stop.abort()
@@ -99,19 +108,19 @@
     while (!this.#stop.signal.aborted) {
       const isAnswered = await this.#hold(failures === 0 && this.hasAnswered ? this.#options.holdWaitMs() : 0)
       failures = isAnswered ? 0 : failures + 1
+      if (isAnswered && this.isNotedSilent) await Promise.race([this.#options.clearSilence(this), delay(EXTEND_WHILE_WAITING_MS, this.#stop.signal)])
       if (failures > 0) await delay(Math.min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** (failures - 1)), this.#stop.signal)
     }
   }
 
   async #hold (waitMs: number): Promise<boolean> {
-    const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
+    const { orders, clock, fencingToken } = this.#options
     const askedMs = clock.monotonicMs()
-    // One that does not answer is only asked: if extensions went on into the void, its leases would never surely end.
-    const mayExtend = waitMs > 0 && mayOrder()
     const held = await orders.hold(this.instance, {
       fencingToken,
       acknowledgedSequence: this.#acknowledgedSequence,
-      leaseEndsAtMs: mayExtend ? this.clock.extend(leaseMs, askedMs) : undefined,
+      // One that does not answer is only asked: if extensions went on into the void, its leases would never surely end.
+      leaseEndsAtMs: waitMs > 0 ? this.#extend(askedMs) : undefined,
       waitMs
     })
     if (this.#stop.signal.aborted) return true
@@ -133,21 +142,27 @@
       const isDurable = await Promise.race([durable, delay(EXTEND_WHILE_WAITING_MS).then(() => undefined)])
       if (isDurable === true) this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence)
       if (isDurable !== undefined || this.#stop.signal.aborted) return
-      const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
-      if (!mayOrder()) continue
-      const leaseEndsAtMs = this.clock.extend(leaseMs, clock.monotonicMs())
+      const { orders, clock, fencingToken } = this.#options
+      const leaseEndsAtMs = this.#extend(clock.monotonicMs())
+      if (leaseEndsAtMs === undefined) continue
       const held = await orders.hold(this.instance, { fencingToken, acknowledgedSequence: this.#acknowledgedSequence, leaseEndsAtMs, waitMs: 0 })
       if (held.ok) this.#noteAnswer(held.val.clockMs)
     }
   }
 
+  /** @param nowMs - monotonic @returns the end of a lease given now, `undefined` where none may be given */
+  #extend (nowMs: number): number | undefined {
+    const { mayOrder, leaseMs } = this.#options
+    return mayOrder() && !this.isNotedSilent ? this.clock.extend(leaseMs, nowMs) : undefined
+  }
+
   /** Orders a run whose placement is durable, until the outcome is known. @param run - in phase `starting` */
   async start (run: Run, command: string, checkpoint: string | undefined): Promise<void> {
-    const { orders, clock, fencingToken, leaseMs, mayOrder } = this.#options
+    const { orders, clock, fencingToken } = this.#options
     const beganMs = clock.monotonicMs()
     while (run.phase === 'starting' && !this.#stop.signal.aborted) {
       const nowMs = clock.monotonicMs()
-      const leaseEndsAtMs = mayOrder() ? this.clock.extend(leaseMs, nowMs) : undefined
+      const leaseEndsAtMs = this.#extend(nowMs)
       if (leaseEndsAtMs === undefined) {
         if (nowMs - beganMs > START_RETRY_MS) return this.#giveUpStart(run)
         await delay(RETRY_FIRST_MS, this.#stop.signal)
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -8,8 +8,9 @@
 import type { EventLog } from './EventLog.js'
 import { stepOf, type Run } from './JobState.js'
 import type { LossEvidence } from './RunBook.js'
+import type { SilentWorker, SilentWorkers } from './SilentWorkers.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
-import { runKey, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
+import { runKey, SILENT_AFTER_MS, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
 
 /** What the set works with. @public */
 export interface WorkerSetOptions {
@@ -18,7 +19,9 @@
   /** The longest lease that a worker grants, and how long a stop takes at most. */
   readonly bounds: () => { readonly maxLeaseMs: number, readonly stopMs: number }
   /** What links do for the scheduler. */
-  readonly linkOptions: Omit<WorkerLinkOptions, 'clock' | 'leaseMs' | 'onInstanceOver' | 'onContact' | 'holdWaitMs'>
+  readonly linkOptions: Omit<WorkerLinkOptions, 'clock' | 'leaseMs' | 'onInstanceOver' | 'onContact' | 'holdWaitMs' | 'isNotedSilent' | 'clearSilence'>
+  /** Which workers were written down as silent, by this holder or former ones. */
+  readonly silentWorkers: SilentWorkers
   /** Whether a machine is being emptied. */
   readonly isVacating: (machineId: string) => boolean
   /** Called for each run that is lost with its worker. */
@@ -42,6 +45,8 @@
 const LEASE_END_SLACK_MS = 300
 /** A worker that lives answers a new holder well within this; runs on the others wait. */
 const FIRST_ANSWERS_MS = 1000
+/** Added to the wait of a hold: after so much more its answer is late. */
+const LATE_ANSWER_MS = 200
 /** Runs named in a line of the log at most. */
 const RUNS_IN_LINE = 20
 
@@ -131,29 +136,66 @@
 
   /** Runs on workers that do not answer are over once their leases surely are. @param nowMs - monotonic */
   closeLapsed (nowMs: number): void {
-    const slackMs = this.#options.bounds().stopMs + LEASE_END_SLACK_MS
-    const formerLeasesEndMs = this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + slackMs
-    this.#tellOfWaits(formerLeasesEndMs, nowMs)
+    this.#tellOfWaits(nowMs)
+    void this.#options.silentWorkers.note(this.#silent(SILENT_AFTER_MS, FIRST_ANSWERS_MS, nowMs))
     for (const link of this.links) {
       if (link.isAnswering(nowMs)) continue
-      const areOver = link.hasAnswered ? link.clock.haveLeasesEnded(nowMs, slackMs) : nowMs > formerLeasesEndMs
+      const areOver = link.hasAnswered ? link.clock.haveLeasesEnded(nowMs, this.#slackMs()) : this.#areFormerLeasesOver(link.instance.instanceId, nowMs)
       if (!areOver) continue
       const reason = link.hasAnswered ? 'its leases are over' : FORMER_LEASES_OVER
       if (!link.isListed) this.#drop(link, reason)
       else for (const run of [...link.runs.values()]) if (run.phase !== 'recording') this.#lose(run, reason)
     }
-    if (nowMs <= formerLeasesEndMs) return
-    for (const run of this.#orphans) this.#loseOrphan(run, FORMER_LEASES_OVER)
+    for (const run of this.#orphans) if (this.#areFormerLeasesOver(run.instanceId, nowMs)) this.#loseOrphan(run, FORMER_LEASES_OVER)
+  }
+
+  /** Writes down for a next holder which workers do not answer; for a planned hand-over. @param nowMs - monotonic */
+  async noteSilent (nowMs: number): Promise<void> {
+    await this.#options.silentWorkers.idle()
+    await this.#options.silentWorkers.note(this.#silent(HOLD_WAIT_MS + LATE_ANSWER_MS, 0, nowMs))
+  }
+
+  /** @param instanceId - any @returns whether runs may be there that this holder knows of */
+  isKnown (instanceId: string): boolean {
+    return this.#links.has(instanceId) || [...this.#orphans].some((run) => run.instanceId === instanceId)
+  }
+
+  /** Workers with runs that have not answered for so long, or not since the take-over if that is so long ago. */
+  #silent (answeredAgoMs: number, tookOverAgoMs: number, nowMs: number): SilentWorker[] {
+    const leasesLeftMs = (atMs: number): number => this.#formerLeasesEndMs() - atMs
+    const isUnmetLong = nowMs - this.#tookOverMs >= tookOverAgoMs
+    const silent = this.links.flatMap((link): SilentWorker[] => {
+      const { instanceId } = link.instance
+      if (link.runs.size === 0) return []
+      if (!link.hasAnswered) return isUnmetLong ? [{ instanceId, leasesLeftMs }] : []
+      const isLate = (link.silentForMs(nowMs) ?? 0) >= answeredAgoMs
+      return isLate ? [{ instanceId, leasesLeftMs: (atMs) => link.clock.leasesLeftMs(atMs, this.#slackMs()) }] : []
+    })
+    const unmet = isUnmetLong ? [...new Set([...this.#orphans].map(({ instanceId }) => instanceId))] : []
+    return [...silent, ...unmet.map((instanceId) => ({ instanceId, leasesLeftMs }))].filter((worker) => worker.leasesLeftMs(nowMs) > 0)
+  }
+
+  #slackMs (): number {
+    return this.#options.bounds().stopMs + LEASE_END_SLACK_MS
+  }
+
+  /** When the leases of a worker are over that never answered this holder, as far as this holder can tell. */
+  #formerLeasesEndMs (): number {
+    return this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + this.#slackMs()
+  }
+
+  #areFormerLeasesOver (instanceId: string, nowMs: number): boolean {
+    return nowMs > this.#formerLeasesEndMs() || this.#options.silentWorkers.areLeasesOver(instanceId)
   }
 
   /** Says once which runs a new holder can neither reach nor place again yet, and until when. */
-  #tellOfWaits (formerLeasesEndMs: number, nowMs: number): void {
+  #tellOfWaits (nowMs: number): void {
     if (this.#hasToldOfWaits || nowMs < this.#tookOverMs + FIRST_ANSWERS_MS) return
     this.#hasToldOfWaits = true
     const waiting = [...this.links.filter((link) => !link.hasAnswered).flatMap((link) => [...link.runs.values()]), ...this.#orphans]
     if (waiting.length === 0) return
     const runs = waiting.slice(0, RUNS_IN_LINE).map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`)
-    this.#options.log.warn({ runs, count: waiting.length, leftMs: Math.round(formerLeasesEndMs - nowMs) }, 'runs wait for leases of former holders')
+    this.#options.log.warn({ runs, count: waiting.length, mostLeftMs: Math.round(this.#formerLeasesEndMs() - nowMs) }, 'runs wait for leases of former holders')
   }
 
   /** Ends all links; what runs goes on under its lease. */
@@ -196,7 +238,9 @@
       leaseMs: this.#leaseMs(),
       onInstanceOver: (of) => this.#instanceOver(of, 'it answered as another lifetime'),
       onContact: (of, error) => log.warn({ instanceId: of.instance.instanceId, error }, error === undefined ? 'worker answers again' : 'worker does not answer'),
-      holdWaitMs: () => this.#holdWaitMs(link)
+      holdWaitMs: () => this.#holdWaitMs(link),
+      isNotedSilent: () => this.#options.silentWorkers.isNoted(instanceId),
+      clearSilence: () => this.#options.silentWorkers.clear(instanceId)
     })
     this.#links.set(instanceId, link)
     for (const run of this.#orphans) {
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -170,7 +170,7 @@
       log: this.log,
       metrics: new SchedulerMetrics(),
       configuration: () => this.configuration,
-      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000 }),
+      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
       workersPrefix: WORKERS_PREFIX,
       decodeWorker: ({ value }) => JSON.parse(value) as WorkerInstance,
       onDeposed: () => { tenure().isDeposed = true }
