The pause between two holders' orders to one machine is handed on

A holder of machines writes down which machines it ordered lately, for the next one to leave alone. That one wrote the record anew with its own orders only: the next but one knew nothing of the first's, and might order the same machine 0.8 s later (the users allow 3 s). And each holder counted the pause from its own take-over, so that it also grew with take-overs. Ruled out: only repeating the names (then the pause begins anew with each holder); clocks in the record. Change: OrderPauses keeps what is left of each pause; an order that is not over leaves all of it; a planned stop writes it before it hands over. Records of the version before are read, and hosts of that version read the names as before.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from './EventLog.js'
 import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
 import { openCommitLog } from './openCommitLog.js'
+import { OrderPauses } from './OrderPauses.js'
 import { planPools } from './planPools.js'
 import { planWave } from './planWave.js'
 import { DEMAND_PREFIX } from './serviceDemand.js'
@@ -78,10 +79,7 @@
   readonly #requests = new Map<number, WaveRequest>()
   readonly #refused = new Set<string>()
   readonly #needs = new ServiceNeeds()
-  /** Machines that a former holder ordered. */
-  readonly #formerOrders = new Set<string>()
-  /** When this holder last ordered a machine, monotonic. */
-  readonly #orderedMs = new Map<string, number>()
+  readonly #pauses: OrderPauses
   readonly #watch = new MachineWatch()
   #commits!: CommitLog
   #machines = new Map<string, ListedMachine>()
@@ -93,6 +91,7 @@
   constructor (options: MachineDutyOptions) {
     this.#options = options
     const { store, clock, log } = options
+    this.#pauses = new OrderPauses(() => options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS)
     const ignored = (): void => {}
     this.#vacated = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignored })
     this.#demandItems = createReplica(log, { store, clock, prefix: DEMAND_PREFIX, spacingMs: DEMAND_SPACING_MS, onChange: ignored })
@@ -132,12 +131,15 @@
 
   /** Writes what is known. @param timeoutMs - how long at most */
   async flush (timeoutMs: number): Promise<void> {
-    await this.#commits?.flushWithin(timeoutMs)
+    if (this.#commits === undefined) return
+    // With what is left of the pauses by now.
+    this.#record()
+    await this.#commits.flushWithin(timeoutMs)
   }
 
   #restore (text: string): void {
-    const { tasks, waves, ordered } = decodeMachineRecord(text)
-    for (const machineId of ordered) this.#formerOrders.add(machineId)
+    const { tasks, waves, pauses } = decodeMachineRecord(text)
+    this.#pauses.restore(pauses, this.#options.clock.monotonicMs())
     for (const wave of waves) this.#waves.set(wave.wave, wave)
     for (const task of tasks) {
       this.#tasks.set(task.machineId, { ...task, sinceMs: this.#tookOverMs, orderedMs: this.#tookOverMs })
@@ -315,7 +317,7 @@
 
   #isReady (task: MachineTask): boolean {
     const nowMs = this.#options.clock.monotonicMs()
-    if (this.#formerOrders.has(task.machineId) && nowMs < this.#tookOverMs + this.#options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS) return false
+    if (this.#pauses.isPaused(task.machineId, nowMs)) return false
     if (task.state === 'ordered') return nowMs - task.orderedMs > REPEAT_MS
     return task.state === 'vacating' && (task.from === '' || this.#vacated.items.get(vacatedKey(task.machineId))?.value === task.request)
   }
@@ -327,7 +329,7 @@
     for (const task of ready) {
       task.state = 'ordered'
       task.orderedMs = this.#options.clock.monotonicMs()
-      this.#orderedMs.set(task.machineId, task.orderedMs)
+      this.#pauses.begin(task.machineId)
     }
     this.#record()
     if (!await this.#commits.flushed()) return
@@ -342,7 +344,7 @@
     const outcome = sent.ok ? sent.val : sent.val.kind
     log.info({ machineId: task.machineId, kind: task.kind, wave: task.wave, to: task.to, fencingToken, outcome }, 'machine ordered')
     task.orderedMs = clock.monotonicMs()
-    this.#orderedMs.set(task.machineId, task.orderedMs)
+    this.#pauses.end(task.machineId, task.orderedMs)
     if (sent.ok) this.#applyOutcome(task, sent.val)
   }
 
@@ -362,13 +364,7 @@
   }
 
   #record (): void {
-    this.#commits.put(MACHINE_RECORD_KEY, () => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()], this.#orderedLately()), true)
-  }
-
-  /** Machines that a next holder must not order yet. */
-  #orderedLately (): string[] {
-    const sinceMs = this.#options.clock.monotonicMs() - this.#options.holderChangeMs() - HOLDER_CHANGE_SLACK_MS
-    for (const [machineId, atMs] of this.#orderedMs) if (atMs < sinceMs) this.#orderedMs.delete(machineId)
-    return [...this.#orderedMs.keys()]
+    const text = (): string => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()], this.#pauses.left(this.#options.clock.monotonicMs()))
+    this.#commits.put(MACHINE_RECORD_KEY, text, true)
   }
 }
--- a/packages/scheduler/src/lib/machineRecord.ts
+++ b/packages/scheduler/src/lib/machineRecord.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from 'zod'
+import type { OrderPause } from './OrderPauses.js'
 
 /** Where it is kept. @public */
 export const MACHINE_RECORD_KEY = 'machines/under-way'
@@ -32,8 +33,10 @@
 const recordSchema = z.object({
   tasks: z.array(taskSchema),
   waves: z.array(waveSchema),
-  /** Machines that the holder ordered lately, whatever became of it. */
-  ordered: z.array(z.string()).default([])
+  /** Machines that holders ordered lately, whatever became of it; hosts of the version before read no more than these names. */
+  ordered: z.array(z.string()).default([]),
+  /** For how long each of them must not be ordered by another holder; without an entry, for the whole pause. */
+  pausesMs: z.record(z.string(), z.number()).default({})
 })
 
 /** Something under way with a machine. @public */
@@ -46,11 +49,23 @@
 /** How far a wave is. @public */
 export type WaveProgress = z.infer<typeof waveSchema>
 
-/** @param tasks - under way @param waves - all @param ordered - machines that were ordered lately @returns the record @public */
-export function encodeMachineRecord (tasks: readonly MachineTask[], waves: readonly WaveProgress[], ordered: readonly string[]): string {
+/** @param tasks - under way @param waves - all @param pauses - of machines that were ordered lately @returns the record @public */
+export function encodeMachineRecord (tasks: readonly MachineTask[], waves: readonly WaveProgress[], pauses: readonly OrderPause[]): string {
   const kept = tasks.map(({ machineId, kind, wave, from, to, state, request }) => ({ machineId, kind, wave, from, to, state, request }))
-  return JSON.stringify({ tasks: kept, waves, ordered })
+  const ordered = pauses.map(({ machineId }) => machineId)
+  const pausesMs = Object.fromEntries(pauses.map(({ machineId, leftMs }) => [machineId, leftMs]))
+  return JSON.stringify({ tasks: kept, waves, ordered, pausesMs })
+}
+
+/** What is kept. @public */
+export interface MachineRecord {
+  readonly tasks: ReadonlyArray<z.infer<typeof taskSchema>>
+  readonly waves: readonly WaveProgress[]
+  readonly pauses: readonly OrderPause[]
 }
 
 /** @param text - as kept @returns what it holds @public */
-export const decodeMachineRecord = (text: string): z.infer<typeof recordSchema> => recordSchema.parse(JSON.parse(text))
+export function decodeMachineRecord (text: string): MachineRecord {
+  const { tasks, waves, ordered, pausesMs } = recordSchema.parse(JSON.parse(text))
+  return { tasks, waves, pauses: ordered.map((machineId) => ({ machineId, leftMs: pausesMs[machineId] ?? Infinity })) }
+}
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -8,6 +8,8 @@
 const DOWN_MS = 60
 const PARKED = 'parked'
 const HOLDER_CHANGE_MS = 300
+/** The slack of the pause itself, two take-overs, and emptying the machine. */
+const PAUSE_ALLOWANCE_MS = 1500
 
 interface Ordered extends MachineOrder { readonly atMs: number, readonly what: string }
 
@@ -172,6 +174,32 @@
     expect((next?.atMs ?? 0) - (former?.atMs ?? 0)).to.be.above(holderChangeMs)
   }).timeout(20_000)
 
+  for (const { takeOvers, tenureMs } of [{ takeOvers: 2, tenureMs: 300 }, { takeOvers: 8, tenureMs: 600 }]) {
+    it(`the pause after a former holder's order neither ends early nor begins anew: ${takeOvers} take-overs, ${tenureMs} ms apart`, async () => {
+      service = new TestService(1)
+      holderChangeMs = 2000
+      const machines = new StandInMachines(service, 1, 1)
+      await service.takeOver()
+      await service.submit(1, { runMs: 0 }, [{ taskCount: 4, isLasting: true }])
+      let duty = await take(machines, [], 'first')
+      await service.until('a machine came', () => machines.poolOf('m1') === SERVICE)
+      await service.until('its move is over', () => service.log.lines.some((line) => line.startsWith('machine released') && line.includes('m1')))
+      const wave = { wave: 1, machineIds: ['m1'], deadlineMs: 20_000, maxAtOnce: 1 }
+      const ordersOfM1 = (): readonly Ordered[] => machines.orders.filter(({ machineId }) => machineId === 'm1')
+      for (let number = 1; number <= takeOvers && ordersOfM1().length === 1; number++) {
+        await duty.flush(500)
+        duty.close()
+        duty = await take(machines, [wave], `next-${number}`)
+        await delay(tenureMs)
+      }
+      await service.until('it is ordered again', () => ordersOfM1().length > 1)
+      const [former, next] = ordersOfM1()
+      const pausedMs = (next?.atMs ?? 0) - (former?.atMs ?? 0)
+      expect(pausedMs).to.be.above(holderChangeMs)
+      expect(pausedMs).to.be.below(holderChangeMs + PAUSE_ALLOWANCE_MS)
+    }).timeout(20_000)
+  }
+
   it('withdraws requests to empty a machine that a former holder left without a record', async () => {
     service = new TestService(1)
     service.write(vacateKey(SERVICE, 'm0'), 'move 1.1')
--- /dev/null
+++ b/packages/scheduler/src/test/OrderPauses.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai'
+import { OrderPauses, type OrderPause } from '../lib/OrderPauses.js'
+
+const PAUSE_MS = 3500
+
+interface Case {
+  readonly name: string
+  /** What is done by a holder that took over at 10 s. */
+  readonly act: (pauses: OrderPauses) => void
+  readonly atMs: number
+  readonly left: readonly OrderPause[]
+  readonly isPaused: boolean
+}
+
+const cases: readonly Case[] = [
+  { name: 'nothing was ordered', act: () => {}, atMs: 10_000, left: [], isPaused: false },
+  {
+    name: 'an order that is not over leaves the whole pause, however long ago it began',
+    act: (pauses) => pauses.begin('m'),
+    atMs: 60_000,
+    left: [{ machineId: 'm', leftMs: PAUSE_MS }],
+    isPaused: false
+  },
+  { name: 'an own order counts from its answer', act: (pauses) => pauses.end('m', 11_000), atMs: 12_000, left: [{ machineId: 'm', leftMs: 2500 }], isPaused: false },
+  { name: 'an own order long ago is forgotten', act: (pauses) => pauses.end('m', 11_000), atMs: 14_500, left: [], isPaused: false },
+  {
+    name: 'what a former holder left goes on',
+    act: (pauses) => pauses.restore([{ machineId: 'm', leftMs: 1000 }], 10_000),
+    atMs: 10_400,
+    left: [{ machineId: 'm', leftMs: 600 }],
+    isPaused: true
+  },
+  { name: 'and ends', act: (pauses) => pauses.restore([{ machineId: 'm', leftMs: 1000 }], 10_000), atMs: 11_000, left: [], isPaused: false },
+  {
+    name: 'a former holder of the version before gives no time',
+    act: (pauses) => pauses.restore([{ machineId: 'm', leftMs: Infinity }], 10_000),
+    atMs: 13_000,
+    left: [{ machineId: 'm', leftMs: 500 }],
+    isPaused: true
+  },
+  {
+    name: 'the longer of two',
+    act: (pauses) => {
+      pauses.restore([{ machineId: 'm', leftMs: 1000 }], 10_000)
+      pauses.end('m', 10_500)
+    },
+    atMs: 10_600,
+    left: [{ machineId: 'm', leftMs: 3400 }],
+    isPaused: true
+  }
+]
+
+describe('OrderPauses', () => {
+  for (const { name, act, atMs, left, isPaused } of cases) {
+    it(name, () => {
+      const pauses = new OrderPauses(() => PAUSE_MS)
+      act(pauses)
+      expect(pauses.isPaused('m', atMs)).to.equal(isPaused)
+      expect(pauses.left(atMs)).to.deep.equal(left)
+    })
+  }
+})
