--- a/packages/scheduler/src/lib/CommitLog.ts
+++ b/packages/scheduler/src/lib/CommitLog.ts
@@ -17,6 +17,8 @@
   readonly dutyRevision: number
   readonly chainKey: string
   readonly chainRevision: number
+  /** Of the holder that wrote last, if any did. */
+  readonly formerDutyRevision?: number | undefined
   /** Called when another holder has taken over: nothing of this log will be written any more. */
   readonly onDeposed: () => void
   /** Called for each try that failed. */
@@ -39,6 +41,11 @@
 const RETRY_FIRST_MS = 60
 const RETRY_MAX_MS = 500
 
+/** @param chainValue - as a log writes it with each transaction @returns the duty's revision of that log @public */
+export function readDutyRevision (chainValue: string | undefined): number | undefined {
+  return chainValue === undefined ? undefined : Number(chainValue.split('.')[0])
+}
+
 interface Waiter { readonly sequence: number, readonly resolve: (isDurable: boolean) => void }
 interface Encoded { readonly key: string, readonly value: string | undefined, readonly sequence: number }
 interface Dirty { readonly sequence: number, readonly source: RecordSource }
@@ -62,6 +69,11 @@
     this.#chainRevision = options.chainRevision
   }
 
+  /** The duty's revision under which anything was written last, before this log. */
+  get formerDutyRevision (): number | undefined {
+    return this.#options.formerDutyRevision
+  }
+
   /** @param key - to be written soon @param source - gives its value then @param isUrgent - whether something waits for it */
   put (key: string, source: RecordSource, isUrgent = false): void {
     const sequence = this.#dirty.get(key)?.sequence ?? ++this.#sequence
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -115,18 +115,14 @@
   }
 
   #createSilentWorkers (put: (key: string, source: RecordSource, isUrgent: boolean) => void): SilentWorkers {
-    const { service, fencingToken, store, clock, log, bounds } = this.#options
     return new SilentWorkers({
-      service,
-      fencingToken,
-      store,
-      clock,
-      log,
+      ...this.#options,
       put,
-      minTtlMs: () => bounds().minTtlMs,
+      minTtlMs: () => this.#options.bounds().minTtlMs,
       flushed: () => this.#commits.flushed(),
-      isKnown: (instanceId) => this.#workers.isKnown(instanceId),
-      isInInbox: (key) => this.#inbox.isListed ? this.#inbox.items.has(key) : undefined
+      leasesLeftMs: (instanceId, nowMs) => this.#workers.leasesLeftMs(instanceId, nowMs),
+      isKnown: (instanceId) => !this.#inbox.isListed || this.#workers.isKnown(instanceId),
+      onTimerOver: () => this.#wake()
     })
   }
 
@@ -176,7 +172,9 @@
     this.#tookOverMs = clock.monotonicMs()
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#book.jobs.size, tookMs: clock.monotonicMs() - this.#tookOverMs }, 'scheduling begins')
-    await Promise.all([this.#commits.run(), this.#inbox.run(this.#stop.signal), this.#meetWorkers(), this.#rounds()])
+    await Promise.all([
+      this.#commits.run(), this.#inbox.run(this.#stop.signal), this.#meetWorkers(), this.#silentWorkers.followTimers(this.#stop.signal), this.#rounds()
+    ])
   }
 
   /** Workers are met only once all jobs are known: the end of a run whose job is not would be acknowledged, and lost. */
@@ -226,8 +224,8 @@
     ])
     if (commits === undefined || progress === undefined || silent === undefined) return false
     for (const item of progress.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
-    if (silent.text !== undefined) this.#silentWorkers.restore(silent.text)
     this.#commits = commits
+    if (silent.text !== undefined) this.#silentWorkers.restore(silent.text, commits.formerDutyRevision)
     return true
   }
 
--- a/packages/scheduler/src/lib/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/SilentWorkers.ts
@@ -11,23 +11,20 @@
  *
  * @module
  */
-import type { Clock } from '@quillscale/utils'
+import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { z } from 'zod'
 import type { RecordSource } from './CommitLog.js'
 import type { EventLog } from './EventLog.js'
-import { leaseTimerKey, silentWorkersKey } from './storeKeys.js'
+import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from './storeKeys.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
 
-/** A worker with the name of its timer. */
-const recordSchema = z.array(z.object({ instanceId: z.string(), timer: z.string() }))
-
-/** A worker that does not answer. @public */
-export interface SilentWorker {
-  readonly instanceId: string
-  /** @param nowMs - monotonic @returns after how long all its leases are surely over */
-  readonly leasesLeftMs: (nowMs: number) => number
-}
+const recordSchema = z.object({
+  /** The holder that wrote it. Where another one has written anything since, it may have extended leases without looking here. */
+  fencingToken: z.number(),
+  /** Each with the name of its timer. */
+  workers: z.array(z.object({ instanceId: z.string(), timer: z.string() }))
+})
 
 /** What the record works with. @public */
 export interface SilentWorkersOptions {
@@ -38,16 +35,23 @@
   readonly log: EventLog
   /** The shortest lease that the store grants. */
   readonly minTtlMs: () => number
+  /** After how long all leases of a worker are surely over, as far as is known at that time, monotonic. */
+  readonly leasesLeftMs: (instanceId: string, nowMs: number) => number
   /** Writes under the duty. */
   readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
   /** Resolves once all that was put is durable; false if it never will be. */
   readonly flushed: () => Promise<boolean>
-  /** Whether a worker is still dealt with: entries of others are left out of the record. */
+  /** Whether a worker is, or may be, dealt with: entries of others are left out of the record. */
   readonly isKnown: (instanceId: string) => boolean
-  /** Whether a key of the service's inbox is there; `undefined` before the first list. */
-  readonly isInInbox: (key: string) => boolean | undefined
+  /** Called when a timer of a former holder is over. */
+  readonly onTimerOver: () => void
 }
 
+/** How often the timers of former holders are looked at, while any runs; the wait for leases takes some seconds. */
+const LOOK_MS = 400
+/** A store that refused a timer is left alone so long: the round after next would ask again otherwise. */
+const REFUSED_PAUSE_MS = 500
+
 /** The record. @public */
 export class SilentWorkers {
   readonly #options: SilentWorkersOptions
@@ -55,9 +59,12 @@
   readonly #timers = new Map<string, string>()
   /** Workers that may stand in the store now. */
   readonly #noted = new Set<string>()
-  /** Those whose timers former holders made: their keys were there before this holder first listed the inbox. */
+  /** Those whose timers former holders made. */
   readonly #inherited = new Set<string>()
+  /** Timers of former holders that are over. */
+  readonly #overTimers = new Set<string>()
   #timersMade = 0
+  #notBeforeMs = -Infinity
   #noting: Promise<void> | undefined
 
   /** @param options - what it works with */
@@ -65,13 +72,36 @@
     this.#options = options
   }
 
-  /** @param text - as a former holder wrote it */
-  restore (text: string): void {
-    for (const { instanceId, timer } of recordSchema.parse(JSON.parse(text))) {
+  /**
+   * Takes over what a former holder wrote, and writes it down as this holder's.
+   *
+   * @param text - the record
+   * @param formerToken - of the holder that wrote anything last
+   */
+  restore (text: string, formerToken: number | undefined): void {
+    const record = recordSchema.parse(JSON.parse(text))
+    const isBelieved = record.fencingToken === formerToken
+    for (const { instanceId, timer } of isBelieved ? record.workers : []) {
       this.#timers.set(instanceId, timer)
       this.#noted.add(instanceId)
       this.#inherited.add(instanceId)
     }
+    const { service, log } = this.#options
+    log.info({ service, isBelieved, formerToken, workers: record.workers.slice(0, WORKERS_IN_LINE), count: record.workers.length }, 'silent workers taken over')
+    this.#put()
+  }
+
+  /** Looks at the timers of former holders until all are over. @param signal - ends that */
+  async followTimers (signal: AbortSignal): Promise<void> {
+    const { store, service, onTimerOver } = this.#options
+    while (!signal.aborted && this.#openTimers().length > 0) {
+      const listed = await store.list(leaseTimerPrefix(service))
+      const running = listed.ok ? new Set(listed.val.items.map(({ key }) => key)) : undefined
+      const over = this.#openTimers().filter((timer) => running?.has(leaseTimerKey(service, timer)) === false)
+      for (const timer of over) this.#overTimers.add(timer)
+      if (over.length > 0) onTimerOver()
+      await delay(LOOK_MS, signal)
+    }
   }
 
   /** @param instanceId - any @returns whether it may stand in the record: its leases must not be extended then */
@@ -79,25 +109,23 @@
     return this.#noted.has(instanceId)
   }
 
-  /** @param instanceId - of a worker that never answered this holder @returns whether a former holder's timer shows that its leases are over */
-  areLeasesOver (instanceId: string): boolean {
-    const timer = this.#timers.get(instanceId)
-    if (timer === undefined || !this.#inherited.has(instanceId)) return false
-    return this.#options.isInInbox(leaseTimerKey(this.#options.service, timer)) === false
+  /** @param instanceId - any @returns whether a timer shows that the leases which former holders gave there are over */
+  areFormerLeasesOver (instanceId: string): boolean {
+    return this.#inherited.has(instanceId) && this.#overTimers.has(this.#timers.get(instanceId) ?? '')
   }
 
   /**
    * Writes workers down, once each, with one timer for all that are new; one call at a time, while others do nothing.
    *
-   * @param silent - those that do not answer now
+   * @param instanceIds - of workers that do not answer now
    * @returns once that is durable, or was given up
    */
-  async note (silent: readonly SilentWorker[]): Promise<void> {
-    const found = silent.filter(({ instanceId }) => !this.#noted.has(instanceId))
-    if (found.length === 0 || this.#noting !== undefined) return
-    this.#noting = this.#note(found)
+  async note (instanceIds: readonly string[]): Promise<void> {
+    const found = instanceIds.filter((instanceId) => !this.#noted.has(instanceId))
+    const isTooSoon = this.#options.clock.monotonicMs() < this.#notBeforeMs
+    if (found.length === 0 || this.#noting !== undefined || isTooSoon) return
+    this.#noting = this.#note(found).finally(() => { this.#noting = undefined })
     await this.#noting
-    this.#noting = undefined
   }
 
   /** Resolves once a call of {@link note} under way is over. */
@@ -109,45 +137,52 @@
    * Takes a worker that answers out of the record.
    *
    * @param instanceId - whose
-   * @returns once its leases may be extended; false if this holder may not write any more
+   * @returns once that is durable, or never will be by this holder
    */
-  async clear (instanceId: string): Promise<boolean> {
-    if (!this.#noted.has(instanceId)) return true
+  async clear (instanceId: string): Promise<void> {
+    if (!this.#noted.has(instanceId)) return
     if (this.#timers.delete(instanceId)) this.#put()
     const isDurable = await this.#options.flushed()
-    if (isDurable) {
-      this.#noted.delete(instanceId)
-      this.#inherited.delete(instanceId)
-    }
-    return isDurable
+    // It may have been written down anew meanwhile.
+    if (!isDurable || this.#timers.has(instanceId)) return
+    this.#noted.delete(instanceId)
+    this.#inherited.delete(instanceId)
+  }
+
+  #openTimers (): string[] {
+    const timers = [...this.#inherited].flatMap((instanceId) => this.#timers.get(instanceId) ?? [])
+    return [...new Set(timers)].filter((timer) => !this.#overTimers.has(timer))
   }
 
-  async #note (found: readonly SilentWorker[]): Promise<void> {
-    const { clock, log, service } = this.#options
+  async #note (found: readonly string[]): Promise<void> {
+    const { clock, log, service, leasesLeftMs } = this.#options
     const askedMs = clock.monotonicMs()
     const ttlMs = this.#ttlMs(found, askedMs)
     const timer = await this.#startTimer(ttlMs)
-    if (timer === undefined) return
     const nowMs = clock.monotonicMs()
+    if (timer === undefined) {
+      this.#notBeforeMs = nowMs + REFUSED_PAUSE_MS
+      return
+    }
     // One that answered meanwhile may have been given a longer lease than the timer covers.
-    const covered = found.filter(({ instanceId, leasesLeftMs }) => !this.#noted.has(instanceId) && nowMs + leasesLeftMs(nowMs) <= askedMs + ttlMs)
-    for (const { instanceId } of covered) {
+    const covered = found.filter((instanceId) => !this.#noted.has(instanceId) && nowMs + leasesLeftMs(instanceId, nowMs) <= askedMs + ttlMs)
+    if (covered.length === 0) return
+    for (const instanceId of covered) {
       this.#timers.set(instanceId, timer)
       this.#noted.add(instanceId)
     }
-    if (covered.length === 0) return
     this.#put()
-    log.info({ service, instanceIds: covered.map(({ instanceId }) => instanceId), leasesLeftMs: Math.round(ttlMs) }, 'silent workers written down')
+    log.info({ service, instanceIds: covered.slice(0, WORKERS_IN_LINE), count: covered.length, leasesLeftMs: Math.round(ttlMs) }, 'silent workers written down')
     await this.#options.flushed()
   }
 
   /** The store's clock may differ as much as a worker's. */
-  #ttlMs (found: readonly SilentWorker[], nowMs: number): number {
-    const leftMs = Math.max(...found.map(({ leasesLeftMs }) => leasesLeftMs(nowMs)))
+  #ttlMs (found: readonly string[], nowMs: number): number {
+    const leftMs = Math.max(...found.map((instanceId) => this.#options.leasesLeftMs(instanceId, nowMs)))
     return Math.max(this.#options.minTtlMs(), Math.ceil(leftMs * (1 + CLOCK_DRIFT_SHARE)))
   }
 
-  /** It is there before the record names it. @returns its name, `undefined` if the store did not answer: a next round tries again */
+  /** It is there before the record names it. @returns its name, `undefined` if the store did not answer: a later round tries again */
   async #startTimer (ttlMs: number): Promise<string | undefined> {
     const { store, log, service, fencingToken } = this.#options
     const lease = await store.grantLease(ttlMs)
@@ -163,10 +198,13 @@
   }
 
   #put (): void {
-    const { service, put, isKnown } = this.#options
+    const { service, fencingToken, put, isKnown } = this.#options
     put(silentWorkersKey(service), () => {
-      const entries = [...this.#timers].filter(([instanceId]) => isKnown(instanceId)).map(([instanceId, timer]) => ({ instanceId, timer }))
-      return entries.length === 0 ? undefined : JSON.stringify(entries)
+      const workers = [...this.#timers].filter(([instanceId]) => isKnown(instanceId)).map(([instanceId, timer]) => ({ instanceId, timer }))
+      return workers.length === 0 ? undefined : JSON.stringify({ fencingToken, workers })
     }, true)
   }
 }
+
+/** Named in a line of the log at most. */
+const WORKERS_IN_LINE = 20
--- a/packages/scheduler/src/lib/WorkerClock.ts
+++ b/packages/scheduler/src/lib/WorkerClock.ts
@@ -20,6 +20,11 @@
     this.#readAtMs = nowMs
   }
 
+  /** Whether a lease was ever made by it. */
+  get hasGiven (): boolean {
+    return this.#latestLeaseEndMs > -Infinity
+  }
+
   /** Whether it was ever read. */
   get isKnown (): boolean {
     return this.#readMs !== undefined
@@ -39,14 +44,9 @@
     return endMs
   }
 
-  /** @param nowMs - monotonic @param slackMs - for what is still being stopped @returns whether all leases that were ever given have ended */
-  haveLeasesEnded (nowMs: number, slackMs: number): boolean {
-    return this.#readMs !== undefined && this.#earliestMs(nowMs) > this.#latestLeaseEndMs + slackMs
-  }
-
-  /** @param nowMs - monotonic @param slackMs - for what is still being stopped @returns after how long all leases that were ever given have surely ended */
+  /** @param nowMs - monotonic @param slackMs - for what is still being stopped @returns after how long all leases that were made by it have surely ended */
   leasesLeftMs (nowMs: number, slackMs: number): number {
-    if (this.#readMs === undefined || this.#latestLeaseEndMs === -Infinity) return 0
+    if (!this.hasGiven) return 0
     return Math.max(0, (this.#latestLeaseEndMs + slackMs - this.#earliestMs(nowMs)) / (1 - CLOCK_DRIFT_SHARE))
   }
 
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -21,8 +21,8 @@
   readonly mayOrder: () => boolean
   /** Whether no lease may be extended there yet: a next holder might count it from an earlier time. */
   readonly isNotedSilent: (link: WorkerLink) => boolean
-  /** Makes extensions possible again; called once it answers. */
-  readonly clearSilence: (link: WorkerLink) => Promise<unknown>
+  /** Makes extensions possible again; called once it answers. Resolves when it is done, or cannot be. */
+  readonly clearSilence: (link: WorkerLink) => Promise<void>
   /** Called with each answer. @param askedMs - monotonic, when the question was sent */
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
   /** Called when a start is known to have happened, or never to happen. */
@@ -67,6 +67,7 @@
   #acknowledgedSequence = 0
   #answeredMs = -Infinity
   #isInContact = true
+  #clearing: Promise<void> | undefined
 
   /** @param instance - the worker @param options - its scheduler's part */
   constructor (instance: WorkerInstance, options: WorkerLinkOptions) {
@@ -108,7 +109,7 @@
     while (!this.#stop.signal.aborted) {
       const isAnswered = await this.#hold(failures === 0 && this.hasAnswered ? this.#options.holdWaitMs() : 0)
       failures = isAnswered ? 0 : failures + 1
-      if (isAnswered && this.isNotedSilent) await Promise.race([this.#options.clearSilence(this), delay(EXTEND_WHILE_WAITING_MS, this.#stop.signal)])
+      if (this.#clearing !== undefined) await Promise.race([this.#clearing, delay(EXTEND_WHILE_WAITING_MS, this.#stop.signal)])
       if (failures > 0) await delay(Math.min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** (failures - 1)), this.#stop.signal)
     }
   }
@@ -144,7 +145,6 @@
       if (isDurable !== undefined || this.#stop.signal.aborted) return
       const { orders, clock, fencingToken } = this.#options
       const leaseEndsAtMs = this.#extend(clock.monotonicMs())
-      if (leaseEndsAtMs === undefined) continue
       const held = await orders.hold(this.instance, { fencingToken, acknowledgedSequence: this.#acknowledgedSequence, leaseEndsAtMs, waitMs: 0 })
       if (held.ok) this.#noteAnswer(held.val.clockMs)
     }
@@ -227,6 +227,7 @@
     this.clock.note(clockMs, nowMs)
     if (!this.#isInContact) this.#options.onContact(this, undefined)
     this.#isInContact = true
+    if (this.isNotedSilent) this.#clearing ??= this.#options.clearSilence(this).finally(() => { this.#clearing = undefined })
   }
 
   #noteError (error: RunOrderError): void {
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from './EventLog.js'
 import { stepOf, type Run } from './JobState.js'
 import type { LossEvidence } from './RunBook.js'
-import type { SilentWorker, SilentWorkers } from './SilentWorkers.js'
+import type { SilentWorkers } from './SilentWorkers.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
 import { runKey, SILENT_AFTER_MS, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
 
@@ -43,8 +43,8 @@
 const REGISTRATIONS_BACK_MS = 2500
 /** Added to a lease's end before its runs count as over: late timers, both ways. */
 const LEASE_END_SLACK_MS = 300
-/** A worker that lives answers a new holder well within this; runs on the others wait. */
-const FIRST_ANSWERS_MS = 1000
+/** A worker that lives answers a new holder well within this: a few ms, some 250 where a host is loaded. Runs on the others wait. */
+const FIRST_ANSWERS_MS = 600
 /** Added to the wait of a hold: after so much more its answer is late. */
 const LATE_ANSWER_MS = 200
 /** Runs named in a line of the log at most. */
@@ -140,13 +140,12 @@
     void this.#options.silentWorkers.note(this.#silent(SILENT_AFTER_MS, FIRST_ANSWERS_MS, nowMs))
     for (const link of this.links) {
       if (link.isAnswering(nowMs)) continue
-      const areOver = link.hasAnswered ? link.clock.haveLeasesEnded(nowMs, this.#slackMs()) : this.#areFormerLeasesOver(link.instance.instanceId, nowMs)
-      if (!areOver) continue
-      const reason = link.hasAnswered ? 'its leases are over' : FORMER_LEASES_OVER
+      if (this.leasesLeftMs(link.instance.instanceId, nowMs) > 0) continue
+      const reason = link.clock.hasGiven ? 'its leases are over' : FORMER_LEASES_OVER
       if (!link.isListed) this.#drop(link, reason)
       else for (const run of [...link.runs.values()]) if (run.phase !== 'recording') this.#lose(run, reason)
     }
-    for (const run of this.#orphans) if (this.#areFormerLeasesOver(run.instanceId, nowMs)) this.#loseOrphan(run, FORMER_LEASES_OVER)
+    for (const run of this.#orphans) if (this.leasesLeftMs(run.instanceId, nowMs) === 0) this.#loseOrphan(run, FORMER_LEASES_OVER)
   }
 
   /** Writes down for a next holder which workers do not answer; for a planned hand-over. @param nowMs - monotonic */
@@ -160,32 +159,30 @@
     return this.#links.has(instanceId) || [...this.#orphans].some((run) => run.instanceId === instanceId)
   }
 
+  /**
+   * @param instanceId - any
+   * @param nowMs - monotonic
+   * @returns after how long all leases there are surely over: those of this holder, by the worker's clock, and those of former
+   *   ones, by a timer that they left or by what they may have given until the take-over
+   */
+  leasesLeftMs (instanceId: string, nowMs: number): number {
+    const slackMs = this.#options.bounds().stopMs + LEASE_END_SLACK_MS
+    const ownMs = this.#links.get(instanceId)?.clock.leasesLeftMs(nowMs, slackMs) ?? 0
+    const formerEndMs = this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + slackMs
+    const formerMs = this.#options.silentWorkers.areFormerLeasesOver(instanceId) ? 0 : formerEndMs - nowMs
+    return Math.max(0, ownMs, formerMs)
+  }
+
   /** Workers with runs that have not answered for so long, or not since the take-over if that is so long ago. */
-  #silent (answeredAgoMs: number, tookOverAgoMs: number, nowMs: number): SilentWorker[] {
-    const leasesLeftMs = (atMs: number): number => this.#formerLeasesEndMs() - atMs
+  #silent (answeredAgoMs: number, tookOverAgoMs: number, nowMs: number): string[] {
     const isUnmetLong = nowMs - this.#tookOverMs >= tookOverAgoMs
-    const silent = this.links.flatMap((link): SilentWorker[] => {
-      const { instanceId } = link.instance
-      if (link.runs.size === 0) return []
-      if (!link.hasAnswered) return isUnmetLong ? [{ instanceId, leasesLeftMs }] : []
-      const isLate = (link.silentForMs(nowMs) ?? 0) >= answeredAgoMs
-      return isLate ? [{ instanceId, leasesLeftMs: (atMs) => link.clock.leasesLeftMs(atMs, this.#slackMs()) }] : []
+    const late = this.links.filter((link) => {
+      const silentMs = link.silentForMs(nowMs)
+      return link.runs.size > 0 && (silentMs === undefined ? isUnmetLong : silentMs >= answeredAgoMs)
     })
-    const unmet = isUnmetLong ? [...new Set([...this.#orphans].map(({ instanceId }) => instanceId))] : []
-    return [...silent, ...unmet.map((instanceId) => ({ instanceId, leasesLeftMs }))].filter((worker) => worker.leasesLeftMs(nowMs) > 0)
-  }
-
-  #slackMs (): number {
-    return this.#options.bounds().stopMs + LEASE_END_SLACK_MS
-  }
-
-  /** When the leases of a worker are over that never answered this holder, as far as this holder can tell. */
-  #formerLeasesEndMs (): number {
-    return this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + this.#slackMs()
-  }
-
-  #areFormerLeasesOver (instanceId: string, nowMs: number): boolean {
-    return nowMs > this.#formerLeasesEndMs() || this.#options.silentWorkers.areLeasesOver(instanceId)
+    const unmet = isUnmetLong ? [...this.#orphans] : []
+    const instanceIds = new Set([...late.map(({ instance }) => instance.instanceId), ...unmet.map((run) => run.instanceId)])
+    return [...instanceIds].filter((instanceId) => this.leasesLeftMs(instanceId, nowMs) > 0)
   }
 
   /** Says once which runs a new holder can neither reach nor place again yet, and until when. */
@@ -195,7 +192,8 @@
     const waiting = [...this.links.filter((link) => !link.hasAnswered).flatMap((link) => [...link.runs.values()]), ...this.#orphans]
     if (waiting.length === 0) return
     const runs = waiting.slice(0, RUNS_IN_LINE).map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`)
-    this.#options.log.warn({ runs, count: waiting.length, mostLeftMs: Math.round(this.#formerLeasesEndMs() - nowMs) }, 'runs wait for leases of former holders')
+    const mostLeftMs = Math.round(Math.max(...waiting.map(({ instanceId }) => this.leasesLeftMs(instanceId, nowMs))))
+    this.#options.log.warn({ runs, count: waiting.length, mostLeftMs }, 'runs wait for leases of former holders')
   }
 
   /** Ends all links; what runs goes on under its lease. */
--- a/packages/scheduler/src/lib/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobProgress.ts
@@ -6,13 +6,16 @@
 import { z } from 'zod'
 import { allTasks, findTask, type Job, type Run } from './JobState.js'
 
+const runProgressSchema = z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })
+type RunProgress = z.infer<typeof runProgressSchema>
+
 const taskProgressSchema = z.object({
   key: z.string(),
   isDone: z.boolean().optional(),
   lastRunNumber: z.number(),
   failures: z.number().optional(),
   checkpoint: z.string().optional(),
-  runs: z.array(z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })).optional()
+  runs: z.array(runProgressSchema).optional()
 })
 
 const progressSchema = z.object({
@@ -37,12 +40,18 @@
       lastRunNumber: task.lastRunNumber,
       failures: task.failures === 0 ? undefined : task.failures,
       checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
-      runs: task.runs.length === 0 ? undefined : task.runs.map(({ runNumber, instanceId, phase }) => ({ runNumber, instanceId, isStopping: phase === 'stopping' || undefined }))
+      runs: task.runs.length === 0 ? undefined : task.runs.map(encodeRun)
     }))
   }
   return JSON.stringify(progress)
 }
 
+/** A stop that a former holder wrote down is handed on until the run is over. */
+function encodeRun ({ runNumber, instanceId, phase, isToStop }: Run): RunProgress {
+  const isStopping = phase === 'stopping' || isToStop
+  return { runNumber, instanceId, isStopping: isStopping || undefined }
+}
+
 /** @param text - as kept @returns the progress @public */
 export const decodeProgress = (text: string): JobProgress => progressSchema.parse(JSON.parse(text))
 
--- a/packages/scheduler/src/lib/openCommitLog.ts
+++ b/packages/scheduler/src/lib/openCommitLog.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { CommitLog, type CommitLogOptions } from './CommitLog.js'
+import { CommitLog, readDutyRevision, type CommitLogOptions } from './CommitLog.js'
 import { untilAnswered } from './untilAnswered.js'
 
 /**
@@ -12,8 +12,9 @@
  * @returns the log, `undefined` once the signal has ended the tries
  * @public
  */
-export async function openCommitLog (options: Omit<CommitLogOptions, 'chainRevision'>, signal: AbortSignal): Promise<CommitLog | undefined> {
+export async function openCommitLog (options: Omit<CommitLogOptions, 'chainRevision' | 'formerDutyRevision'>, signal: AbortSignal): Promise<CommitLog | undefined> {
   const { store, chainKey } = options
-  const chain = await untilAnswered(async () => (await store.get(chainKey)).map((item) => ({ revision: item?.modRevision ?? 0 })), signal)
-  return chain === undefined ? undefined : new CommitLog({ ...options, chainRevision: chain.revision })
+  const chain = await untilAnswered(async () => (await store.get(chainKey)).map((item) => ({ revision: item?.modRevision ?? 0, value: item?.value })), signal)
+  if (chain === undefined) return undefined
+  return new CommitLog({ ...options, chainRevision: chain.revision, formerDutyRevision: readDutyRevision(chain.value) })
 }
--- a/packages/scheduler/src/lib/storeKeys.ts
+++ b/packages/scheduler/src/lib/storeKeys.ts
@@ -17,8 +17,10 @@
 export const vacateKey = (service: string, machineId: string): string => `inbox/${service}/vacate/${machineId}`
 /** That a worker's lifetime is over, as its machine is down; written by the holder of machine upkeep, removed by the scheduler. @public */
 export const goneKey = (service: string, instanceId: string): string => `inbox/${service}/gone/${instanceId}`
+/** Below which the timers of a service's silent workers are. @public */
+export const leaseTimerPrefix = (service: string): string => `lease-timers/${service}/`
 /** Goes when leases of workers that do not answer are over; written by the scheduler under a lease of the store. @public */
-export const leaseTimerKey = (service: string, timer: string): string => `inbox/${service}/timer/${timer}`
+export const leaseTimerKey = (service: string, timer: string): string => `${leaseTimerPrefix(service)}${timer}`
 /** Which workers with runs do not answer; written by the scheduler alone. @public */
 export const silentWorkersKey = (service: string): string => `silent/${service}`
 /** Progress of the service's jobs; written by the scheduler alone. @public */
@@ -45,13 +47,11 @@
   | { readonly kind: 'job' | 'cancel', readonly jobId: JobId }
   | { readonly kind: 'vacate', readonly machineId: string }
   | { readonly kind: 'gone', readonly instanceId: string }
-  | { readonly kind: 'timer' }
 
 /** @param key - of the inbox @param prefix - of the inbox @returns what it is about @public */
 export function parseInboxKey (key: string, prefix: string): InboxSubject {
   const [first = '', second] = key.slice(prefix.length).split('/')
   if (first === 'vacate') return { kind: 'vacate', machineId: second ?? '' }
-  if (first === 'timer') return { kind: 'timer' }
   if (first === 'gone') return { kind: 'gone', instanceId: second ?? '' }
   return { kind: second === 'cancel' ? 'cancel' : 'job', jobId: first as JobId }
 }
--- /dev/null
+++ b/packages/scheduler/src/test/SilentWorkers.test.ts
@@ -0,0 +1,132 @@
+import { expect } from 'chai'
+import { delay, systemClock } from '@quillscale/utils'
+import { SilentWorkers } from '../lib/SilentWorkers.js'
+import { leaseTimerKey, leaseTimerPrefix } from '../lib/storeKeys.js'
+import { FaultyStore, TestLog } from './TestService.js'
+
+const TOKEN = 7
+const LEFT_MS = 300
+
+/** A record with writes that the test makes durable itself. */
+class Recorded {
+  readonly store = new FaultyStore()
+  readonly log = new TestLog()
+  leftMs = LEFT_MS
+  record: string | undefined
+  timersOver = 0
+  readonly #flushes: Array<(isDurable: boolean) => void> = []
+  readonly silent = new SilentWorkers({
+    service: 's',
+    fencingToken: TOKEN,
+    clock: systemClock,
+    log: this.log,
+    store: this.store,
+    minTtlMs: () => 100,
+    leasesLeftMs: () => this.leftMs,
+    put: (_key, source) => { this.record = source() },
+    flushed: () => new Promise((resolve) => { this.#flushes.push(resolve) }),
+    isKnown: () => true,
+    onTimerOver: () => { this.timersOver++ }
+  })
+
+  /** The oldest write that is waited for takes effect, or never will. */
+  async settle (isDurable = true): Promise<void> {
+    await delay(10)
+    this.#flushes.shift()?.(isDurable)
+    await delay(1)
+  }
+
+  async timers (): Promise<string[]> {
+    return (await this.store.list(leaseTimerPrefix('s'))).unwrap().items.map(({ key }) => key)
+  }
+}
+
+describe('SilentWorkers', () => {
+  it('writes several workers with one timer, which lasts as long as their leases may', async () => {
+    const recorded = new Recorded()
+    void recorded.silent.note(['a', 'b'])
+    await recorded.settle()
+    expect(JSON.parse(recorded.record ?? '')).to.deep.equal({
+      fencingToken: TOKEN, workers: [{ instanceId: 'a', timer: '7-1' }, { instanceId: 'b', timer: '7-1' }]
+    })
+    expect(await recorded.timers()).to.deep.equal([leaseTimerKey('s', '7-1')])
+    await delay(LEFT_MS + 50)
+    expect(await recorded.timers()).to.deep.equal([])
+  })
+
+  it('does not write down a worker that was given a lease while its timer was made', async () => {
+    const recorded = new Recorded()
+    recorded.store.writeDelayMs = () => 60
+    const noted = recorded.silent.note(['a'])
+    await delay(30)
+    recorded.leftMs = LEFT_MS + 200
+    await noted
+    expect([recorded.record, recorded.silent.isNoted('a')]).to.deep.equal([undefined, false])
+  })
+
+  it('keeps a worker noted that was written down anew while its removal was under way', async () => {
+    const recorded = new Recorded()
+    const first = recorded.silent.note(['a'])
+    await recorded.settle()
+    await first
+    const removals = [recorded.silent.clear('a'), recorded.silent.clear('a')]
+    await recorded.settle()
+    expect(recorded.silent.isNoted('a')).to.equal(false)
+    void recorded.silent.note(['a'])
+    await delay(20)
+    await recorded.settle()
+    await Promise.all(removals)
+    expect(recorded.record).to.include('"7-2"')
+    expect(recorded.silent.isNoted('a')).to.equal(true)
+  })
+
+  it('keeps a worker noted whose removal will never be durable', async () => {
+    const recorded = new Recorded()
+    void recorded.silent.note(['a'])
+    await recorded.settle()
+    void recorded.silent.clear('a')
+    await recorded.settle(false)
+    expect(recorded.silent.isNoted('a')).to.equal(true)
+  })
+
+  it('asks a store that refuses timers twice a second at most', async () => {
+    const recorded = new Recorded()
+    recorded.store.refusesWrites = true
+    for (let round = 0; round < 100; round++) {
+      await recorded.silent.note(['a'])
+      await delay(10)
+    }
+    expect(recorded.log.lines.length).to.be.within(2, 4)
+  })
+
+  const writers = [
+    { name: 'by the holder that wrote last', formerToken: 5, isBelieved: true },
+    { name: 'before another holder wrote, which may not have looked at it', formerToken: 6, isBelieved: false }
+  ]
+  for (const { name, formerToken, isBelieved } of writers) {
+    it(`${isBelieved ? 'believes' : 'does not believe'} a record that was written ${name}`, async () => {
+      const recorded = new Recorded()
+      recorded.silent.restore(JSON.stringify({ fencingToken: 5, workers: [{ instanceId: 'a', timer: '5-1' }] }), formerToken)
+      await recorded.silent.followTimers(new AbortController().signal)
+      expect(recorded.silent.areFormerLeasesOver('a')).to.equal(isBelieved)
+      expect(recorded.silent.isNoted('a')).to.equal(isBelieved)
+      expect(recorded.record === undefined).to.equal(!isBelieved)
+      expect(recorded.timersOver).to.equal(isBelieved ? 1 : 0)
+    })
+  }
+
+  it('waits for a timer that runs, and for a store that does not tell', async () => {
+    const recorded = new Recorded()
+    const lease = (await recorded.store.grantLease(300)).unwrap()
+    await recorded.store.transact({ conditions: [], puts: [{ key: leaseTimerKey('s', '5-1'), value: '', leaseId: lease }], removals: [] })
+    recorded.silent.restore(JSON.stringify({ fencingToken: 5, workers: [{ instanceId: 'a', timer: '5-1' }] }), 5)
+    const followed = recorded.silent.followTimers(new AbortController().signal)
+    await delay(100)
+    recorded.store.isDown = true
+    await delay(500)
+    expect(recorded.silent.areFormerLeasesOver('a')).to.equal(false)
+    recorded.store.isDown = false
+    await followed
+    expect(recorded.silent.areFormerLeasesOver('a')).to.equal(true)
+  })
+})
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -13,7 +13,7 @@
 import { MonitoredStore } from '../lib/MonitoredStore.js'
 import { SchedulerMetrics } from '../lib/SchedulerMetrics.js'
 import { ServiceScheduler } from '../lib/ServiceScheduler.js'
-import { serviceDutyKey } from '../lib/storeKeys.js'
+import { leaseTimerPrefix, serviceDutyKey } from '../lib/storeKeys.js'
 
 /** The service under test. */
 export const SERVICE = 'checks'
@@ -31,6 +31,12 @@
   /** Share of transactions that take effect without an answer. */
   loseAnswers = (): boolean => false
   isDown = false
+  /** Writes are refused, as by a store whose rate is used up; reads are not. */
+  refusesWrites = false
+  /** How long a write takes to have its effect, and how long its answer takes then. */
+  writeDelayMs = (): number => 0
+  /** How long the answers take by which a timer for silent workers is made: its lease, and its key. */
+  timerAnswerMs = 0
 
   override async list (prefix: string): Promise<Result<{ items: readonly KeyValue[], revision: number }, PlatformError>> {
     for (const [start, delayMs] of this.listDelayMs) if (prefix.startsWith(start)) await delay(delayMs)
@@ -42,10 +48,26 @@
   }
 
   override async transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
-    if (this.isDown) return down()
+    if (this.isDown || this.refusesWrites) return down()
+    await this.#pause()
     const outcome = await super.transact(transaction)
+    await this.#pause()
+    if (transaction.puts.some(({ key }) => key.startsWith(leaseTimerPrefix(SERVICE)))) await delay(this.timerAnswerMs)
     return this.loseAnswers() ? Err({ kind: 'unknown-effect', detail: 'lost' }) : outcome
   }
+
+  override async grantLease (ttlMs: number): Promise<Result<string, PlatformError>> {
+    if (this.isDown || this.refusesWrites) return down()
+    const granted = await super.grantLease(ttlMs)
+    await this.#pause()
+    await delay(this.timerAnswerMs)
+    return granted
+  }
+
+  async #pause (): Promise<void> {
+    const delayMs = this.writeDelayMs()
+    if (delayMs > 0) await delay(delayMs)
+  }
 }
 
 const down = <T>(): Result<T, PlatformError> => Err({ kind: 'unavailable', detail: 'down' })
--- a/packages/scheduler/src/test/takeOvers.test.ts
+++ b/packages/scheduler/src/test/takeOvers.test.ts
@@ -1,17 +1,18 @@
 import { expect } from 'chai'
 import { delay, SeededRandom } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
+import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobProgress.js'
+import { jobSpecSchema } from '../lib/JobSpec.js'
+import { createJob } from '../lib/JobState.js'
 import { silentWorkersKey } from '../lib/storeKeys.js'
-import { SERVICE, TestService, type Tenure } from './TestService.js'
+import { SERVICE, testJobId, TestService, type Tenure } from './TestService.js'
 
-/** Of which a scheduler uses four fifths for its leases. */
-const MAX_LEASE_MS = 3000
+/** Leases of 6.5 s, as at the users' sites. */
+const MAX_LEASE_MS = 10_000
 /** Those leases on a clock that runs 2 % slow, 20 ms for a stop and 300 ms for late timers: the whole wait of one holder. */
-const WHOLE_WAIT_MS = 2400 / 0.98 + 20 + 300
-const LONG_LEASE_MS = 6000
-/** Until a new holder may be sure that a worker does not answer, and for rounds and commits. */
+const WHOLE_WAIT_MS = 6500 / 0.98 + 20 + 300
+/** Until a new holder may be sure that a worker does not answer, between two looks at a timer, and for rounds and commits. */
 const ALLOWANCE_MS = 1300
-const TENURE_MS = 1300
 const FLUSH_MS = 600
 
 interface Ending { readonly how: string, readonly end: (tenure: Tenure) => Promise<void> }
@@ -31,14 +32,16 @@
   let service: TestService
   afterEach(() => service.close())
 
-  /** Starts a lasting task and silences its worker for good. */
-  async function loseWorker (maxLeaseMs = MAX_LEASE_MS): Promise<{ readonly tenure: Tenure, readonly worker: StandInWorker, readonly lostMs: number }> {
-    service = new TestService(2)
-    service.maxLeaseMs = maxLeaseMs
+  /** Starts a lasting task, and silences its worker. */
+  async function loseWorker (otherTasks = 0): Promise<{ readonly tenure: Tenure, readonly worker: StandInWorker, readonly lostMs: number }> {
+    service = new TestService(1)
+    service.maxLeaseMs = MAX_LEASE_MS
     const tenure = await service.takeOver()
     await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
-    await service.until('it runs', () => service.runs.records.length === 1)
-    await delay(200)
+    if (otherTasks > 0) await service.submit(2, { runMs: 1500 }, [{ taskCount: otherTasks }])
+    await service.until('all run', () => service.runs.records.length === 1 + otherTasks)
+    service.addWorker(1, 1)
+    await delay(300)
     const instanceId = service.runs.records[0]?.instanceId ?? ''
     const worker = service.runs.workers.get(instanceId) as StandInWorker
     worker.faults.isSilent = true
@@ -46,30 +49,41 @@
     return { tenure, worker, lostMs: performance.now() }
   }
 
-  for (const { how, end } of endings) {
-    for (const takeOvers of [1, 6]) {
-      it(`does not lengthen the wait for a lost run: ${takeOvers} times the holder ${how}`, async () => {
-        const lost = await loseWorker()
-        let tenure = lost.tenure
-        const until = (): boolean => service.runs.records.length === 2
-        for (let number = 0; number < takeOvers && !until(); number++) {
-          await end(tenure)
-          tenure = await service.takeOver()
-          await delay(TENURE_MS)
-        }
-        await service.until('it runs again', until)
-        lost.worker.step()
-        expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
-        const again = service.runs.records.find(({ runNumber }) => runNumber === 2)
-        expect((again?.startedMs ?? Infinity) - lost.lostMs).to.be.below(WHOLE_WAIT_MS + ALLOWANCE_MS)
-      }).timeout(30_000)
+  /** Lets time pass for a worker that nobody calls. */
+  async function pass (worker: StandInWorker, forMs: number): Promise<void> {
+    const untilMs = performance.now() + forMs
+    while (performance.now() < untilMs) {
+      worker.step()
+      await delay(5)
     }
   }
 
+  const series = endings.flatMap((ending) => [
+    { ending, takeOvers: 1, tenureMs: 1300 }, { ending, takeOvers: 5, tenureMs: 1300 }, { ending, takeOvers: 6, tenureMs: 1000 }
+  ])
+  for (const { ending: { how, end }, takeOvers, tenureMs } of series) {
+    it(`does not lengthen the wait for a lost run: ${takeOvers} times the holder ${how}, each ${tenureMs} ms`, async () => {
+      const lost = await loseWorker()
+      let tenure = lost.tenure
+      const isBack = (): boolean => service.runs.records.length === 2
+      for (let number = 0; number < takeOvers; number++) {
+        await end(tenure)
+        tenure = await service.takeOver()
+        expect(isBack(), `back before take-over ${number + 1}`).to.equal(false)
+        await delay(tenureMs)
+      }
+      await service.until('it runs again', isBack)
+      lost.worker.step()
+      expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
+      const again = service.runs.records.find(({ runNumber }) => runNumber === 2)
+      expect((again?.startedMs ?? Infinity) - lost.lostMs).to.be.below(WHOLE_WAIT_MS + ALLOWANCE_MS)
+    }).timeout(30_000)
+  }
+
   it('does not take a run for lost whose worker answered in between', async () => {
-    const { tenure, worker } = await loseWorker(LONG_LEASE_MS)
+    const { tenure, worker } = await loseWorker()
     // A hold that was under way is still answered.
-    await delay(2 * TENURE_MS)
+    await delay(2600)
     await endings[0]?.end(tenure)
     expect((await service.store.get(silentWorkersKey(SERVICE))).unwrap()?.value).to.include(worker.instance.instanceId)
     const next = await service.takeOver()
@@ -77,7 +91,7 @@
     service.list(worker.instance)
     await service.until('it is taken out of the record', async () => (await service.store.get(silentWorkersKey(SERVICE))).unwrap() === undefined)
     // The timer of the first silence is over, and the lease is extended up to here.
-    await delay(LONG_LEASE_MS)
+    await delay(WHOLE_WAIT_MS)
     expect(worker.active.size).to.equal(1)
     worker.faults.isSilent = true
     next.scheduler.close()
@@ -87,6 +101,67 @@
     expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
   }).timeout(30_000)
 
+  it('waits for leases of a former holder, though the worker answered this one before it could give any', async () => {
+    const { tenure, worker } = await loseWorker()
+    await delay(2300)
+    await endings[0]?.end(tenure)
+    worker.faults.isSilent = false
+    service.list(worker.instance)
+    const before = service.log.lines.length
+    await service.takeOver()
+    service.store.refusesWrites = true
+    await service.until('it is met', () => service.log.lines.slice(before).some((line) => line.startsWith('worker met') && line.includes(worker.instance.instanceId)))
+    await delay(50)
+    worker.faults.isSilent = true
+    await delay(800)
+    service.store.refusesWrites = false
+    await pass(worker, 7000)
+    expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
+  }).timeout(30_000)
+
+  it('a worker with ends to acknowledge goes on being asked while it may not be given a lease', async () => {
+    // While it is silent a run ends there, which nobody has acknowledged.
+    const { tenure, worker } = await loseWorker(1)
+    await delay(2300)
+    await endings[0]?.end(tenure)
+    worker.faults.isSilent = false
+    service.list(worker.instance)
+    await service.takeOver()
+    service.store.refusesWrites = true
+    await pass(worker, 3000)
+    service.store.refusesWrites = false
+    await pass(worker, 4000)
+    expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
+    expect(worker.records.filter(({ taskKey, end }) => taskKey.startsWith('0000000000000001') && end !== undefined)).to.deep.equal([])
+  }).timeout(30_000)
+
+  it('does not count a lease by a timer that was made before it was given', async () => {
+    const { tenure, worker } = await loseWorker()
+    await delay(1200)
+    tenure.scheduler.close()
+    service.list(worker.instance)
+    service.store.timerAnswerMs = 800
+    const next = await service.takeOver()
+    await delay(1250)
+    worker.faults.isSilent = false
+    await delay(1420)
+    worker.faults.isSilent = true
+    await delay(50)
+    next.scheduler.close()
+    await service.takeOver()
+    await pass(worker, 9500)
+    expect(service.doubled, service.log.lines.join('\n')).to.deep.equal([])
+  }).timeout(30_000)
+
+  it('a stop that was written down is handed on by each holder', () => {
+    const spec = jobSpecSchema.parse({ jobId: testJobId(1), queue: 'q', command: '', submittedMs: 1, steps: [{ taskCount: 1, cpuMillis: 1, isLasting: true, maxAway: 0 }] })
+    const run = { runNumber: 1, instanceId: 'w', isStopping: true }
+    const first = { status: 'running' as const, tasks: [{ key: `${spec.jobId}.0.0.0`, lastRunNumber: 1, runs: [run] }] }
+    const second = createJob(spec)
+    restoreProgress(second, first, 0)
+    expect(decodeProgress(encodeProgress(second)).tasks[0]?.runs).to.deep.equal([run])
+  })
+
   it('neither doubles nor forgets lasting tasks, whichever workers fall silent meanwhile', async () => {
     const series = SEEDS.map((seed) => new Series(seed))
     service = new TestService(0)
@@ -99,12 +174,17 @@
   }).timeout(60_000)
 })
 
-const SEEDS = process.env.FUZZ_SEED === undefined ? [21, 22, 23, 24, 25, 26, 27, 28] : [Number(process.env.FUZZ_SEED)]
+const SEEDS = process.env.FUZZ_SEED === undefined ? [21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32] : [Number(process.env.FUZZ_SEED)]
 const WORKERS = 4
 const TASKS = 6
-const SERIES_MS = 16_000
+/** Leases of 4.8 s: several silences and take-overs come while one may be alive. */
+const SERIES_MAX_LEASE_MS = 6000
+const SERIES_MS = 20_000
 const MEAN_GAP_MS = 250
 const LOST_ANSWERS_SHARE = 0.3
+const SLOW_WRITE_MS = 450
+const ORDERS_PAUSE_MS = 1500
+const MOST_JOBS = 12
 
 /** One service under take-overs in quick succession, planned and not, while workers fall silent for a while and the store loses answers. */
 class Series {
@@ -115,29 +195,49 @@
 
   constructor (readonly seed: number) {
     this.#random = new SeededRandom(seed)
-    this.service.maxLeaseMs = LONG_LEASE_MS
+    this.service.maxLeaseMs = SERIES_MAX_LEASE_MS
   }
 
   async play (): Promise<void> {
     const { service } = this
     await service.takeOver()
     await service.submit(1, { runMs: 0 }, [{ isLasting: true, taskCount: TASKS }])
+    let jobs = 1
     const actions: Array<() => Promise<void> | void> = [
       () => this.#setSilent(this.#random.pick(this.#workers), true),
       () => this.#setSilent(this.#random.pick(this.#workers), false),
       () => this.#setSilent(this.#random.pick(this.#workers), false),
       () => this.#takeOver(),
+      () => this.#takeOver(),
       () => { service.store.loseAnswers = () => this.#random.next() < LOST_ANSWERS_SHARE },
-      () => { service.store.loseAnswers = () => false }
+      () => { service.store.writeDelayMs = () => this.#random.integer(SLOW_WRITE_MS) },
+      () => { service.store.refusesWrites = true },
+      () => this.#healStore(),
+      () => this.#healStore(),
+      () => this.#pauseOrders(),
+      () => { if (jobs < MOST_JOBS) void service.submit(++jobs, { runMs: 300 }, [{ taskCount: 3 }]) }
     ]
     const endMs = performance.now() + SERIES_MS
     while (performance.now() < endMs) {
       await this.#random.pick(actions)()
       await delay(this.#random.exponentialMs(MEAN_GAP_MS))
     }
-    service.store.loseAnswers = () => false
+    this.#healStore()
     for (const worker of this.#workers) this.#setSilent(worker, false)
-    await service.until(`all run again with seed ${this.seed}`, () => this.#workers.reduce((sum, { active }) => sum + active.size, 0) === TASKS)
+    const running = (): number => this.#workers.flatMap(({ active }) => [...active.keys()]).filter((key) => key.startsWith(testJobId(1))).length
+    await service.until(`all run again with seed ${this.seed}`, () => running() === TASKS)
+  }
+
+  #healStore (): void {
+    Object.assign(this.service.store, { refusesWrites: false, loseAnswers: () => false, writeDelayMs: () => 0 })
+  }
+
+  /** The holder's grant pauses, as when its renewals get no answers. */
+  #pauseOrders (): void {
+    const tenure = this.service.tenures.at(-1)
+    if (tenure === undefined) return
+    tenure.mayOrder = false
+    setTimeout(() => { tenure.mayOrder = true }, ORDERS_PAUSE_MS)
   }
 
   close (): void {
@@ -153,7 +253,10 @@
 
   async #takeOver (): Promise<void> {
     const tenure = this.service.tenures.at(-1)
-    if (tenure !== undefined) await this.#random.pick(endings).end(tenure)
+    // Some are not told, and go on until they find out.
+    const isTold = this.#random.next() < 0.8
+    if (tenure !== undefined && isTold) await this.#random.pick(endings).end(tenure)
+    if (tenure !== undefined) tenure.mayOrder = false
     await this.service.takeOver()
   }
 }
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -24,7 +24,7 @@
   readonly startedMs: number
   endedMs: number | undefined
   end: RunEnd | undefined
-  /** Of an end `done`: the scheduler was told, and it acknowledged. */
+  /** Of an end `done`: the scheduler was told, and acknowledged it before the worker's lease lapsed; only then it must not run again. */
   isAcknowledged: boolean
 }
 
@@ -65,6 +65,8 @@
   #fencingToken = 0
   #sequence = 0
   #ends: Array<EndReport & { readonly record: RunRecord }> = []
+  /** Ends that were listed when the lease lapsed: acknowledging them later tells nothing. */
+  readonly #lapsedEnds = new Set<EndReport>()
   #closed = new Map<string, number>()
   #leaseEndsAtMs = 0
   #isOver = false
@@ -98,6 +100,7 @@
   /** Ends what is over by now. */
   step (): void {
     const nowMs = this.clock.monotonicMs()
+    if (nowMs >= this.#leaseEndsAtMs) for (const end of this.#ends) this.#lapsedEnds.add(end)
     for (const run of [...this.active.values()]) {
       if (nowMs >= this.#leaseEndsAtMs) this.#end(run, 'lapsed', this.#leaseEndsAtMs)
       else if (nowMs >= run.endsAtMs) this.#end(run, this.faults.failsAll || isFailing(run.record) ? 'failed' : 'done')
@@ -151,7 +154,7 @@
     if (!this.#obeys(request.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
     if (this.holdDelayMs > 0) await delay(this.holdDelayMs)
     if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs)
-    for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence) end.record.isAcknowledged = true
+    for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence && !this.#lapsedEnds.has(end)) end.record.isAcknowledged = true
     this.#ends = this.#ends.filter(({ sequence }) => sequence > request.acknowledgedSequence)
     if (this.#ends.length === 0 && request.waitMs > 0) await this.#waitForEnd(Math.min(MAX_WAIT_MS, request.waitMs))
     this.step()
