A next holder of machines knows which worker a machine had that went down meanwhile

A machine that went down while that duty changed hands was never told, so that its runs waited for leases (7.3 s) instead of 0.3 to 0.6 s. Ruled out: believing 'down' together with a registration (a list may lag behind a new lifetime); one record for all (at 34,000 machines it is larger than a value may be). Change: SightingRecord, by pool: which worker each machine had when last listed, written with other records at most each 1.5 s and at a hand-over. A sighting says something true however old it is. OrderPauses: what is left is also written each 0.5 s while a pause runs, so that kills do not begin it anew; an order that is not over leaves 1.5 s more, in which it may still arrive; one that was not sent no longer counts as under way for the rest of the tenure.

--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -21,8 +21,9 @@
 import { DEMAND_PREFIX } from './serviceDemand.js'
 import { NEED_MEMORY_MS, ServiceNeeds } from './ServiceNeeds.js'
 import { MachineWatch, type GoneWorker } from './MachineWatch.js'
+import { SightingRecord } from './SightingRecord.js'
 import { untilAnswered } from './untilAnswered.js'
-import { chainKey, goneKey, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
+import { chainKey, goneKey, SIGHTINGS_PREFIX, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
 
 /** What it works with. @public */
 export interface MachineDutyOptions extends DutyGrant {
@@ -55,6 +56,8 @@
 const DEMAND_SPACING_MS = 30
 /** Added to the pause after a former holder's order. */
 const HOLDER_CHANGE_SLACK_MS = 500
+/** While a pause runs, what is left of it is written down this often. */
+const PAUSES_RENEWED_MS = 500
 /** An order that got no answer, or came at a bad moment, is repeated after this. */
 const REPEAT_MS = 1000
 /** Share of the platform's rate that is used for moves: upkeep and repeated orders need the rest. */
@@ -81,11 +84,13 @@
   readonly #needs = new ServiceNeeds()
   readonly #pauses: OrderPauses
   readonly #watch = new MachineWatch()
+  readonly #sightings = new SightingRecord()
   #commits!: CommitLog
   #machines = new Map<string, ListedMachine>()
   #listedMs = -Infinity
   #tookOverMs = 0
   #movesPlannedMs = -Infinity
+  #recordedMs = -Infinity
 
   /** @param options - what it works with */
   constructor (options: MachineDutyOptions) {
@@ -101,7 +106,7 @@
   async run (): Promise<void> {
     const { store, clock, log, dutyKey, fencingToken, onDeposed } = this.#options
     this.#tookOverMs = clock.monotonicMs()
-    const [commits, record] = await Promise.all([
+    const [commits, record, sightings] = await Promise.all([
       openCommitLog({
         store,
         clock,
@@ -114,11 +119,13 @@
         },
         onStoreError: (error, transactionNumber) => log.warn({ error, transactionNumber }, 'records of machines not written yet')
       }, this.#stop.signal),
-      untilAnswered(() => store.get(MACHINE_RECORD_KEY), this.#stop.signal)
+      untilAnswered(() => store.get(MACHINE_RECORD_KEY), this.#stop.signal),
+      untilAnswered(() => store.list(SIGHTINGS_PREFIX), this.#stop.signal)
     ])
     if (commits === undefined || this.#stop.signal.aborted) return
     this.#commits = commits
     if (record !== undefined) this.#restore(record.value)
+    if (sightings !== undefined) this.#watch.restore(this.#sightings.restore(sightings.items))
     await this.#releaseForgotten()
     await Promise.all([this.#commits.run(), this.#vacated.run(this.#stop.signal), this.#demandItems.run(this.#stop.signal), this.#rounds()])
   }
@@ -134,6 +141,7 @@
     if (this.#commits === undefined) return
     // With what is left of the pauses by now.
     this.#record()
+    if (this.#listedMs > -Infinity) this.#recordSightings(true)
     await this.#commits.flushWithin(timeoutMs)
   }
 
@@ -165,6 +173,7 @@
     while (!this.#stop.signal.aborted) {
       this.#meetWaves()
       await this.#list()
+      this.#renewPauses()
       if (this.#listedMs > -Infinity && this.#vacated.isListed && this.#demandItems.isListed) await this.#round()
       await delay(ROUND_MS, this.#stop.signal)
     }
@@ -195,6 +204,12 @@
     this.#machines = listedMachines
     this.#tellOfGone(this.#watch.note(listedMachines))
     this.#listedMs = askedMs
+    this.#recordSightings(false)
+  }
+
+  #recordSightings (isHandOver: boolean): void {
+    const changes = this.#sightings.changes(this.#machines.values(), this.#options.clock.monotonicMs(), isHandOver)
+    for (const { key, value } of changes) this.#commits.put(key, () => value, isHandOver)
   }
 
   /** A scheduler would wait until all leases of a worker that went silent are over; a machine that is down ends that wait. */
@@ -338,7 +353,7 @@
 
   async #send (task: MachineTask): Promise<void> {
     const { machines, hostName, fencingToken, log, mayOrder, clock } = this.#options
-    if (!mayOrder()) return
+    if (!mayOrder()) return this.#pauses.end(task.machineId, clock.monotonicMs())
     const order = { machineId: task.machineId, holder: hostName, fencingToken }
     const sent = await (task.kind === 'upkeep' ? machines.upkeep(order, task.wave) : machines.move(order, task.to))
     const outcome = sent.ok ? sent.val : sent.val.kind
@@ -363,7 +378,14 @@
     this.#commits.put(key, () => value, true)
   }
 
+  /** Also a next holder after a kill waits for not much more than what is left. */
+  #renewPauses (): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    if (nowMs > this.#recordedMs + PAUSES_RENEWED_MS && this.#pauses.left(nowMs).length > 0) this.#record()
+  }
+
   #record (): void {
+    this.#recordedMs = this.#options.clock.monotonicMs()
     const text = (): string => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()], this.#pauses.left(this.#options.clock.monotonicMs()))
     this.#commits.put(MACHINE_RECORD_KEY, text, true)
   }
--- a/packages/scheduler/src/lib/MachineWatch.ts
+++ b/packages/scheduler/src/lib/MachineWatch.ts
@@ -23,6 +23,11 @@
   /** Not in the last list, though in the one before: the pages of a list are no snapshot, so one list proves nothing. */
   #missing = new Map<string, ListedMachine>()
 
+  /** @param last - the machines as former holders last saw them */
+  restore (last: ReadonlyMap<string, ListedMachine>): void {
+    this.#last = last
+  }
+
   /** @param list - the present one @returns the workers that it shows to be gone, each once */
   note (list: ReadonlyMap<string, ListedMachine>): GoneWorker[] {
     const down = [...this.#last.values()].filter(({ machineId }) => list.get(machineId)?.state === 'down')
--- a/packages/scheduler/src/lib/OrderPauses.ts
+++ b/packages/scheduler/src/lib/OrderPauses.ts
@@ -7,6 +7,9 @@
  * @module
  */
 
+/** An order without an answer may be carried out this much later; it is given up after 1.5 s. */
+const LATE_ORDER_MS = 1500
+
 /** A machine that a next holder must not order yet. @public */
 export interface OrderPause {
   readonly machineId: string
@@ -29,7 +32,7 @@
 
   /** @param pauses - as a former holder wrote them @param nowMs - monotonic, not before the take-over */
   restore (pauses: readonly OrderPause[], nowMs: number): void {
-    for (const { machineId, leftMs } of pauses) this.#formerUntil.set(machineId, nowMs + Math.min(leftMs, this.#pauseMs()))
+    for (const { machineId, leftMs } of pauses) this.#formerUntil.set(machineId, nowMs + Math.min(leftMs, this.#pauseMs() + LATE_ORDER_MS))
   }
 
   /** An order is about to be written down and sent: until it is over, all of the pause is left. @param machineId - whose */
@@ -54,7 +57,7 @@
     for (const [machineId, orderedMs] of this.#ordered) if (orderedMs + pauseMs <= nowMs) this.#ordered.delete(machineId)
     return [...new Set([...this.#formerUntil.keys(), ...this.#ordered.keys()])].map((machineId) => {
       const untilMs = Math.max(this.#formerUntil.get(machineId) ?? -Infinity, (this.#ordered.get(machineId) ?? -Infinity) + pauseMs)
-      return { machineId, leftMs: Math.min(pauseMs, Math.ceil(untilMs - nowMs)) }
+      return { machineId, leftMs: Math.min(pauseMs + LATE_ORDER_MS, Math.ceil(untilMs - nowMs)) }
     })
   }
 }
--- a/packages/scheduler/src/lib/storeKeys.ts
+++ b/packages/scheduler/src/lib/storeKeys.ts
@@ -35,6 +35,10 @@
 export const VACATED_PREFIX = 'vacated/'
 /** That a machine is empty. @public */
 export const vacatedKey = (machineId: string): string => `${VACATED_PREFIX}${machineId}`
+/** Below which it is kept which worker each machine had when last listed, by pool. @public */
+export const SIGHTINGS_PREFIX = 'sightings/'
+/** Which worker each machine of a pool had when last listed; written by the holder of machine upkeep. @public */
+export const sightingsKey = (pool: string): string => `${SIGHTINGS_PREFIX}${pool}`
 /** Who holds which duty. @public */
 export const DUTY_PREFIX = 'duty/'
 /** The duty of scheduling a service. @public */
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -2,7 +2,7 @@
 import { delay, Ok, systemClock, type Result } from '@quillscale/utils'
 import type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
 import { MachineDuty } from '../lib/MachineDuty.js'
-import { MACHINE_DUTY_KEY, vacateKey } from '../lib/storeKeys.js'
+import { goneKey, MACHINE_DUTY_KEY, sightingsKey, vacateKey } from '../lib/storeKeys.js'
 import { SERVICE, TestService } from './TestService.js'
 
 const DOWN_MS = 60
@@ -27,6 +27,13 @@
     }
   }
 
+  /** The machine loses power. */
+  fail (machineId: string): void {
+    const machine = this.#machines.get(machineId)
+    this.service.runs.workers.get(machine?.instanceId ?? '')?.crash()
+    this.#set(machineId, machine?.pool ?? '', 'down', '')
+  }
+
   poolOf (machineId: string): string | undefined {
     return this.#machines.get(machineId)?.pool
   }
@@ -174,6 +181,21 @@
     expect((next?.atMs ?? 0) - (former?.atMs ?? 0)).to.be.above(holderChangeMs)
   }).timeout(20_000)
 
+  for (const { how, flushMs } of [{ how: 'stopped as planned', flushMs: 500 }, { how: 'killed', flushMs: 0 }]) {
+    it(`a next holder tells of a machine that went down while the duty changed hands; the former one was ${how}`, async () => {
+      service = new TestService(2)
+      const machines = new StandInMachines(service, 2, 0)
+      const first = await take(machines, [], 'first')
+      await service.until('its sightings are written', async () => (await service.store.get(sightingsKey(SERVICE))).unwrap()?.value.includes('w0-1') === true)
+      if (flushMs > 0) await first.flush(flushMs)
+      first.close()
+      machines.fail('m0')
+      await take(machines, [], 'second')
+      await service.until('it is told', async () => (await service.store.get(goneKey(SERVICE, 'w0-1'))).unwrap()?.value === 'm0', 3000)
+      expect((await service.store.get(goneKey(SERVICE, 'w1-1'))).unwrap()).to.equal(undefined)
+    })
+  }
+
   for (const { takeOvers, tenureMs } of [{ takeOvers: 2, tenureMs: 300 }, { takeOvers: 8, tenureMs: 600 }]) {
     it(`the pause after a former holder's order neither ends early nor begins anew: ${takeOvers} take-overs, ${tenureMs} ms apart`, async () => {
       service = new TestService(1)
--- /dev/null
+++ b/packages/scheduler/src/test/SightingRecord.test.ts
@@ -0,0 +1,32 @@
+import { expect } from 'chai'
+import type { ListedMachine, MachineState } from '@quillscale/ports'
+import { SightingRecord } from '../lib/SightingRecord.js'
+import { sightingsKey } from '../lib/storeKeys.js'
+
+const machine = (machineId: string, pool: string, instanceId: string, state: MachineState = 'up'): ListedMachine =>
+  ({ machineId, pool, state, availabilityZone: 'z', instanceId })
+const LIST = [machine('m2', 'a', 'i-2'), machine('m1', 'a', 'i-1'), machine('m3', 'b', 'i-3')]
+const A = { key: sightingsKey('a'), value: '{"m1":"i-1","m2":"i-2"}' }
+const B = { key: sightingsKey('b'), value: '{"m3":"i-3"}' }
+
+describe('SightingRecord', () => {
+  const cases = [
+    { name: 'all pools at first', list: LIST, atMs: 0, expected: [A, B] },
+    { name: 'nothing so soon', list: [machine('m1', 'a', 'i-9')], atMs: 1000, expected: [] },
+    { name: 'nothing where nothing changed', list: [...LIST].reverse(), atMs: 2000, expected: [] },
+    { name: 'a pool with another worker', list: [...LIST, machine('m4', 'b', 'i-4')], atMs: 4000, expected: [{ key: B.key, value: '{"m3":"i-3","m4":"i-4"}' }] },
+    { name: 'no machine that is not up, and no pool without any', list: [LIST[0] as ListedMachine, LIST[1] as ListedMachine, machine('m3', 'b', 'i-3', 'down')], atMs: 6000, expected: [{ key: B.key, value: undefined }] }
+  ]
+  it('is written as machines change, by pool', () => {
+    const record = new SightingRecord()
+    for (const { name, list, atMs, expected } of cases) expect(record.changes(list, atMs), name).to.deep.equal(expected)
+    expect(record.changes(LIST, 6100, true), 'at a hand-over at once').to.deep.equal([B])
+  })
+
+  it('is taken over, and not written again as it was', () => {
+    const record = new SightingRecord()
+    const restored = record.restore([A, B].map((item) => ({ ...item, modRevision: 1 })))
+    expect([...restored.values()].map(({ machineId, pool, instanceId }) => `${machineId} ${pool} ${instanceId}`)).to.deep.equal(['m1 a i-1', 'm2 a i-2', 'm3 b i-3'])
+    expect(record.changes(LIST, 0)).to.deep.equal([])
+  })
+})
