--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/MachineDuty.ts
@@ -146,8 +146,8 @@
   }
 
   #restore (text: string): void {
-    const { tasks, waves, pauses } = decodeMachineRecord(text)
-    this.#pauses.restore(pauses, this.#options.clock.monotonicMs())
+    const { tasks, waves, pauses, allPausedMs } = decodeMachineRecord(text)
+    this.#pauses.restore(pauses, allPausedMs, this.#options.clock.monotonicMs())
     for (const wave of waves) this.#waves.set(wave.wave, wave)
     for (const task of tasks) {
       this.#tasks.set(task.machineId, { ...task, sinceMs: this.#tookOverMs, orderedMs: this.#tookOverMs })
@@ -381,12 +381,17 @@
   /** Also a next holder after a kill waits for not much more than what is left. */
   #renewPauses (): void {
     const nowMs = this.#options.clock.monotonicMs()
-    if (nowMs > this.#recordedMs + PAUSES_RENEWED_MS && this.#pauses.left(nowMs).length > 0) this.#record()
+    if (nowMs > this.#recordedMs + PAUSES_RENEWED_MS && (this.#pauses.left(nowMs).length > 0 || this.#pauses.allLeftMs(nowMs) > 0)) this.#record()
   }
 
   #record (): void {
     this.#recordedMs = this.#options.clock.monotonicMs()
-    const text = (): string => encodeMachineRecord([...this.#tasks.values()], [...this.#waves.values()], this.#pauses.left(this.#options.clock.monotonicMs()))
+    const text = (): string => {
+      const nowMs = this.#options.clock.monotonicMs()
+      return encodeMachineRecord({
+        tasks: [...this.#tasks.values()], waves: [...this.#waves.values()], pauses: this.#pauses.left(nowMs), allPausedMs: this.#pauses.allLeftMs(nowMs)
+      })
+    }
     this.#commits.put(MACHINE_RECORD_KEY, text, true)
   }
 }
--- a/packages/scheduler/src/lib/OrderPauses.ts
+++ b/packages/scheduler/src/lib/OrderPauses.ts
@@ -25,13 +25,17 @@
   /** Until when a former holder's order counts, monotonic. */
   readonly #formerUntil = new Map<string, number>()
 
+  /** Until when any machine may have a former holder's order, monotonic. */
+  #allUntilMs = -Infinity
+
   /** @param pauseMs - how long no other holder may order a machine after an order */
   constructor (pauseMs: () => number) {
     this.#pauseMs = pauseMs
   }
 
-  /** @param pauses - as a former holder wrote them @param nowMs - monotonic, not before the take-over */
-  restore (pauses: readonly OrderPause[], nowMs: number): void {
+  /** @param pauses - as a former holder wrote them @param allLeftMs - what is left for any machine @param nowMs - monotonic, not before the take-over */
+  restore (pauses: readonly OrderPause[], allLeftMs: number, nowMs: number): void {
+    this.#allUntilMs = nowMs + Math.min(allLeftMs, this.#pauseMs() + LATE_ORDER_MS)
     for (const { machineId, leftMs } of pauses) this.#formerUntil.set(machineId, nowMs + Math.min(leftMs, this.#pauseMs() + LATE_ORDER_MS))
   }
 
@@ -47,7 +51,12 @@
 
   /** @param machineId - any @param nowMs - monotonic @returns whether a former holder's order is too recent for one of this holder */
   isPaused (machineId: string, nowMs: number): boolean {
-    return nowMs < (this.#formerUntil.get(machineId) ?? -Infinity)
+    return nowMs < Math.max(this.#allUntilMs, this.#formerUntil.get(machineId) ?? -Infinity)
+  }
+
+  /** @param nowMs - monotonic @returns for how long any machine may have a former holder's order that nobody wrote down */
+  allLeftMs (nowMs: number): number {
+    return Math.max(0, Math.ceil(this.#allUntilMs - nowMs))
   }
 
   /** @param nowMs - monotonic @returns what a next holder must wait for, each machine once; what is over is forgotten */
--- a/packages/scheduler/src/lib/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/ServiceScheduler.ts
@@ -120,6 +120,7 @@
       put,
       minTtlMs: () => this.#options.bounds().minTtlMs,
       flushed: () => this.#commits.flushed(),
+      longestLeaseMs: () => this.#workers.longestLeaseMs(this.#options.clock.monotonicMs()),
       leasesLeftMs: (instanceId, nowMs) => this.#workers.leasesLeftMs(instanceId, nowMs),
       isKnown: (instanceId) => !this.#inbox.isListed || this.#workers.isKnown(instanceId),
       onTimerOver: () => this.#wake()
@@ -198,8 +199,9 @@
   /** Writes what is known, for a planned hand-over. @param timeoutMs - how long at most */
   async flush (timeoutMs: number): Promise<void> {
     if (this.#commits === undefined) return
-    await Promise.race([this.#workers.noteSilent(this.#options.clock.monotonicMs()), delay(timeoutMs)])
-    await this.#commits.flushWithin(timeoutMs)
+    const beganMs = this.#options.clock.monotonicMs()
+    await Promise.race([this.#workers.noteSilent(beganMs), delay(timeoutMs)])
+    await this.#commits.flushWithin(timeoutMs - (this.#options.clock.monotonicMs() - beganMs))
   }
 
   /** Reads what earlier holders recorded. @returns whether that came to an end */
@@ -225,7 +227,7 @@
     if (commits === undefined || progress === undefined || silent === undefined) return false
     for (const item of progress.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
     this.#commits = commits
-    if (silent.text !== undefined) this.#silentWorkers.restore(silent.text, commits.formerDutyRevision)
+    this.#silentWorkers.restore(silent.text, commits.formerDutyRevision)
     return true
   }
 
--- a/packages/scheduler/src/lib/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/SilentWorkers.ts
@@ -22,10 +22,14 @@
 const recordSchema = z.object({
   /** The holder that wrote it. Where another one has written anything since, it may have extended leases without looking here. */
   fencingToken: z.number(),
+  /** The longest lease that holders may have given until then. */
+  leaseMs: z.number(),
   /** Each with the name of its timer. */
   workers: z.array(z.object({ instanceId: z.string(), timer: z.string() }))
 })
 
+type SilenceRecord = z.infer<typeof recordSchema>
+
 /** What the record works with. @public */
 export interface SilentWorkersOptions {
   readonly service: string
@@ -35,6 +39,8 @@
   readonly log: EventLog
   /** The shortest lease that the store grants. */
   readonly minTtlMs: () => number
+  /** The longest lease that any holder may have given, this one among them. */
+  readonly longestLeaseMs: () => number
   /** After how long all leases of a worker are surely over, as far as is known at that time, monotonic. */
   readonly leasesLeftMs: (instanceId: string, nowMs: number) => number
   /** Writes under the duty. */
@@ -49,8 +55,8 @@
 
 /** How often the timers of former holders are looked at, while any runs; the wait for leases takes some seconds. */
 const LOOK_MS = 400
-/** A store that refused a timer is left alone so long: the round after next would ask again otherwise. */
-const REFUSED_PAUSE_MS = 500
+/** After a timer that came to nothing: rounds come every few ms, and a store that refuses is left alone so long. */
+const NEXT_TIMER_MS = 500
 
 /** The record. @public */
 export class SilentWorkers {
@@ -63,6 +69,7 @@
   readonly #inherited = new Set<string>()
   /** Timers of former holders that are over. */
   readonly #overTimers = new Set<string>()
+  #formerLeaseMs: number | undefined
   #timersMade = 0
   #notBeforeMs = -Infinity
   #noting: Promise<void> | undefined
@@ -78,17 +85,28 @@
    * @param text - the record
    * @param formerToken - of the holder that wrote anything last
    */
-  restore (text: string, formerToken: number | undefined): void {
-    const record = recordSchema.parse(JSON.parse(text))
-    const isBelieved = record.fencingToken === formerToken
-    for (const { instanceId, timer } of isBelieved ? record.workers : []) {
+  restore (text: string | undefined, formerToken: number | undefined): void {
+    const record = text === undefined ? undefined : recordSchema.parse(JSON.parse(text))
+    if (record !== undefined && record.fencingToken === formerToken) this.#believe(record)
+    const { service, log } = this.#options
+    const isBelieved = this.#formerLeaseMs !== undefined
+    const workers = record?.workers ?? []
+    if (workers.length > 0) log.info({ service, isBelieved, formerToken, workers: workers.slice(0, WORKERS_IN_LINE), count: workers.length }, 'silent workers taken over')
+    this.#put(false)
+  }
+
+  #believe ({ leaseMs, workers }: SilenceRecord): void {
+    this.#formerLeaseMs = leaseMs
+    for (const { instanceId, timer } of workers) {
       this.#timers.set(instanceId, timer)
       this.#noted.add(instanceId)
       this.#inherited.add(instanceId)
     }
-    const { service, log } = this.#options
-    log.info({ service, isBelieved, formerToken, workers: record.workers.slice(0, WORKERS_IN_LINE), count: record.workers.length }, 'silent workers taken over')
-    this.#put()
+  }
+
+  /** The longest lease that former holders may have given, `undefined` if nobody wrote that down. */
+  get formerLeaseMs (): number | undefined {
+    return this.#formerLeaseMs
   }
 
   /** Looks at the timers of former holders until all are over. @param signal - ends that */
@@ -141,7 +159,7 @@
    */
   async clear (instanceId: string): Promise<void> {
     if (!this.#noted.has(instanceId)) return
-    if (this.#timers.delete(instanceId)) this.#put()
+    if (this.#timers.delete(instanceId)) this.#put(true)
     const isDurable = await this.#options.flushed()
     // It may have been written down anew meanwhile.
     if (!isDurable || this.#timers.has(instanceId)) return
@@ -160,18 +178,17 @@
     const ttlMs = this.#ttlMs(found, askedMs)
     const timer = await this.#startTimer(ttlMs)
     const nowMs = clock.monotonicMs()
-    if (timer === undefined) {
-      this.#notBeforeMs = nowMs + REFUSED_PAUSE_MS
-      return
-    }
+    this.#notBeforeMs = nowMs + NEXT_TIMER_MS
+    if (timer === undefined) return
     // One that answered meanwhile may have been given a longer lease than the timer covers.
     const covered = found.filter((instanceId) => !this.#noted.has(instanceId) && nowMs + leasesLeftMs(instanceId, nowMs) <= askedMs + ttlMs)
     if (covered.length === 0) return
+    this.#notBeforeMs = nowMs
     for (const instanceId of covered) {
       this.#timers.set(instanceId, timer)
       this.#noted.add(instanceId)
     }
-    this.#put()
+    this.#put(true)
     log.info({ service, instanceIds: covered.slice(0, WORKERS_IN_LINE), count: covered.length, leasesLeftMs: Math.round(ttlMs) }, 'silent workers written down')
     await this.#options.flushed()
   }
@@ -197,12 +214,13 @@
     return undefined
   }
 
-  #put (): void {
-    const { service, fencingToken, put, isKnown } = this.#options
+  #put (isUrgent: boolean): void {
+    const { service, fencingToken, put, isKnown, longestLeaseMs } = this.#options
     put(silentWorkersKey(service), () => {
       const workers = [...this.#timers].filter(([instanceId]) => isKnown(instanceId)).map(([instanceId, timer]) => ({ instanceId, timer }))
-      return workers.length === 0 ? undefined : JSON.stringify({ fencingToken, workers })
-    }, true)
+      const record: SilenceRecord = { fencingToken, leaseMs: longestLeaseMs(), workers }
+      return JSON.stringify(record)
+    }, isUrgent)
   }
 }
 
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/WorkerLink.ts
@@ -53,6 +53,8 @@
 export class WorkerLink {
   readonly clock = new WorkerClock()
   readonly health = new WorkerHealth()
+  /** Monotonic; since when it is asked. */
+  readonly metMs: number
   /** Runs placed there that are not known to be over. */
   readonly runs = new Map<string, Run>()
   /** As last registered. */
@@ -73,6 +75,7 @@
   constructor (instance: WorkerInstance, options: WorkerLinkOptions) {
     this.instance = instance
     this.#options = options
+    this.metMs = options.clock.monotonicMs()
     // Orders under way wait for its end, many at a time.
     setMaxListeners(0, this.#stop.signal)
   }
@@ -107,13 +110,20 @@
   async run (): Promise<void> {
     let failures = 0
     while (!this.#stop.signal.aborted) {
-      const isAnswered = await this.#hold(failures === 0 && this.hasAnswered ? this.#options.holdWaitMs() : 0)
+      const mayWait = failures === 0 && this.hasAnswered && !this.isNotedSilent
+      const isAnswered = await this.#hold(mayWait ? this.#options.holdWaitMs() : 0)
+      if (isAnswered && this.isNotedSilent) await this.#untilCleared()
       failures = isAnswered ? 0 : failures + 1
-      if (this.#clearing !== undefined) await Promise.race([this.#clearing, delay(EXTEND_WHILE_WAITING_MS, this.#stop.signal)])
       if (failures > 0) await delay(Math.min(RETRY_MAX_MS, RETRY_FIRST_MS * 2 ** (failures - 1)), this.#stop.signal)
     }
   }
 
+  /** Until its leases may be extended, but asks again meanwhile. */
+  async #untilCleared (): Promise<void> {
+    await Promise.race([this.#clearing, delay(EXTEND_WHILE_WAITING_MS, this.#stop.signal)])
+    if (this.isNotedSilent) await delay(RETRY_FIRST_MS, this.#stop.signal)
+  }
+
   async #hold (waitMs: number): Promise<boolean> {
     const { orders, clock, fencingToken } = this.#options
     const askedMs = clock.monotonicMs()
@@ -144,7 +154,8 @@
       if (isDurable === true) this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence)
       if (isDurable !== undefined || this.#stop.signal.aborted) return
       const { orders, clock, fencingToken } = this.#options
-      const leaseEndsAtMs = this.#extend(clock.monotonicMs())
+      const nowMs = clock.monotonicMs()
+      const leaseEndsAtMs = this.isAnswering(nowMs) ? this.#extend(nowMs) : undefined
       const held = await orders.hold(this.instance, { fencingToken, acknowledgedSequence: this.#acknowledgedSequence, leaseEndsAtMs, waitMs: 0 })
       if (held.ok) this.#noteAnswer(held.val.clockMs)
     }
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/WorkerSet.ts
@@ -45,7 +45,7 @@
 const LEASE_END_SLACK_MS = 300
 /** A worker that lives answers a new holder well within this: a few ms, some 250 where a host is loaded. Runs on the others wait. */
 const FIRST_ANSWERS_MS = 600
-/** Added to the wait of a hold: after so much more its answer is late. */
+/** An answer that takes so much longer than a hold waits is late. */
 const LATE_ANSWER_MS = 200
 /** Runs named in a line of the log at most. */
 const RUNS_IN_LINE = 20
@@ -64,6 +64,8 @@
   readonly #tookOverMs: number
   #listedIds: ReadonlySet<string> = new Set()
   #hasToldOfWaits = false
+  /** Monotonic; when it was first known who is registered. */
+  #firstListedMs = Infinity
 
   /** @param options - what it works with; leases that a former holder gave are counted from now */
   constructor (options: WorkerSetOptions) {
@@ -109,6 +111,7 @@
   /** @param listed - the service's workers as registered now */
   follow (listed: readonly WorkerInstance[]): void {
     for (const instance of listed) this.#meet(instance)
+    if (this.#firstListedMs === Infinity) this.#firstListedMs = this.#options.clock.monotonicMs()
     const ids = new Set(listed.map(({ instanceId }) => instanceId))
     this.#listedIds = ids
     const liveMachines = new Map(listed.map(({ machineId, instanceId }) => [machineId, instanceId]))
@@ -151,7 +154,7 @@
   /** Writes down for a next holder which workers do not answer; for a planned hand-over. @param nowMs - monotonic */
   async noteSilent (nowMs: number): Promise<void> {
     await this.#options.silentWorkers.idle()
-    await this.#options.silentWorkers.note(this.#silent(HOLD_WAIT_MS + LATE_ANSWER_MS, 0, nowMs))
+    await this.#options.silentWorkers.note(this.#silent(HOLD_WAIT_MS + LATE_ANSWER_MS, LATE_ANSWER_MS, nowMs))
   }
 
   /** @param instanceId - any @returns whether runs may be there that this holder knows of */
@@ -168,19 +171,31 @@
   leasesLeftMs (instanceId: string, nowMs: number): number {
     const slackMs = this.#options.bounds().stopMs + LEASE_END_SLACK_MS
     const ownMs = this.#links.get(instanceId)?.clock.leasesLeftMs(nowMs, slackMs) ?? 0
-    const formerEndMs = this.#tookOverMs + this.#leaseMs() / (1 - CLOCK_DRIFT_SHARE) + slackMs
-    const formerMs = this.#options.silentWorkers.areFormerLeasesOver(instanceId) ? 0 : formerEndMs - nowMs
+    const formerMs = this.#options.silentWorkers.areFormerLeasesOver(instanceId) ? 0 : this.#formerLeasesEndMs() - nowMs
     return Math.max(0, ownMs, formerMs)
   }
 
-  /** Workers with runs that have not answered for so long, or not since the take-over if that is so long ago. */
-  #silent (answeredAgoMs: number, tookOverAgoMs: number, nowMs: number): string[] {
-    const isUnmetLong = nowMs - this.#tookOverMs >= tookOverAgoMs
+  /** @param nowMs - monotonic @returns the longest lease that may be alive now, whoever gave it; settings may have changed meanwhile */
+  longestLeaseMs (nowMs: number): number {
+    return Math.max(this.#leaseMs(), nowMs < this.#formerLeasesEndMs() ? this.#formerLeaseMs() : 0)
+  }
+
+  #formerLeaseMs (): number {
+    return Math.max(this.#leaseMs(), this.#options.silentWorkers.formerLeaseMs ?? LEASE_MS)
+  }
+
+  #formerLeasesEndMs (): number {
+    return this.#tookOverMs + this.#formerLeaseMs() / (1 - CLOCK_DRIFT_SHARE) + this.#options.bounds().stopMs + LEASE_END_SLACK_MS
+  }
+
+  /** Workers with runs that have not answered for so long, or were asked for so long and never did. */
+  #silent (answeredAgoMs: number, askedAgoMs: number, nowMs: number): string[] {
     const late = this.links.filter((link) => {
       const silentMs = link.silentForMs(nowMs)
-      return link.runs.size > 0 && (silentMs === undefined ? isUnmetLong : silentMs >= answeredAgoMs)
+      return link.runs.size > 0 && (silentMs === undefined ? nowMs - link.metMs >= askedAgoMs : silentMs >= answeredAgoMs)
     })
-    const unmet = isUnmetLong ? [...this.#orphans] : []
+    // Those that are not registered cannot be asked; before the first list all seem to be so.
+    const unmet = nowMs - this.#firstListedMs >= askedAgoMs ? [...this.#orphans] : []
     const instanceIds = new Set([...late.map(({ instance }) => instance.instanceId), ...unmet.map((run) => run.instanceId)])
     return [...instanceIds].filter((instanceId) => this.leasesLeftMs(instanceId, nowMs) > 0)
   }
--- a/packages/scheduler/src/lib/machineRecord.ts
+++ b/packages/scheduler/src/lib/machineRecord.ts
@@ -35,8 +35,10 @@
   waves: z.array(waveSchema),
   /** Machines that holders ordered lately, whatever became of it; hosts of the version before read no more than these names. */
   ordered: z.array(z.string()).default([]),
-  /** For how long each of them must not be ordered by another holder; without an entry, for the whole pause. */
-  pausesMs: z.record(z.string(), z.number()).default({})
+  /** For how long each of them must not be ordered by another holder. Without it a host of the version before wrote: it forgets former holders' orders. */
+  pausesMs: z.record(z.string(), z.number()).optional(),
+  /** The same for any machine, where such a host held the duty lately. */
+  allPausedMs: z.number().default(0)
 })
 
 /** Something under way with a machine. @public */
@@ -49,23 +51,26 @@
 /** How far a wave is. @public */
 export type WaveProgress = z.infer<typeof waveSchema>
 
-/** @param tasks - under way @param waves - all @param pauses - of machines that were ordered lately @returns the record @public */
-export function encodeMachineRecord (tasks: readonly MachineTask[], waves: readonly WaveProgress[], pauses: readonly OrderPause[]): string {
-  const kept = tasks.map(({ machineId, kind, wave, from, to, state, request }) => ({ machineId, kind, wave, from, to, state, request }))
-  const ordered = pauses.map(({ machineId }) => machineId)
-  const pausesMs = Object.fromEntries(pauses.map(({ machineId, leftMs }) => [machineId, leftMs]))
-  return JSON.stringify({ tasks: kept, waves, ordered, pausesMs })
-}
-
 /** What is kept. @public */
 export interface MachineRecord {
   readonly tasks: ReadonlyArray<z.infer<typeof taskSchema>>
   readonly waves: readonly WaveProgress[]
   readonly pauses: readonly OrderPause[]
+  /** For how long no machine at all must be ordered. */
+  readonly allPausedMs: number
+}
+
+/** @param record - what is kept @returns the record @public */
+export function encodeMachineRecord ({ tasks, waves, pauses, allPausedMs }: MachineRecord): string {
+  const kept = tasks.map(({ machineId, kind, wave, from, to, state, request }) => ({ machineId, kind, wave, from, to, state, request }))
+  const ordered = pauses.map(({ machineId }) => machineId)
+  const pausesMs = Object.fromEntries(pauses.map(({ machineId, leftMs }) => [machineId, leftMs]))
+  return JSON.stringify({ tasks: kept, waves, ordered, pausesMs, allPausedMs })
 }
 
 /** @param text - as kept @returns what it holds @public */
 export function decodeMachineRecord (text: string): MachineRecord {
-  const { tasks, waves, ordered, pausesMs } = recordSchema.parse(JSON.parse(text))
-  return { tasks, waves, pauses: ordered.map((machineId) => ({ machineId, leftMs: pausesMs[machineId] ?? Infinity })) }
+  const { tasks, waves, pausesMs, allPausedMs } = recordSchema.parse(JSON.parse(text))
+  const pauses = Object.entries(pausesMs ?? {}).map(([machineId, leftMs]) => ({ machineId, leftMs }))
+  return { tasks, waves, pauses, allPausedMs: pausesMs === undefined ? Infinity : allPausedMs }
 }
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -2,6 +2,7 @@
 import { delay, Ok, systemClock, type Result } from '@quillscale/utils'
 import type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
 import { MachineDuty } from '../lib/MachineDuty.js'
+import { MACHINE_RECORD_KEY } from '../lib/machineRecord.js'
 import { goneKey, MACHINE_DUTY_KEY, sightingsKey, vacateKey } from '../lib/storeKeys.js'
 import { SERVICE, TestService } from './TestService.js'
 
@@ -222,6 +223,28 @@
     }).timeout(20_000)
   }
 
+  it('a next holder orders nothing so soon where a host of the version before wrote in between, which forgets what others ordered', async () => {
+    service = new TestService(1)
+    holderChangeMs = 2000
+    const machines = new StandInMachines(service, 1, 1)
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ taskCount: 4, isLasting: true }])
+    const first = await take(machines, [], 'first')
+    await service.until('a machine came', () => machines.poolOf('m1') === SERVICE)
+    await service.until('its move is over', () => service.log.lines.some((line) => line.startsWith('machine released') && line.includes('m1')))
+    await first.flush(500)
+    first.close()
+    service.write(MACHINE_RECORD_KEY, JSON.stringify({ tasks: [], waves: [], ordered: [] }))
+    const second = await take(machines, [], 'second')
+    await delay(600)
+    await second.flush(500)
+    second.close()
+    await take(machines, [{ wave: 1, machineIds: ['m1'], deadlineMs: 20_000, maxAtOnce: 1 }], 'third')
+    await service.until('the wave is done', () => statuses.includes('1 done'))
+    const [former, next] = machines.orders.filter(({ machineId }) => machineId === 'm1')
+    expect((next?.atMs ?? 0) - (former?.atMs ?? 0)).to.be.above(holderChangeMs)
+  }).timeout(20_000)
+
   it('withdraws requests to empty a machine that a former holder left without a record', async () => {
     service = new TestService(1)
     service.write(vacateKey(SERVICE, 'm0'), 'move 1.1')
