A bundle of lost calls is one piece of evidence that the store is silent

MonitoredStore called the store silent after any two failures and 0.8 s without an answer. When open connections go silent while new ones work, all calls that were under way are lost at the same moment: 32 reads or 32 writes at once on the landed code made it say silent (for about 20 ms each, until the next answer), and a host that says so refuses callers and is not ready, although the store is well. Ruled out: more failures (a bundle has any number of them); a longer time (a store that is really silent would cost callers that much more); not counting lost answers at all (a store that accepts and says nothing would never be seen). Any answer clears the count, as before. The time without an answer stays at 0.8 s. What it costs: a store that is silent for writes only, with no read, watch or renewal under way, is known after two writes one after the other (1.8 s) instead of after two at once (0.9 s); each host has watches and renewals under way all the time.

--- a/packages/scheduler/src/lib/MonitoredStore.ts
+++ b/packages/scheduler/src/lib/MonitoredStore.ts
@@ -6,7 +6,11 @@
 import type { Clock, Result } from '@quillscale/utils'
 import type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from '@quillscale/ports'
 
-/** So many calls in a row must have failed, and no answer have come for so long; watches answer at least each second. */
+/**
+ * So many failures that no one cause explains must have come in a row, and no answer for so long; watches answer at least each
+ * second. Calls that were under way together may all be lost with the connections they were on while new ones work: they count
+ * as one. A call that began after the last failure was noticed is another; so is one that was asked again on a new connection.
+ */
 const FAILURES_IN_ROW = 2
 const SILENT_MS = 800
 
@@ -16,6 +20,9 @@
   readonly #clock: Clock
   #answeredMs: number
   #failures = 0
+  #begun = 0
+  /** How many calls had begun when the last failure was noticed. */
+  #begunAtFailure = 0
 
   /** @param store - what is called @param clock - the present time */
   constructor (store: KeyValueStore, clock: Clock) {
@@ -62,10 +69,21 @@
   }
 
   async #note<T> (call: Promise<Result<T, PlatformError>>): Promise<Result<T, PlatformError>> {
+    const number = ++this.#begun
     const result = await call
-    const isAnswer = result.ok || result.val.kind === 'history-gone'
-    this.#failures = isAnswer ? 0 : this.#failures + 1
-    if (isAnswer) this.#answeredMs = this.#clock.monotonicMs()
+    if (result.ok || result.val.kind === 'history-gone') {
+      this.#failures = 0
+      this.#answeredMs = this.#clock.monotonicMs()
+    } else this.#noteFailure(number, result.val)
     return result
   }
+
+  #noteFailure (number: number, { isAskedAgain }: PlatformError): void {
+    const isAnother = this.#failures === 0 || number > this.#begunAtFailure
+    if (isAnother) {
+      this.#failures++
+      this.#begunAtFailure = this.#begun
+    }
+    if (isAskedAgain === true) this.#failures = Math.max(this.#failures, FAILURES_IN_ROW)
+  }
 }
