--- a/packages/entry/src/lib/httpHeaders.ts
+++ b/packages/entry/src/lib/httpHeaders.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { IncomingMessage } from 'node:http'
 
 /** Headers of this system; a caller's own of these names are not passed on. @public */
 export const HEADER = {
@@ -69,3 +70,9 @@
   }
   return kept
 }
+
+/** @param request - of a caller @param name - in lower case @returns the header's values joined by commas, `undefined` without it @public */
+export function headerText (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value.join(',') : value
+}
--- a/packages/entry/src/lib/requestBody.ts
+++ b/packages/entry/src/lib/requestBody.ts
@@ -7,6 +7,9 @@
 import type { IncomingMessage } from 'node:http'
 import { QuillscaleError } from '@quillscale/model'
 
+/** Bodies up to this size are read whole before a slot is taken. */
+const BUFFERED_BODY_BYTES = 64 * 1024
+
 /** The body is larger than allowed. @internal */
 export class BodyTooLargeError extends Error {
   override readonly name = 'BodyTooLargeError'
@@ -69,3 +72,37 @@
   request.pipe(limited)
   return limited
 }
+
+/** How a body is to be taken. @internal */
+export interface BodyTerms {
+  readonly limitBytes: number
+  /** Whether it has to be known whole, whatever its size. */
+  readonly isWholeNeeded: boolean
+  /** How long a body that is read whole may take. */
+  readonly timeoutMs: number
+}
+
+/**
+ * Takes the body of a request that goes to a target: small ones are read before a slot is taken, so that a slow caller
+ * holds none; larger ones stream.
+ *
+ * @param request - of a caller
+ * @param terms - limits
+ * @returns the whole body, the stream, or `null` without one
+ * @throws QuillscaleError `body-too-large`, `slow-body` or `caller-gone`
+ * @internal
+ */
+export async function takeBody (request: IncomingMessage, { limitBytes, isWholeNeeded, timeoutMs }: BodyTerms): Promise<Buffer | Readable | null> {
+  const { 'content-length': length, 'transfer-encoding': encoding } = request.headers
+  if (length === undefined && encoding === undefined) return null
+  if (length === '0') return Buffer.alloc(0)
+  if (length !== undefined && Number(length) > limitBytes) throw new QuillscaleError('body-too-large', `${length} of ${limitBytes} bytes`)
+  const isSmall = length !== undefined && Number(length) <= BUFFERED_BODY_BYTES
+  if (!isSmall && !isWholeNeeded) return limitBody(request, limitBytes)
+  try {
+    return await readBody(request, limitBytes, timeoutMs)
+  } catch (error) {
+    if (error instanceof BodyTooLargeError) throw new QuillscaleError('body-too-large', `more than ${limitBytes} bytes`)
+    throw error
+  }
+}
--- a/packages/entry/src/lib/runKeyedRequest.ts
+++ b/packages/entry/src/lib/runKeyedRequest.ts
@@ -6,7 +6,7 @@
 import { QuillscaleError } from '@quillscale/model'
 import type { KeptAnswer } from '@quillscale/once'
 import { CallerPresence, findClass } from '@quillscale/routing'
-import { CollectingSink } from './CallerServer.js'
+import { CollectingSink } from './CollectingSink.js'
 import type { EntryHostParts } from './EntryHostParts.js'
 import type { KeyedRequest } from './OnceManager.js'
 import type { RequestRunner } from './RequestRunner.js'
