OnceManager: the shards of keys, the hand-over message and the forwarded messages in files of their own

The test "is this owner this life of this entry host" stood in it three times. **Ruled out:** moving the ownership into packages/once: it sends messages and writes documents, while that package only decides. **Change:** KeyShards (the shards that this entry host owns), handOverParts (the message of a hand-over, divided to fit a link), keyedMessages (keyed requests and answers between entry hosts). OnceManager keeps its public methods and passes on the three about shards. One `#isOurs` in place of three.

--- a/packages/entry/src/lib/runKeyedRequest.ts
+++ b/packages/entry/src/lib/runKeyedRequest.ts
@@ -8,7 +8,7 @@
 import { CallerPresence, findClass } from '@quillscale/routing'
 import { CollectingSink } from './CollectingSink.js'
 import type { EntryHostParts } from './EntryHostParts.js'
-import type { KeyedRequest } from './OnceManager.js'
+import type { KeyedRequest } from './keyedMessages.js'
 import type { RequestRunner } from './RequestRunner.js'
 
 /**
