--- a/packages/entry/src/lib/JobStore.ts
+++ b/packages/entry/src/lib/JobStore.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { AvailabilityZone } from '@quillscale/model'
+import { QuillscaleError, type AvailabilityZone } from '@quillscale/model'
 import type { KeyValue, KeyValueStore } from '@quillscale/ports'
 import { NO_JOBS, jobsDocumentSchema, type Job, type JobsDocument } from '@quillscale/jobs'
 
@@ -50,6 +50,13 @@
     return this.#document !== undefined
   }
 
+  /** @param jobId - a job @returns it, as last read or written @throws QuillscaleError `no-such-job` */
+  find (jobId: string): Job {
+    const job = this.jobs[jobId]
+    if (job === undefined) throw new QuillscaleError('no-such-job', jobId)
+    return job
+  }
+
   /** Forgets what was read: another holder may have changed it since. */
   unload (): void {
     this.#document = undefined
