--- a/packages/entry/src/lib/ServiceRegistry.ts
+++ b/packages/entry/src/lib/ServiceRegistry.ts
@@ -72,6 +72,11 @@
     return this.#placed
   }
 
+  /** @param hostId - a host @returns the services that run on it, none on a host that is not placed */
+  servicesOn (hostId: HostId): readonly string[] {
+    return this.#placed.get(hostId)?.services ?? []
+  }
+
   /**
    * Finds the service of a request.
    *
