Both interfaces share one piece each for servers, bodies that are too large, and the words of a refusal

**Cause:** the callers' and the operators' interface each chose between HTTP and HTTPS, each worded the body of a refusal, and the refusal of a body that is too large was made out of an error of its own in three places. **Ruled out:** sharing the sending of answers: the two send different headers on purpose. **Change:** createHttpServer (with or without TLS) and refusalBody serve both; readBody refuses by itself, so BodyTooLargeError and its three translations are gone. A body that streams fails with the same message as before.

--- a/packages/entry/src/lib/CallerServer.ts
+++ b/packages/entry/src/lib/CallerServer.ts
@@ -4,12 +4,12 @@
  * @module
  */
 import { randomUUID } from 'node:crypto'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { createServer as createTlsServer } from 'node:https'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type Logger from 'bunyan'
 import type { Clock } from '@quillscale/utils'
 import { QuillscaleError } from '@quillscale/model'
 import { CallerPresence, type RequestMetrics } from '@quillscale/routing'
+import { createHttpServer } from './createHttpServer.js'
 import { HEADER, endToEndHeaders, headerText } from './httpHeaders.js'
 import type { JobManager } from './JobManager.js'
 import { MAX_KEYED_BODY_BYTES, type KeyedAnswer, type KeyedRequest } from './keyedMessages.js'
@@ -66,9 +66,7 @@
       noDelay: true
     }
     const onRequest = (request: IncomingMessage, response: ServerResponse): void => { void this.#handle(request, response) }
-    this.server = options.tls === undefined
-      ? createServer(serverOptions, onRequest)
-      : createTlsServer({ ...serverOptions, ...options.tls }, onRequest) as unknown as Server
+    this.server = createHttpServer(serverOptions, options.tls, onRequest)
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseUnreadable(error, socket as never, this.#busySockets.has(socket)))
   }
 
--- a/packages/entry/src/lib/OperatorServer.ts
+++ b/packages/entry/src/lib/OperatorServer.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import { createHash, timingSafeEqual } from 'node:crypto'
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { createServer as createTlsServer } from 'node:https'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type Logger from 'bunyan'
-import { ERROR_ANSWERS, QuillscaleError } from '@quillscale/model'
-import { BodyTooLargeError, readBody } from './requestBody.js'
+import { QuillscaleError } from '@quillscale/model'
+import { createHttpServer } from './createHttpServer.js'
 import type { TlsMaterial } from './readTls.js'
+import { refusalBody } from './refusals.js'
+import { readBody } from './requestBody.js'
 
 /** A request of an operator. @public */
 export interface OperatorRequest {
@@ -51,7 +52,7 @@
     this.#options = options
     this.#keyDigests = options.keys.map(digest)
     const onRequest = (request: IncomingMessage, response: ServerResponse): void => { void this.#handle(request, response) }
-    this.server = options.tls === undefined ? createServer(onRequest) : createTlsServer(options.tls, onRequest) as unknown as Server
+    this.server = createHttpServer({}, options.tls, onRequest)
     this.server.on('clientError', (_error, socket) => socket.destroy())
   }
 
@@ -90,8 +91,7 @@
   #refuse (request: IncomingMessage, response: ServerResponse, error: unknown): void {
     const refusal = error instanceof QuillscaleError ? error : new QuillscaleError('internal', 'see the log')
     if (refusal.kind === 'internal') this.#options.log.error({ err: error, path: request.url }, 'operator request failed')
-    const { meaning } = ERROR_ANSWERS[refusal.kind]
-    const body = { error: refusal.kind, outcome: refusal.outcome, detail: refusal.message, meaning, problems: refusal.options.fields ?? [] }
+    const body = { ...refusalBody(refusal), problems: refusal.options.fields ?? [] }
     if (!request.complete) response.setHeader('connection', 'close')
     send(response, refusal.statusCode, 'application/json', JSON.stringify(body))
   }
@@ -109,7 +109,6 @@
     const body = await readBody(request, MAX_BODY_BYTES, BODY_TIMEOUT_MS)
     return body.length === 0 ? undefined : JSON.parse(body.toString('utf8'))
   } catch (error) {
-    if (error instanceof BodyTooLargeError) throw new QuillscaleError('body-too-large', `more than ${MAX_BODY_BYTES} bytes`)
     if (error instanceof SyntaxError) throw new QuillscaleError('malformed-request', `not JSON: ${error.message}`)
     throw error
   }
--- a/packages/entry/src/lib/SystemRoutes.ts
+++ b/packages/entry/src/lib/SystemRoutes.ts
@@ -8,7 +8,7 @@
 import { HEADER, headerText } from './httpHeaders.js'
 import type { JobManager } from './JobManager.js'
 import type { OnceManager } from './OnceManager.js'
-import { BodyTooLargeError, readBody } from './requestBody.js'
+import { readBody } from './requestBody.js'
 
 /** What the health check tells the balancer. @internal */
 export type HealthStatus = 'ready' | 'not-ready' | 'stopping'
@@ -62,7 +62,7 @@
   async #answerJobs (jobId: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { jobs } = this.#options
     if (request.method === 'POST' && jobId === '') {
-      const body = await readJobBody(request)
+      const body = await readBody(request, MAX_JOB_BYTES, JOB_BODY_TIMEOUT_MS)
       return sendJson(response, 201, await jobs.submit(parseJson(body), headerText(request, HEADER.idempotencyKey)))
     }
     if (request.method === 'GET' && jobId !== '') return sendJson(response, 200, await jobs.get(jobId))
@@ -71,15 +71,6 @@
   }
 }
 
-async function readJobBody (request: IncomingMessage): Promise<Buffer> {
-  try {
-    return await readBody(request, MAX_JOB_BYTES, JOB_BODY_TIMEOUT_MS)
-  } catch (error) {
-    if (error instanceof BodyTooLargeError) throw new QuillscaleError('body-too-large', `more than ${MAX_JOB_BYTES} bytes`)
-    throw error
-  }
-}
-
 function parseJson (body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'))
--- a/packages/entry/src/lib/refusals.ts
+++ b/packages/entry/src/lib/refusals.ts
@@ -1,15 +1,23 @@
 /**
- * Writes refusals to callers: the kind of error, and what is known of the request's outcome.
+ * Writes refusals: the kind of error, and what is known of the request's outcome.
  *
  * @module
  */
 import type { ServerResponse } from 'node:http'
-import { ERROR_ANSWERS, type QuillscaleError } from '@quillscale/model'
+import { ERROR_ANSWERS, type ErrorKind, type Outcome, type QuillscaleError } from '@quillscale/model'
 import { HEADER } from './httpHeaders.js'
 
 /** A connection that can be written to or cut. @internal */
 export type WritableSocket = NodeJS.WritableStream & { destroy(): void, writable: boolean }
 
+/** What a refused caller or operator reads. @internal */
+export interface RefusalBody { readonly error: ErrorKind, readonly outcome: Outcome, readonly detail: string, readonly meaning: string }
+
+/** @param error - why something is refused @returns what is told of it @internal */
+export function refusalBody ({ kind, outcome, message }: QuillscaleError): RefusalBody {
+  return { error: kind, outcome, detail: message, meaning: ERROR_ANSWERS[kind].meaning }
+}
+
 /**
  * Refuses a request; an answer that has begun is cut instead.
  *
@@ -34,7 +42,7 @@
   }
   const isBodyUnread = !response.req.complete
   if (isBodyUnread || isLast) headers.connection = 'close'
-  const body = JSON.stringify({ error: error.kind, outcome: error.outcome, detail: error.message, meaning: ERROR_ANSWERS[error.kind].meaning })
+  const body = JSON.stringify(refusalBody(error))
   response.writeHead(error.statusCode, { ...headers, 'content-length': Buffer.byteLength(body) })
   response.end(body)
 }
--- a/packages/entry/src/lib/requestBody.ts
+++ b/packages/entry/src/lib/requestBody.ts
@@ -10,9 +10,8 @@
 /** Bodies up to this size are read whole before a slot is taken. */
 const BUFFERED_BODY_BYTES = 64 * 1024
 
-/** The body is larger than allowed. @internal */
-export class BodyTooLargeError extends Error {
-  override readonly name = 'BodyTooLargeError'
+function tooLarge (limitBytes: number): QuillscaleError {
+  return new QuillscaleError('body-too-large', `more than ${limitBytes} bytes`)
 }
 
 /**
@@ -22,7 +21,7 @@
  * @param limitBytes - the largest size
  * @param timeoutMs - how long it may take
  * @returns the body
- * @throws BodyTooLargeError, or QuillscaleError `slow-body` or `caller-gone`, none of them run
+ * @throws QuillscaleError `body-too-large`, `slow-body` or `caller-gone`, none of them run
  * @internal
  */
 export function readBody (request: IncomingMessage, limitBytes: number, timeoutMs: number): Promise<Buffer> {
@@ -38,7 +37,7 @@
     const timer = setTimeout(() => fail(new QuillscaleError('slow-body', `the body did not arrive within ${Math.round(timeoutMs)} ms`)), timeoutMs)
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length
-      if (bytes > limitBytes) fail(new BodyTooLargeError())
+      if (bytes > limitBytes) fail(tooLarge(limitBytes))
       else chunks.push(chunk)
     })
     request.on('end', () => {
@@ -63,7 +62,7 @@
   const limited = new Transform({
     transform (chunk: Buffer, _encoding, done) {
       bytes += chunk.length
-      done(bytes > limitBytes ? new BodyTooLargeError(`more than ${limitBytes} bytes`) : null, chunk)
+      done(bytes > limitBytes ? tooLarge(limitBytes) : null, chunk)
     }
   })
   // A caller that leaves in the middle must not make its body look complete.
@@ -99,10 +98,5 @@
   if (length !== undefined && Number(length) > limitBytes) throw new QuillscaleError('body-too-large', `${length} of ${limitBytes} bytes`)
   const isSmall = length !== undefined && Number(length) <= BUFFERED_BODY_BYTES
   if (!isSmall && !isWholeNeeded) return limitBody(request, limitBytes)
-  try {
-    return await readBody(request, limitBytes, timeoutMs)
-  } catch (error) {
-    if (error instanceof BodyTooLargeError) throw new QuillscaleError('body-too-large', `more than ${limitBytes} bytes`)
-    throw error
-  }
+  return readBody(request, limitBytes, timeoutMs)
 }
