The right of a zone's holder, readiness and the list of worker hosts are each asked for in one place

**Cause:** "does this entry host hold the zone's lease" and "its fencing token" stood in seven places, "is it ready" in two (the health check and the status could have come to differ), "which listed hosts are workers" in three. **Ruled out:** a method of LeaseHolder: that package is being worked on, and it takes the time as an argument on purpose. **Change:** zoneToken, isReady, and `workers` of HostList, each used wherever it was written out before.

--- a/packages/entry/src/lib/HostList.ts
+++ b/packages/entry/src/lib/HostList.ts
@@ -52,6 +52,11 @@
     return this.#hosts
   }
 
+  /** The hosts of targets. */
+  get workers (): ListedHost[] {
+    return [...this.#hosts.values()].filter(({ role }) => role === 'worker')
+  }
+
   /** @param listener - called with the hosts that changed */
   onChange (listener: (changed: readonly ListedHost[]) => void): void {
     this.#listeners.add(listener)
--- a/packages/entry/src/lib/JobManager.ts
+++ b/packages/entry/src/lib/JobManager.ts
@@ -13,6 +13,7 @@
 import { JobRunner, type JobRunnerOptions } from './JobRunner.js'
 import { JobStore, type CommitResult } from './JobStore.js'
 import type { LeaseHolder } from '@quillscale/leases'
+import { zoneToken } from './zoneToken.js'
 
 /** What it works on. @public */
 export interface JobManagerOptions extends JobRunnerOptions {
@@ -153,7 +154,7 @@
   }
 
   #token (): number | undefined {
-    return this.#options.lease.grantAt(this.#options.clock.monotonicMs())?.fencingToken
+    return zoneToken(this.#options.lease, this.#options.clock)
   }
 
   async #mustHold (): Promise<void> {
--- a/packages/entry/src/lib/ServiceRegistry.ts
+++ b/packages/entry/src/lib/ServiceRegistry.ts
@@ -138,8 +138,7 @@
     const declaredHosts = replica.declarations('host')
     const services = new SelectorIndex([...this.#services.values()].map(({ name, spec }) => ({ selector: spec.selector, item: name })))
     const placed = new Map<HostId, PlacedHost>()
-    for (const host of hostList.hosts.values()) {
-      if (host.role !== 'worker') continue
+    for (const host of hostList.workers) {
       const declared = declaredHosts.get(host.hostId)?.spec
       const assigned = assignedPool(host.hostId)
       const pool = assigned === undefined ? claimPool(hostLabels(host, declared), pools).pool : assigned.pool
--- a/packages/entry/src/lib/ZoneDuties.ts
+++ b/packages/entry/src/lib/ZoneDuties.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod'
 import { backOff, delay } from '@quillscale/utils'
 import type { EntryHostParts } from './EntryHostParts.js'
+import { zoneToken } from './zoneToken.js'
 
 /** The start of the names of documents with entry hosts' addresses. @public */
 export const MEMBERS_DOCUMENT_PREFIX = 'members-'
@@ -57,7 +58,7 @@
 
   get #isHolder (): boolean {
     const { zoneLease, clock } = this.#parts
-    return zoneLease.grantAt(clock.monotonicMs()) !== undefined
+    return zoneToken(zoneLease, clock) !== undefined
   }
 
   async #repeat (signal: AbortSignal, duty: string, act: () => Promise<void>, pauseMs: () => number): Promise<void> {
@@ -89,10 +90,10 @@
   async #readHostList (signal: AbortSignal): Promise<void> {
     const { platform, hostList, zoneLease, mesh, self, clock, settings } = this.#parts
     while (!signal.aborted) {
-      const grant = zoneLease.grantAt(clock.monotonicMs())
-      if (grant !== undefined) {
+      const token = zoneToken(zoneLease, clock)
+      if (token !== undefined) {
         const listed = await platform.hostDirectory.listHosts(self.availabilityZone)
-        const update = listed.ok && this.#isHolder ? hostList.replace(listed.val, grant.fencingToken) : undefined
+        const update = listed.ok && this.#isHolder ? hostList.replace(listed.val, token) : undefined
         if (listed.ok) this.notePlatformOk()
         if (update !== undefined) mesh.broadcast(HOST_LIST_TOPIC, update, (peer) => peer.availabilityZone === self.availabilityZone)
       }
--- a/packages/entry/src/lib/ZoneHosts.ts
+++ b/packages/entry/src/lib/ZoneHosts.ts
@@ -9,6 +9,7 @@
 import type { LeaseHolder } from '@quillscale/leases'
 import { zoneHostsName, type FleetView } from './FleetView.js'
 import type { StateStore } from './StateStore.js'
+import { zoneToken } from './zoneToken.js'
 
 /** What it works on. @internal */
 export interface ZoneHostsOptions {
@@ -33,7 +34,7 @@
 
   /** The right to act now, asked for before each act; `undefined` without the lease. */
   get token (): number | undefined {
-    return this.#options.lease.grantAt(this.#options.clock.monotonicMs())?.fencingToken
+    return zoneToken(this.#options.lease, this.#options.clock)
   }
 
   /** The newest known copy. */
--- a/packages/entry/src/lib/createEntryHostParts.ts
+++ b/packages/entry/src/lib/createEntryHostParts.ts
@@ -22,6 +22,7 @@
 import { FleetManager } from './FleetManager.js'
 import { FleetView } from './FleetView.js'
 import { HostList } from './HostList.js'
+import { isReady } from './isReady.js'
 import { JobManager } from './JobManager.js'
 import { OnceManager } from './OnceManager.js'
 import { ReachableMembers } from './ReachableMembers.js'
@@ -36,6 +37,7 @@
 import type { TargetClient } from './TargetClient.js'
 import { TARGET_SIGNAL_TOPIC, TargetSignals } from './TargetSignals.js'
 import { MEMBERS_DOCUMENT_PREFIX, membersSchema } from './ZoneDuties.js'
+import { zoneToken } from './zoneToken.js'
 
 /** What the parts are made of. @internal */
 export interface PartsInputs extends Omit<PeerMeshInputs, 'parts'> {
@@ -123,7 +125,7 @@
     mesh,
     clock,
     log,
-    holders: () => members.holders(zoneLease.grantAt(clock.monotonicMs()) !== undefined),
+    holders: () => members.holders(zoneToken(zoneLease, clock) !== undefined),
     zoneCount: () => Math.max(1, fleetView.allZoneHosts.length)
   })
   const drains = new DrainConfirmation({
@@ -198,7 +200,7 @@
     log,
     clock,
     tls: readTls(settings.caller.tls),
-    isReady: () => replica.isComplete && hostList.isKnown
+    isReady: () => isReady({ replica, hostList })
   })
   return { metrics, requestLog, once, editDesk, callers }
 }
--- a/packages/entry/src/lib/createPeerMesh.ts
+++ b/packages/entry/src/lib/createPeerMesh.ts
@@ -12,6 +12,7 @@
 import type { EntryHostParts } from './EntryHostParts.js'
 import { peerStatusSchema, type PeerStatus } from './ReachableMembers.js'
 import type { Settings } from './settings.js'
+import { zoneToken } from './zoneToken.js'
 
 /** What the links work with. @internal */
 export interface PeerMeshInputs {
@@ -62,7 +63,7 @@
 }
 
 function ownStatus ({ sync, zoneLease, clock, lending }: EntryHostParts, isStopping: boolean): PeerStatus {
-  return { digest: sync.digest, isHolder: zoneLease.grantAt(clock.monotonicMs()) !== undefined, spare: isStopping ? {} : lending.spare() }
+  return { digest: sync.digest, isHolder: zoneToken(zoneLease, clock) !== undefined, spare: isStopping ? {} : lending.spare() }
 }
 
 function hear ({ sync }: EntryHostParts, peer: PeerIdentity, status: unknown): void {
--- a/packages/entry/src/lib/planEffect.ts
+++ b/packages/entry/src/lib/planEffect.ts
@@ -42,7 +42,7 @@
   const pools = [...withEdits<PoolSpec>(replica.declarations('pool'), edits, 'pool')].map(([name, spec]) => ({ name, spec }))
   const declared = withEdits<HostSpec>(replica.declarations('host'), edits, 'host')
   const maintenances = [...withEdits<MaintenanceSpec>(replica.declarations('maintenance'), edits, 'maintenance')].map(([name, spec]) => ({ name, spec }))
-  const workers = [...hostList.hosts.values()].filter(({ role }) => role === 'worker')
+  const { workers } = hostList
   const hosts = workers.map((host): AssignableHost => ({
     hostId: host.hostId,
     labels: hostLabels(host, declared.get(host.hostId)),
--- a/packages/entry/src/lib/statusReports.ts
+++ b/packages/entry/src/lib/statusReports.ts
@@ -7,6 +7,8 @@
 import type { SeriesSummary } from '@quillscale/routing'
 import type { LinkTraffic } from '@quillscale/membership'
 import type { EntryHostParts } from './EntryHostParts.js'
+import { isReady } from './isReady.js'
+import { zoneToken } from './zoneToken.js'
 
 /** A service as one entry host sees it. @public */
 export interface ServiceStatus {
@@ -42,13 +44,13 @@
 
 /** @param parts - of this entry host @returns what it tells of itself @public */
 export function localStatus (parts: EntryHostParts): LocalStatus {
-  const { self, metrics, sync, zoneLease, clock, once, platformCalls, mesh, callers, replica, hostList } = parts
-  const isZoneHolder = zoneLease.grantAt(clock.monotonicMs()) !== undefined
+  const { self, metrics, sync, zoneLease, clock, once, platformCalls, mesh, callers } = parts
+  const isZoneHolder = zoneToken(zoneLease, clock) !== undefined
   const { user, system } = process.cpuUsage()
   return {
     entryHostId: self.entryHostId,
     availabilityZone: self.availabilityZone,
-    isReady: replica.isComplete && hostList.isKnown,
+    isReady: isReady(parts),
     isZoneHolder,
     digest: sync.digest,
     ownedKeyShards: once.ownedShards,
--- a/packages/entry/src/lib/wantedPools.ts
+++ b/packages/entry/src/lib/wantedPools.ts
@@ -33,8 +33,7 @@
 export function assignableHosts ({ replica, hostList, registry, view, signals }: PoolSources, wallMs: number): AssignableHost[] {
   const declared = replica.declarations('host')
   const maintenances = declaredMaintenances(replica)
-  const workers = [...hostList.hosts.values()].filter(({ role }) => role === 'worker')
-  return workers.map((host): AssignableHost => {
+  return hostList.workers.map((host): AssignableHost => {
     const labels = hostLabels(host, declared.get(host.hostId)?.spec)
     const pool = registry.placed.get(host.hostId)?.pool ?? ''
     return {
