One probe serves the watch over quiet targets and the check after a reboot

**Cause:** Prober and HostWorkRunner each sent the declared probe to a target and each read from the status whether it serves; the second set only one of the two time limits. **Ruled out:** TargetClient: it holds the connections of callers' requests, and a probe must not take one of them. **Change:** probeTarget sends the probe and reads the answer for both.

--- a/packages/entry/src/lib/HostWorkRunner.ts
+++ b/packages/entry/src/lib/HostWorkRunner.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import { request } from 'undici'
 import type Logger from 'bunyan'
 import type { Clock } from '@quillscale/utils'
 import type { HostId } from '@quillscale/model'
@@ -12,7 +11,7 @@
 import { advanceWork, finishWork, waveName, withHost, type HostWork, type WorkFacts, type WorkStep } from '@quillscale/fleet'
 import type { DrainConfirmation, DrainState } from './DrainConfirmation.js'
 import type { PermitDesk } from './PermitDesk.js'
-import { originOf } from './TargetClient.js'
+import { probeTarget } from './probeTarget.js'
 import { assignableHosts, wantedPools, type PoolSources } from './wantedPools.js'
 import type { ZoneHosts } from './ZoneHosts.js'
 
@@ -26,7 +25,6 @@
   readonly log: Logger
 }
 
-const VERIFY_TIMEOUT_MS = 1000
 const DEFAULT_DRAIN_TIMEOUT_MS = 60_000
 const DEFAULT_REBOOT_TIMEOUT_MS = 600_000
 
@@ -89,9 +87,8 @@
     const spec = service === undefined ? undefined : registry.services.get(service)?.spec
     if (spec === undefined) return true
     try {
-      const answer = await request(originOf({ ...host, port: spec.port ?? host.port }) + spec.probePath, { signal: AbortSignal.timeout(VERIFY_TIMEOUT_MS) })
-      await answer.body.dump()
-      return answer.statusCode < 500
+      const { isServing } = await probeTarget({ ...host, port: spec.port ?? host.port }, spec.probePath)
+      return isServing
     } catch {
       return false
     }
--- a/packages/entry/src/lib/Prober.ts
+++ b/packages/entry/src/lib/Prober.ts
@@ -6,13 +6,11 @@
  *
  * @module
  */
-import { request } from 'undici'
 import { delay, rendezvousOwner, type Clock } from '@quillscale/utils'
 import type { EntryHostId, HostId } from '@quillscale/model'
 import type { TargetState } from '@quillscale/routing'
-import { HEADER } from './httpHeaders.js'
+import { probeTarget } from './probeTarget.js'
 import type { ServiceRegistry } from './ServiceRegistry.js'
-import { originOf } from './TargetClient.js'
 import type { TargetSignals } from './TargetSignals.js'
 
 /** How targets are asked. @public */
@@ -30,7 +28,6 @@
 
 const DEFAULT_QUIET_MS = 2000
 const DEFAULT_MAX_PROBES_PER_SECOND = 4
-const PROBE_TIMEOUT_MS = 1000
 const DOWN_AFTER_FAILURES = 2
 
 interface Candidate { readonly state: TargetState, readonly probePath: string }
@@ -94,10 +91,9 @@
     const { hostId } = state.target
     this.#askedMs.set(hostId, clock.monotonicMs())
     try {
-      const answer = await request(originOf(state.target) + probePath, { signal: AbortSignal.timeout(PROBE_TIMEOUT_MS), headersTimeout: PROBE_TIMEOUT_MS })
-      await answer.body.dump()
-      if (answer.headers[HEADER.leaving] === 'true') signals.notice(hostId, 'leaving', clock.monotonicMs())
-      else if (answer.statusCode < 500) this.#noteUp(state)
+      const { isServing, isLeaving } = await probeTarget(state.target, probePath)
+      if (isLeaving) signals.notice(hostId, 'leaving', clock.monotonicMs())
+      else if (isServing) this.#noteUp(state)
     } catch {
       const failures = (this.#failures.get(hostId) ?? 0) + 1
       this.#failures.set(hostId, failures)
