Ending work on a host, done or failed, is decided in one place

**Cause:** counting a host in its wave stood in packages/fleet for work that was done and in HostWorkRunner for work that failed; the second is a decision too, and had no test of its own. **Ruled out:** one function with a flag: what was done moves the host and teaches the usual time, what failed does neither. **Change:** failWork beside finishWork, with one withWave under both; HostWorkRunner calls it.

--- a/packages/entry/src/lib/HostWorkRunner.ts
+++ b/packages/entry/src/lib/HostWorkRunner.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '@quillscale/utils'
 import type { HostId } from '@quillscale/model'
 import type { HostControl, ListedHost } from '@quillscale/ports'
-import { advanceWork, finishWork, waveName, withHost, type HostWork, type WorkFacts, type WorkStep } from '@quillscale/fleet'
+import { advanceWork, failWork, finishWork, withHost, type HostWork, type WorkFacts, type WorkStep } from '@quillscale/fleet'
 import type { DrainConfirmation, DrainState } from './DrainConfirmation.js'
 import type { PermitDesk } from './PermitDesk.js'
 import { probeTarget } from './probeTarget.js'
@@ -104,7 +104,7 @@
       'change-pool': () => this.#setPhase(hostId, 'verifying'),
       'await-return': () => this.#setPhase(hostId, 'verifying'),
       trust: async () => await this.order('undrain', hostId) && await this.#endWork(hostId, work),
-      'give-up': () => this.#giveUp(hostId, work)
+      'give-up': () => this.#giveUp(hostId)
     }
     if (step.do !== 'wait') log.info({ host: hostId, step: step.do, why: 'why' in step ? step.why : undefined, maintenance: work.maintenance }, 'host work')
     await acts[step.do]()
@@ -158,19 +158,13 @@
     for (const service of services) await this.#options.permits.giveBack(service, [hostId])
   }
 
-  async #giveUp (hostId: HostId, work: HostWork): Promise<void> {
-    const rack = this.#options.hostList.hosts.get(hostId)?.rack ?? ''
-    await this.#options.hosts.change((document) => {
+  async #giveUp (hostId: HostId): Promise<void> {
+    const { hostList, hosts, clock } = this.#options
+    const rack = hostList.hosts.get(hostId)?.rack ?? ''
+    await hosts.change((document) => {
       const host = document.hosts[hostId]
       if (host?.work === undefined || host.work.phase === 'failed') return undefined
-      if (work.maintenance === undefined) return withHost(document, hostId, { pool: host.pool, work: { ...host.work, phase: 'failed' } })
-      const wave = waveName(work.maintenance, work.wantedVersion ?? '')
-      const results = document.waves[wave] ?? { done: 0, failedRacks: [] }
-      const failed = { ...host.work, phase: 'failed' as const, sinceMs: this.#options.clock.wallMs() }
-      return {
-        ...withHost(document, hostId, { pool: host.pool, work: failed }),
-        waves: { ...document.waves, [wave]: { ...results, failedRacks: [...results.failedRacks, rack] } }
-      }
+      return failWork(document, hostId, { ...host, work: host.work }, rack, clock.wallMs())
     })
   }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,7 +13,7 @@
   EMPTY_LEDGER, EMPTY_ZONE_HOSTS, ledgerSchema, zoneHostsSchema, zoneReportSchema,
   type HostWork, type Ledger, type Permit, type ZoneHost, type ZoneHostsDocument, type ZoneReport
 } from './lib/fleetDocuments.js'
-export { finishWork, withHost } from './lib/finishWork.js'
+export { failWork, finishWork, withHost } from './lib/finishWork.js'
 export { hostLabels } from './lib/hostLabels.js'
 export { windowOpenUntilMs } from './lib/maintenanceWindow.js'
 export { BUFFER_DEFAULTS, planBuffer, type BufferOptions, type BufferPlan, type BufferPromise, type BufferedService, type HeldSlots } from './lib/planBuffer.js'
