Three facts that stood twice: streaming bodies, lendable slots, the host of a job

Also ruled out: one loop of compare-and-swap for StateStore and JobStore, whose rules after a lost answer differ (the one reads back by revision, the other by value and token). **Change:** isStreaming, lendableSlots and #hostOf.

--- a/packages/entry/src/lib/JobRunner.ts
+++ b/packages/entry/src/lib/JobRunner.ts
@@ -7,7 +7,7 @@
 import type Logger from 'bunyan'
 import type { Clock } from '@quillscale/utils'
 import type { HostId } from '@quillscale/model'
-import type { TaskReport, WorkerTasks } from '@quillscale/ports'
+import type { ListedHost, TaskReport, WorkerTasks } from '@quillscale/ports'
 import type { ConfigurationReplica } from '@quillscale/configuration'
 import {
   ENDED_JOB_KEPT_MS, SizeEstimates, WorkerHealth, isEnded, isPlaced, planJobs, settleJob, taskIdOf,
@@ -76,13 +76,17 @@
 
   /** @param job - one that was placed @returns what its worker told at the end of its task, `undefined` without an answer */
   async stopTask (job: Job): Promise<TaskReport | undefined> {
-    const { registry, tasks } = this.#options
-    const host = job.hostId === undefined ? undefined : registry.placed.get(job.hostId)?.host
+    const { tasks } = this.#options
+    const host = this.#hostOf(job)
     if (host === undefined) return undefined
     const stopped = await tasks.stop(host, taskIdOf(job))
     return stopped.ok ? stopped.val : undefined
   }
 
+  #hostOf ({ hostId }: Job): ListedHost | undefined {
+    return hostId === undefined ? undefined : this.#options.registry.placed.get(hostId)?.host
+  }
+
   #context (): JobsContext {
     const { replica, zoneCount } = this.#options
     const teams = replica.declarations('team')
@@ -159,9 +163,9 @@
   }
 
   async #startTask (job: Job): Promise<RunReport> {
-    const { registry, tasks, log } = this.#options
+    const { tasks, log } = this.#options
     const fencingToken = this.#token()
-    const host = job.hostId === undefined ? undefined : registry.placed.get(job.hostId)?.host
+    const host = this.#hostOf(job)
     if (fencingToken === undefined || host === undefined) return { state: 'refused' }
     const started = await tasks.start(host, {
       taskId: taskIdOf(job), fencingToken, leaseMs: TASK_LEASE_MS, slots: job.slots, command: job.command, checkpoint: job.checkpoint
--- a/packages/entry/src/lib/RequestRunner.ts
+++ b/packages/entry/src/lib/RequestRunner.ts
@@ -127,14 +127,12 @@
   }
 
   #isRepeatable (request: RunnableRequest): boolean {
-    const isStreaming = request.body !== null && !Buffer.isBuffer(request.body)
-    return !isStreaming && request.service.spec.repeatableMethods.includes(request.method)
+    return !isStreaming(request) && request.service.spec.repeatableMethods.includes(request.method)
   }
 
   /** What was not run may always be tried at another target; what may have run only when it may be repeated. */
   #mayRetry (request: RunnableRequest, sent: SendResult, tries: number, excluded: ReadonlySet<HostId>): boolean {
-    const isStreaming = request.body !== null && !Buffer.isBuffer(request.body)
-    if (request.caller.isGone || tries >= MAX_TRIES || isStreaming) return false
+    if (request.caller.isGone || tries >= MAX_TRIES || isStreaming(request)) return false
     const hasTime = this.#options.clock.monotonicMs() < request.deadlineMs
     const isOtherLeft = request.service.router.targets.some((state) => !state.isLeaving && !excluded.has(state.target.hostId))
     const isSafe = sent.result === 'not-sent' || sent.result === 'refused' || this.#isRepeatable(request)
@@ -144,6 +142,11 @@
 
 const RETRY_AFTER_MS = 1000
 
+/** A body that streams has gone once it is sent: there is nothing to send again. */
+function isStreaming ({ body }: RunnableRequest): boolean {
+  return body !== null && !Buffer.isBuffer(body)
+}
+
 function failure (sent: SendResult, mayHaveRun: boolean): QuillscaleError {
   const outcome = mayHaveRun ? 'unknown' : 'not-run'
   const kind = sent.result === 'refused' ? 'target-refused' : sent.errorKind ?? 'target-broke-off'
--- a/packages/routing/src/lib/ServiceRouter.ts
+++ b/packages/routing/src/lib/ServiceRouter.ts
@@ -70,7 +70,7 @@
 
   /** Slots that are free and not needed here. */
   get spareSlots (): number {
-    return this.#queue.length > 0 ? 0 : this.#states.reduce((sum, state) => sum + Math.max(0, state.freeSlots - state.borrowedSlots), 0)
+    return this.#queue.length > 0 ? 0 : this.#states.reduce((sum, state) => sum + state.lendableSlots, 0)
   }
 
   /** Slots this entry host may use. */
@@ -198,7 +198,7 @@
     let left = Math.min(wanted, Math.ceil(this.spareSlots / 2))
     const nowMs = this.#options.nowMs()
     for (const state of [...this.#states].sort((a, b) => b.freeSlots - a.freeSlots)) {
-      const free = Math.max(0, state.freeSlots - state.borrowedSlots)
+      const free = state.lendableSlots
       if (left <= 0 || free === 0 || state.isResting(nowMs)) continue
       const slots = Math.min(left, Math.ceil(free / 2))
       state.lentSlots += slots
--- a/packages/routing/src/lib/TargetState.ts
+++ b/packages/routing/src/lib/TargetState.ts
@@ -73,6 +73,11 @@
     return this.isLeaving ? 0 : Math.max(0, this.usableSlots - this.inFlight)
   }
 
+  /** Slots that are free now and may be lent: what is borrowed is not passed on. */
+  get lendableSlots (): number {
+    return Math.max(0, this.freeSlots - this.borrowedSlots)
+  }
+
   /**
    * Notes what became of a request.
    *
