A new holder of a zone's jobs gives each silent worker its whole lease, whoever asked first

**Cause:** the time of the take-over was noted only when the first round read the jobs. If a caller asked about a job before that round, or this entry host had held the zone before, the last sign of a worker counted as the start of the clock, or as long ago: one round without an answer ended its runs at once, although the former holder might have renewed them a moment before. A repeatable job could run twice, one that may run at most once was told as `lost` while it ran. **Ruled out:** noting the time in `#mustHold` too: a commit can be the first to read as well. **Change:** JobStore tells each time that the jobs become known, and the later of the take-over and the worker's own last answer counts.

--- a/packages/entry/src/lib/JobManager.ts
+++ b/packages/entry/src/lib/JobManager.ts
@@ -42,7 +42,7 @@
   /** @param options - what it works on */
   constructor (options: JobManagerOptions) {
     this.#options = options
-    this.#jobs = new JobStore(options.store, options.zone, () => this.#token())
+    this.#jobs = new JobStore(options.store, options.zone, () => this.#token(), () => this.#runner.noteTakeOver())
     this.#runner = new JobRunner(options, this.#jobs, () => this.#token())
   }
 
@@ -142,10 +142,7 @@
         this.#jobs.unload()
         return
       }
-      if (!this.#jobs.isLoaded) {
-        if (!await this.#jobs.load()) return
-        this.#runner.noteTakeOver()
-      }
+      if (!this.#jobs.isLoaded && !await this.#jobs.load()) return
       if (Object.keys(this.#jobs.jobs).length === 0) return
       await this.#runner.round()
     } finally {
--- a/packages/entry/src/lib/JobRunner.ts
+++ b/packages/entry/src/lib/JobRunner.ts
@@ -55,7 +55,7 @@
     this.#token = token
   }
 
-  /** Notes that this entry host took the zone's jobs over: workers that never told it anything count as heard now. */
+  /** Notes that this entry host took the zone's jobs over: their workers count as heard now, as a former holder may just have renewed them. */
   noteTakeOver (): void {
     this.#takenOverMs = this.#options.clock.wallMs()
   }
@@ -130,7 +130,7 @@
     const nowMs = this.#options.clock.wallMs()
     const settled = (job: Job): Job => {
       const report = reports.get(job.jobId)
-      const lastAnswerMs = this.#lastAnswerMs.get(job.jobId) ?? this.#takenOverMs
+      const lastAnswerMs = Math.max(this.#lastAnswerMs.get(job.jobId) ?? 0, this.#takenOverMs)
       return report === undefined || !isPlaced(job) ? job : settleJob(job, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs })
     }
     if (Object.values(this.#jobs.jobs).every((job) => settled(job) === job)) return
--- a/packages/entry/src/lib/JobStore.ts
+++ b/packages/entry/src/lib/JobStore.ts
@@ -24,6 +24,7 @@
   readonly #store: KeyValueStore
   readonly #key: string
   readonly #token: () => number | undefined
+  readonly #onLoad: () => void
   #document: JobsDocument | undefined
   #modRevision = 0
   #pending: Pending[] = []
@@ -33,11 +34,13 @@
    * @param store - the platform's service
    * @param zone - whose jobs
    * @param token - the right to act now
+   * @param onLoad - called each time that the jobs become known, whoever asked for them first
    */
-  constructor (store: KeyValueStore, zone: AvailabilityZone, token: () => number | undefined) {
+  constructor (store: KeyValueStore, zone: AvailabilityZone, token: () => number | undefined, onLoad: () => void) {
     this.#store = store
     this.#key = KEY_PREFIX + zone
     this.#token = token
+    this.#onLoad = onLoad
   }
 
   /** The jobs as last read or written, by id. */
@@ -129,12 +132,11 @@
   }
 
   #take (stored: KeyValue | undefined): void {
+    const isFirst = !this.isLoaded
     this.#modRevision = stored?.modRevision ?? 0
-    if (stored === undefined) {
-      this.#document = NO_JOBS
-      return
-    }
-    const parsed = jobsDocumentSchema.safeParse(JSON.parse(stored.value))
-    if (parsed.success) this.#document = parsed.data
+    const parsed = stored === undefined ? undefined : jobsDocumentSchema.safeParse(JSON.parse(stored.value))
+    if (parsed === undefined) this.#document = NO_JOBS
+    else if (parsed.success) this.#document = parsed.data
+    if (isFirst && this.isLoaded) this.#onLoad()
   }
 }
