--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,22 @@
+/**
+ * Decisions about jobs, tasks and machines: functions of what is known and the present time.
+ *
+ * @module
+ */
+export { isJobId, jobSpecSchema, stepProblem, stepSpecSchema, type JobId, type JobSpec, type StepSpec } from './lib/jobs/JobSpec.js'
+export {
+  allTasks, createJob, dueMs, findTask, hasEnded, isWholeJobDone, openSteps, stepOf, tasksOf, timesOf,
+  type Job, type JobStatus, type Run, type RunPhase, type Task
+} from './lib/jobs/JobState.js'
+export { compareRanks, rankStep, type StepRank } from './lib/jobs/rankJobs.js'
+export { RunTimes } from './lib/jobs/RunTimes.js'
+export { demandOf, type DemandSources } from './lib/machines/demandOf.js'
+export { machinesFor, machinesNeeded, planPools, LASTING_RUN_WEIGHT, type PoolMove, type PoolView, type ServiceDemand } from './lib/machines/planPools.js'
+export { isAtWork, mayBeAway, planLeave, planVacate } from './lib/machines/planVacate.js'
+export { planWave, type WaveView } from './lib/machines/planWave.js'
+export { NEED_MEMORY_MS, ServiceNeeds } from './lib/machines/ServiceNeeds.js'
+export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
+export { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './lib/placement/placeTasks.js'
+export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
+export { WorkerHealth } from './lib/placement/WorkerHealth.js'
+export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/scheduler/src/lib/ServiceNeeds.ts
+++ b/packages/policy/src/lib/machines/ServiceNeeds.ts
@@ -3,9 +3,7 @@
  *
  * @module
  */
-import type { KeyValue } from '@quillscale/ports'
 import { machinesFor, machinesNeeded, type ServiceDemand } from './planPools.js'
-import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
 
 /** Room that was needed so lately is not given back. @public */
 export const NEED_MEMORY_MS = 1200
@@ -15,26 +13,12 @@
 const MOST_GROWTH = 2
 /** Arrivals of less than a second vary by a third: only a rate that asks for clearly more machines is believed. */
 const CLEARLY_MORE = 1.3
-/** A demand that did not change for so long is of a scheduler that is gone: nothing is moved by it. A living one repeats it each 2 s. */
-const DEMAND_VALID_MS = 5000
 
 interface Need { readonly machines: number, readonly atMs: number }
-interface Seen { readonly revision: number, readonly atMs: number }
 
 /** The needs. @public */
 export class ServiceNeeds {
   readonly #needs = new Map<string, Need[]>()
-  readonly #seen = new Map<string, Seen>()
-
-  /** @param items - demands as kept @param nowMs - monotonic @returns those whose scheduler has spoken lately */
-  current (items: ReadonlyMap<string, KeyValue>, nowMs: number): ServiceDemand[] {
-    return [...items.values()].flatMap(({ key, value, modRevision }) => {
-      const seen = this.#seen.get(key)
-      const isNew = seen?.revision !== modRevision
-      if (isNew) this.#seen.set(key, { revision: modRevision, atMs: nowMs })
-      return isNew || nowMs - seen.atMs < DEMAND_VALID_MS ? [decodeDemand(key.slice(DEMAND_PREFIX.length), value)] : []
-    })
-  }
 
   /** Takes note of the present needs. @param demands - present @param nowMs - monotonic @returns by service, the most that was needed lately */
   recent (demands: readonly ServiceDemand[], nowMs: number): Map<string, number> {
--- a/packages/scheduler/src/lib/demandOf.ts
+++ b/packages/policy/src/lib/machines/demandOf.ts
@@ -3,17 +3,17 @@
  *
  * @module
  */
-import { hasEnded, openSteps, stepOf, type Job } from './JobState.js'
-import { cpuDemandOf } from './placeTasks.js'
+import { hasEnded, openSteps, stepOf, type Job } from '../jobs/JobState.js'
+import { cpuDemandOf } from '../placement/placeTasks.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
-import type { RunTimes } from './RunTimes.js'
-import type { WorkerLink } from './WorkerLink.js'
+import type { RunTimes } from '../jobs/RunTimes.js'
+import type { WorkerView } from '../placement/WorkerView.js'
 
 /** What the sum is made of. @public */
 export interface DemandSources {
   readonly service: string
   readonly jobs: readonly Job[]
-  readonly links: readonly WorkerLink[]
+  readonly links: readonly WorkerView[]
   readonly times: RunTimes
   /** Monotonic. */
   readonly nowMs: number
@@ -66,6 +66,6 @@
   return steps.reduce((sum, step) => sum + step.taskCount * step.cpuMillis * times.expectedMs(step), 0) / ARRIVALS_MS
 }
 
-function weightOf (link: WorkerLink): number {
+function weightOf (link: WorkerView): number {
   return [...link.runs.values()].reduce((sum, run) => sum + (stepOf(run.task).isLasting ? LASTING_RUN_WEIGHT : 1), 0)
 }
--- a/packages/scheduler/src/lib/planVacate.ts
+++ b/packages/policy/src/lib/machines/planVacate.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { stepOf, type Run, type Task } from './JobState.js'
+import { stepOf, type Run, type Task } from '../jobs/JobState.js'
 
 /** A task that neither lasts nor saves its progress may finish; after this it is stopped. The longest tasks of the users' sheets run 4.2 s. */
 const FINISH_MS = 4500
--- a/packages/scheduler/src/lib/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -4,22 +4,34 @@
  * @module
  */
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
-import type { AdviceBook } from './AdviceBook.js'
-import { hasEnded, openSteps, stepOf, type Job, type Run, type Task } from './JobState.js'
-import type { MachineVacator } from './MachineVacator.js'
+import { hasEnded, openSteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
 import { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './placeTasks.js'
-import { compareRanks, rankStep, type StepRank } from './rankJobs.js'
-import type { RunTimes } from './RunTimes.js'
-import type { WorkerLink } from './WorkerLink.js'
+import { compareRanks, rankStep, type StepRank } from '../jobs/rankJobs.js'
+import type { RunTimes } from '../jobs/RunTimes.js'
+import type { WorkerView } from './WorkerView.js'
+
+/** Advice on steps whose queue wants it. @public */
+export interface TicketSource {
+  /**
+   * Gives the workers that may run a step.
+   *
+   * @param task - of the step
+   * @param instanceIds - workers that could run it, the best first
+   * @param nowMs - monotonic
+   * @returns the ticket for each, `undefined` until there is advice
+   */
+  ticketsFor (task: Task, instanceIds: readonly string[], nowMs: number): ReadonlyMap<string, string> | undefined
+}
 
 /** What a round sees. @public */
 export interface PlacementRoundOptions {
   readonly configuration: FleetConfiguration
   readonly jobs: readonly Job[]
-  readonly links: readonly WorkerLink[]
+  readonly links: readonly WorkerView[]
   readonly times: RunTimes
-  readonly advice: AdviceBook
-  readonly vacating: MachineVacator
+  readonly advice: TicketSource
+  /** Machines that are being emptied. */
+  readonly vacating: { isVacating (machineId: string): boolean }
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -109,7 +121,7 @@
     return this.#options.links.filter((link) => this.#isOpen(link)).map(roomOf)
   }
 
-  #isOpen (link: WorkerLink): boolean {
+  #isOpen (link: WorkerView): boolean {
     const { nowMs, vacating } = this.#options
     return link.isListed && link.instance.state === 'ready' && link.clock.isKnown && link.isAnswering(nowMs) && !link.isNotedSilent &&
       nowMs >= link.refusingUntilMs && !link.health.isApart(nowMs) && !vacating.isVacating(link.instance.machineId)
@@ -193,7 +205,7 @@
   }
 }
 
-function roomOf (link: WorkerLink): WorkerRoom {
+function roomOf (link: WorkerView): WorkerRoom {
   const { instanceId, labels, capacity } = link.instance
   const room: WorkerRoom = {
     instanceId,
--- a/packages/scheduler/src/lib/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { WorkerCapacity } from '@quillscale/ports'
-import type { StepSpec } from './JobSpec.js'
-import { stepOf, type Task } from './JobState.js'
+import type { StepSpec } from '../jobs/JobSpec.js'
+import { stepOf, type Task } from '../jobs/JobState.js'
 
 /** A worker as the decision sees it; the room is used up as tasks are placed. @public */
 export interface WorkerRoom {
--- a/packages/scheduler/src/lib/planPaces.ts
+++ b/packages/policy/src/lib/placement/planPaces.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { stepOf, type Run } from './JobState.js'
+import { stepOf, type Run } from '../jobs/JobState.js'
 
 /** Above this share of its target a serving task's tail is too near; below the lower one there is room. Between, nothing changes. */
 const NEAR_SHARE = 0.85
--- a/packages/scheduler/src/test/demandOf.test.ts
+++ b/packages/policy/src/test/demandOf.test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
-import { createJob } from '../lib/JobState.js'
-import { jobSpecSchema, type StepSpec } from '../lib/JobSpec.js'
-import { demandOf } from '../lib/demandOf.js'
-import { RunTimes } from '../lib/RunTimes.js'
-import { ServiceNeeds } from '../lib/ServiceNeeds.js'
-import type { ServiceDemand } from '../lib/planPools.js'
-import { testJobId } from './TestService.js'
+import { createJob } from '../lib/jobs/JobState.js'
+import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
+import { demandOf } from '../lib/machines/demandOf.js'
+import { RunTimes } from '../lib/jobs/RunTimes.js'
+import { ServiceNeeds } from '../lib/machines/ServiceNeeds.js'
+import type { ServiceDemand } from '../lib/machines/planPools.js'
+import { testJobId } from './testJobId.js'
 
 const NOW_MS = 100_000
 /** Of 1.5 core-seconds. */
--- a/packages/scheduler/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
-import { createJob, tasksOf } from '../lib/JobState.js'
-import { jobSpecSchema } from '../lib/JobSpec.js'
-import { placeTasks, type PlacementGroup, type WorkerRoom } from '../lib/placeTasks.js'
-import { testJobId } from './TestService.js'
+import { createJob, tasksOf } from '../lib/jobs/JobState.js'
+import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
+import { placeTasks, type PlacementGroup, type WorkerRoom } from '../lib/placement/placeTasks.js'
+import { testJobId } from './testJobId.js'
 
 /** A worker that counts how often its processor time is looked at. */
 class CountedRoom implements WorkerRoom {
--- a/packages/scheduler/src/test/planPools.test.ts
+++ b/packages/policy/src/test/planPools.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { ListedMachine } from '@quillscale/ports'
-import { planPools, type PoolView, type ServiceDemand } from '../lib/planPools.js'
+import { planPools, type PoolView, type ServiceDemand } from '../lib/machines/planPools.js'
 
 interface Pool {
   readonly name: string
--- a/packages/scheduler/src/test/planVacate.test.ts
+++ b/packages/policy/src/test/planVacate.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
-import { createJob, tasksOf, type Run, type Task } from '../lib/JobState.js'
-import { jobSpecSchema, type StepSpec } from '../lib/JobSpec.js'
-import { mayBeAway, planVacate } from '../lib/planVacate.js'
-import { testJobId } from './TestService.js'
+import { createJob, tasksOf, type Run, type Task } from '../lib/jobs/JobState.js'
+import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
+import { mayBeAway, planVacate } from '../lib/machines/planVacate.js'
+import { testJobId } from './testJobId.js'
 
 const NOW_MS = 100_000
 
--- a/packages/scheduler/src/test/planWave.test.ts
+++ b/packages/policy/src/test/planWave.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { ListedMachine } from '@quillscale/ports'
-import { planWave } from '../lib/planWave.js'
+import { planWave } from '../lib/machines/planWave.js'
 
 /** Machines `a0` to `a7` of a service, `off0` to `off3` where nothing runs. */
 const MACHINES = new Map<string, ListedMachine>([
--- a/packages/scheduler/src/lib/DutyRoster.ts
+++ b/packages/scheduler/src/lib/duties/DutyRoster.ts
@@ -9,9 +9,9 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
-import { createReplica } from './createReplica.js'
+import { createReplica } from '../records/createReplica.js'
 import type { EventLog } from './EventLog.js'
-import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from './storeKeys.js'
+import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../records/storeKeys.js'
 
 /** What does a duty while it is held. @public */
 export interface DutyTask {
--- a/packages/scheduler/src/lib/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -5,12 +5,10 @@
  */
 import { Ok, type Result } from '@quillscale/utils'
 import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
-import { jobSpecSchema, type JobId, type JobSpec } from './JobSpec.js'
-import { hasEnded } from './JobState.js'
+import { hasEnded, type JobId, type JobSpec, jobSpecSchema, machinesNeeded } from '@quillscale/policy'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
-import { machinesNeeded } from './planPools.js'
-import { DEMAND_PREFIX, decodeDemand } from './serviceDemand.js'
-import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from './storeKeys.js'
+import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
+import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
 
 /** Who holds a duty. @public */
 export interface DutyRow { readonly duty: string, readonly holder: string, readonly fencingToken: number }
--- a/packages/scheduler/src/lib/JobDesk.ts
+++ b/packages/scheduler/src/lib/jobs/JobDesk.ts
@@ -7,13 +7,12 @@
  */
 import { delay, Err, type Clock, type Result } from '@quillscale/utils'
 import type { PlatformError } from '@quillscale/ports'
+import type { JobId, JobSpec, JobStatus, StepSpec } from '@quillscale/policy'
 import { z } from 'zod'
-import type { EventLog } from './EventLog.js'
-import type { JobId, JobSpec, StepSpec } from './JobSpec.js'
+import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
-import type { JobStatus } from './JobState.js'
-import type { MonitoredStore } from './MonitoredStore.js'
-import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from './storeKeys.js'
+import type { MonitoredStore } from '../records/MonitoredStore.js'
+import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from '../records/storeKeys.js'
 
 /** What the desk works with. @public */
 export interface JobDeskOptions {
--- a/packages/scheduler/src/lib/RunBook.ts
+++ b/packages/scheduler/src/lib/jobs/RunBook.ts
@@ -5,11 +5,9 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
-import type { EventLog } from './EventLog.js'
-import type { JobId } from './JobSpec.js'
-import { allTasks, hasEnded, isWholeJobDone, stepOf, type Job, type JobStatus, type Run, type Task } from './JobState.js'
-import type { RunTimes } from './RunTimes.js'
-import { runKey, type WorkerLink } from './WorkerLink.js'
+import { allTasks, hasEnded, isWholeJobDone, type Job, type JobId, type JobStatus, type Run, type RunTimes, stepOf, type Task } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
+import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
 /** Why a run is over: as its worker reported, or as was concluded without it. @public */
 export type RunOutcome = RunEnd | 'not-started' | 'lost'
--- a/packages/scheduler/src/lib/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -5,11 +5,10 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders } from '@quillscale/ports'
-import type { EventLog } from './EventLog.js'
-import { hasEnded, stepOf, type Job, type Run } from './JobState.js'
-import { planPaces } from './planPaces.js'
+import { hasEnded, type Job, planPaces, type Run, stepOf } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
 import type { LossEvidence, RunBook } from './RunBook.js'
-import { runKey, type WorkerLink } from './WorkerLink.js'
+import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
 /** What the tracker works with. @public */
 export interface RunTrackerOptions {
--- a/packages/scheduler/src/lib/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -4,15 +4,12 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import type { RecordSource } from './CommitLog.js'
-import { demandOf } from './demandOf.js'
-import type { EventLog } from './EventLog.js'
-import type { Job } from './JobState.js'
-import { machinesNeeded } from './planPools.js'
-import type { RunTimes } from './RunTimes.js'
-import { demandKey, encodeDemand } from './serviceDemand.js'
-import { waitingKey } from './storeKeys.js'
-import type { WorkerLink } from './WorkerLink.js'
+import { demandOf, type Job, machinesNeeded, type RunTimes } from '@quillscale/policy'
+import type { RecordSource } from '../records/CommitLog.js'
+import type { EventLog } from '../duties/EventLog.js'
+import { demandKey, encodeDemand } from '../records/serviceDemand.js'
+import { waitingKey } from '../records/storeKeys.js'
+import type { WorkerLink } from '../workers/WorkerLink.js'
 
 /** What the writer works with. @public */
 export interface StatusWriterOptions {
--- a/packages/scheduler/src/lib/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { z } from 'zod'
-import { allTasks, findTask, type Job, type Run } from './JobState.js'
+import { allTasks, findTask, type Job, type Run } from '@quillscale/policy'
 
 const runProgressSchema = z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })
 type RunProgress = z.infer<typeof runProgressSchema>
--- a/packages/scheduler/src/lib/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -9,21 +9,20 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, WaveRequest } from '@quillscale/ports'
 import type { PrefixReplica } from '@quillscale/leases'
-import type { CommitLog } from './CommitLog.js'
-import { createReplica } from './createReplica.js'
-import type { DutyGrant, DutyTask } from './DutyRoster.js'
-import type { EventLog } from './EventLog.js'
+import { NEED_MEMORY_MS, planPools, planWave, ServiceNeeds } from '@quillscale/policy'
+import type { CommitLog } from '../records/CommitLog.js'
+import { createReplica } from '../records/createReplica.js'
+import type { DutyGrant, DutyTask } from '../duties/DutyRoster.js'
+import type { EventLog } from '../duties/EventLog.js'
 import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
-import { openCommitLog } from './openCommitLog.js'
+import { DemandBook } from '../records/DemandBook.js'
+import { openCommitLog } from '../records/openCommitLog.js'
 import { OrderPauses } from './OrderPauses.js'
-import { planPools } from './planPools.js'
-import { planWave } from './planWave.js'
-import { DEMAND_PREFIX } from './serviceDemand.js'
-import { NEED_MEMORY_MS, ServiceNeeds } from './ServiceNeeds.js'
+import { DEMAND_PREFIX } from '../records/serviceDemand.js'
 import { MachineWatch, type GoneWorker } from './MachineWatch.js'
 import { SightingRecord } from './SightingRecord.js'
-import { untilAnswered } from './untilAnswered.js'
-import { chainKey, goneKey, SIGHTINGS_PREFIX, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from './storeKeys.js'
+import { untilAnswered } from '../records/untilAnswered.js'
+import { chainKey, goneKey, SIGHTINGS_PREFIX, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from '../records/storeKeys.js'
 
 /** What it works with. @public */
 export interface MachineDutyOptions extends DutyGrant {
@@ -81,6 +80,7 @@
   readonly #waves = new Map<number, WaveProgress>()
   readonly #requests = new Map<number, WaveRequest>()
   readonly #refused = new Set<string>()
+  readonly #demands = new DemandBook()
   readonly #needs = new ServiceNeeds()
   readonly #pauses: OrderPauses
   readonly #watch = new MachineWatch()
@@ -278,7 +278,7 @@
     }
     const underWay = [...this.#tasks.values()].filter(({ kind, wave }) => kind === 'upkeep' && wave === progress.wave).map(({ machineId }) => machineId)
     const headroom = new Set(headroomPools())
-    const demands = this.#needs.current(this.#demandItems.items, clock.monotonicMs())
+    const demands = this.#demands.current(this.#demandItems.items, clock.monotonicMs())
     const begin = planWave({
       open: request.machineIds.filter((machineId) => !settled.has(machineId) && !underWay.includes(machineId)),
       machines: this.#machines,
@@ -306,7 +306,7 @@
   #balance (): void {
     const headroomPools = this.#options.headroomPools()
     const nowMs = this.#options.clock.monotonicMs()
-    const demands = this.#needs.current(this.#demandItems.items, nowMs)
+    const demands = this.#demands.current(this.#demandItems.items, nowMs)
     const busy = new Map([...this.#tasks.values()].map(({ machineId, kind, to }) => [machineId, kind === 'move' ? to : this.#machines.get(machineId)?.pool ?? '']))
     const moves = planPools({
       demands,
--- a/packages/scheduler/src/lib/MachineVacator.ts
+++ b/packages/scheduler/src/lib/machines/MachineVacator.ts
@@ -4,13 +4,12 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import type { RecordSource } from './CommitLog.js'
-import type { EventLog } from './EventLog.js'
-import type { Run } from './JobState.js'
-import { planLeave, planVacate } from './planVacate.js'
-import { vacatedKey } from './storeKeys.js'
-import type { WorkerLink } from './WorkerLink.js'
-import type { WorkerSet } from './WorkerSet.js'
+import { planLeave, planVacate, type Run } from '@quillscale/policy'
+import type { RecordSource } from '../records/CommitLog.js'
+import type { EventLog } from '../duties/EventLog.js'
+import { vacatedKey } from '../records/storeKeys.js'
+import type { WorkerLink } from '../workers/WorkerLink.js'
+import type { WorkerSet } from '../workers/WorkerSet.js'
 
 /** What the vacator works with. @public */
 export interface MachineVacatorOptions {
--- a/packages/scheduler/src/lib/SightingRecord.ts
+++ b/packages/scheduler/src/lib/machines/SightingRecord.ts
@@ -9,7 +9,7 @@
  */
 import type { KeyValue, ListedMachine } from '@quillscale/ports'
 import { z } from 'zod'
-import { SIGHTINGS_PREFIX, sightingsKey } from './storeKeys.js'
+import { SIGHTINGS_PREFIX, sightingsKey } from '../records/storeKeys.js'
 
 /** Workers by machine, of one pool. */
 const sightingsSchema = z.record(z.string(), z.string())
--- a/packages/scheduler/src/lib/ConfigurationFollower.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationFollower.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, KeyValueStore, WaveRequest } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
-import type { EventLog } from './EventLog.js'
+import type { EventLog } from '../duties/EventLog.js'
 
 /** What the follower works with. @public */
 export interface ConfigurationFollowerOptions {
--- a/packages/scheduler/src/lib/createReplica.ts
+++ b/packages/scheduler/src/lib/records/createReplica.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { PrefixReplica, type PrefixReplicaOptions } from '@quillscale/leases'
-import type { EventLog } from './EventLog.js'
+import type { EventLog } from '../duties/EventLog.js'
 
 /** How long one watch waits: after so much more a silent connection is noticed. */
 const WATCH_MS = 3000
--- a/packages/scheduler/src/lib/serviceDemand.ts
+++ b/packages/scheduler/src/lib/records/serviceDemand.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { z } from 'zod'
-import type { ServiceDemand } from './planPools.js'
+import type { ServiceDemand } from '@quillscale/policy'
 
 /** Below which demands are kept. @public */
 export const DEMAND_PREFIX = 'demand/'
--- a/packages/scheduler/src/lib/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { JobId } from './JobSpec.js'
+import type { JobId } from '@quillscale/policy'
 
 /** What entry hosts hand to a service's scheduler: accepted jobs, cancels, requests to empty a machine. @public */
 export const inboxPrefix = (service: string): string => `inbox/${service}/`
--- a/packages/scheduler/src/lib/AdviceBook.ts
+++ b/packages/scheduler/src/lib/workers/AdviceBook.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { PlacementAdvice } from '@quillscale/ports'
-import type { EventLog } from './EventLog.js'
-import type { Task } from './JobState.js'
+import type { Task } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
 
 /** What the book works with. @public */
 export interface AdviceBookOptions {
--- a/packages/scheduler/src/lib/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/workers/SilentWorkers.ts
@@ -14,9 +14,9 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { z } from 'zod'
-import type { RecordSource } from './CommitLog.js'
-import type { EventLog } from './EventLog.js'
-import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from './storeKeys.js'
+import type { RecordSource } from '../records/CommitLog.js'
+import type { EventLog } from '../duties/EventLog.js'
+import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
 
 const recordSchema = z.object({
--- a/packages/scheduler/src/lib/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -6,9 +6,8 @@
 import { setMaxListeners } from 'node:events'
 import { delay, type Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
-import type { Run } from './JobState.js'
+import { type Run, WorkerHealth } from '@quillscale/policy'
 import { WorkerClock } from './WorkerClock.js'
-import { WorkerHealth } from './WorkerHealth.js'
 
 /** What a link needs of its scheduler. @public */
 export interface WorkerLinkOptions {
--- a/packages/scheduler/src/lib/WorkerSet.ts
+++ b/packages/scheduler/src/lib/workers/WorkerSet.ts
@@ -5,9 +5,9 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { WorkerInstance } from '@quillscale/ports'
-import type { EventLog } from './EventLog.js'
-import { stepOf, type Run } from './JobState.js'
-import type { LossEvidence } from './RunBook.js'
+import { type Run, stepOf } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
+import type { LossEvidence } from '../jobs/RunBook.js'
 import type { SilentWorkers } from './SilentWorkers.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
 import { runKey, SILENT_AFTER_MS, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
--- a/packages/scheduler/src/test/CommitLog.test.ts
+++ b/packages/scheduler/src/test/CommitLog.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { delay, systemClock } from '@quillscale/utils'
-import { CommitLog } from '../lib/CommitLog.js'
+import { CommitLog } from '../lib/records/CommitLog.js'
 import { FaultyStore } from './TestService.js'
 
 describe('CommitLog', () => {
--- a/packages/scheduler/src/test/FleetReport.test.ts
+++ b/packages/scheduler/src/test/FleetReport.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { FleetReport } from '../lib/FleetReport.js'
-import type { StepSpec } from '../lib/JobSpec.js'
+import type { StepSpec } from '@quillscale/policy'
+import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { SERVICE, TestService } from './TestService.js'
 
 describe('FleetReport', () => {
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
 import { delay, Ok, systemClock, type Result } from '@quillscale/utils'
 import type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, PlatformError, WaveRequest } from '@quillscale/ports'
-import { MachineDuty } from '../lib/MachineDuty.js'
-import { MACHINE_RECORD_KEY } from '../lib/machineRecord.js'
-import { goneKey, MACHINE_DUTY_KEY, sightingsKey, vacateKey } from '../lib/storeKeys.js'
+import { MachineDuty } from '../lib/machines/MachineDuty.js'
+import { MACHINE_RECORD_KEY } from '../lib/machines/machineRecord.js'
+import { goneKey, MACHINE_DUTY_KEY, sightingsKey, vacateKey } from '../lib/records/storeKeys.js'
 import { SERVICE, TestService } from './TestService.js'
 
 const DOWN_MS = 60
--- a/packages/scheduler/src/test/MachineVacator.test.ts
+++ b/packages/scheduler/src/test/MachineVacator.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 import { systemClock } from '@quillscale/utils'
-import { MachineVacator } from '../lib/MachineVacator.js'
-import { vacatedKey } from '../lib/storeKeys.js'
-import type { WorkerLink } from '../lib/WorkerLink.js'
+import { MachineVacator } from '../lib/machines/MachineVacator.js'
+import { vacatedKey } from '../lib/records/storeKeys.js'
+import type { WorkerLink } from '../lib/workers/WorkerLink.js'
 import { TestLog } from './TestService.js'
 
 describe('MachineVacator', () => {
--- a/packages/scheduler/src/test/MachineWatch.test.ts
+++ b/packages/scheduler/src/test/MachineWatch.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { ListedMachine, MachineState } from '@quillscale/ports'
-import { MachineWatch } from '../lib/MachineWatch.js'
+import { MachineWatch } from '../lib/machines/MachineWatch.js'
 
 type List = Map<string, ListedMachine>
 
--- a/packages/scheduler/src/test/MonitoredStore.test.ts
+++ b/packages/scheduler/src/test/MonitoredStore.test.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, type Result } from '@quillscale/utils'
 import type { KeyValue, PlatformError } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
-import { MonitoredStore } from '../lib/MonitoredStore.js'
+import { MonitoredStore } from '../lib/records/MonitoredStore.js'
 
 type Reading = Result<KeyValue | undefined, PlatformError>
 type Event =
--- a/packages/scheduler/src/test/OrderPauses.test.ts
+++ b/packages/scheduler/src/test/OrderPauses.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { OrderPauses, type OrderPause } from '../lib/OrderPauses.js'
+import { OrderPauses, type OrderPause } from '../lib/machines/OrderPauses.js'
 
 const PAUSE_MS = 3500
 /** Until an order without an answer has surely been carried out, or never will be. */
--- a/packages/scheduler/src/test/SchedulerFuzz.test.ts
+++ b/packages/scheduler/src/test/SchedulerFuzz.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { delay, SeededRandom } from '@quillscale/utils'
-import type { JobId } from '../lib/JobSpec.js'
+import type { JobId } from '@quillscale/policy'
 import { TestService, type Tenure } from './TestService.js'
 
 /** What the oracle remembers of a job: what was asked for, and what its client was told. */
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
-import { cancelKey, goneKey, inboxPrefix, vacateKey } from '../lib/storeKeys.js'
+import { cancelKey, goneKey, inboxPrefix, vacateKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 describe('ServiceScheduler', () => {
--- a/packages/scheduler/src/test/SightingRecord.test.ts
+++ b/packages/scheduler/src/test/SightingRecord.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import type { ListedMachine, MachineState } from '@quillscale/ports'
-import { SightingRecord } from '../lib/SightingRecord.js'
-import { sightingsKey } from '../lib/storeKeys.js'
+import { SightingRecord } from '../lib/machines/SightingRecord.js'
+import { sightingsKey } from '../lib/records/storeKeys.js'
 
 const machine = (machineId: string, pool: string, instanceId: string, state: MachineState = 'up'): ListedMachine =>
   ({ machineId, pool, state, availabilityZone: 'z', instanceId })
--- a/packages/scheduler/src/test/SilentWorkers.test.ts
+++ b/packages/scheduler/src/test/SilentWorkers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay, systemClock } from '@quillscale/utils'
-import { SilentWorkers } from '../lib/SilentWorkers.js'
-import { leaseTimerKey, leaseTimerPrefix } from '../lib/storeKeys.js'
+import { SilentWorkers } from '../lib/workers/SilentWorkers.js'
+import { leaseTimerKey, leaseTimerPrefix } from '../lib/records/storeKeys.js'
 import { FaultyStore, TestLog } from './TestService.js'
 
 const TOKEN = 7
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay, Err, Ok, systemClock } from '@quillscale/utils'
 import type { HoldRequest, RunOrders, WorkerInstance } from '@quillscale/ports'
-import { WorkerLink } from '../lib/WorkerLink.js'
+import { WorkerLink } from '../lib/workers/WorkerLink.js'
 
 const INSTANCE: WorkerInstance = {
   instanceId: 'w',
--- a/packages/scheduler/src/test/takeOvers.test.ts
+++ b/packages/scheduler/src/test/takeOvers.test.ts
@@ -1,10 +1,9 @@
 import { expect } from 'chai'
 import { delay, SeededRandom } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
-import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobProgress.js'
-import { jobSpecSchema } from '../lib/JobSpec.js'
-import { createJob } from '../lib/JobState.js'
-import { silentWorkersKey } from '../lib/storeKeys.js'
+import { createJob, jobSpecSchema } from '@quillscale/policy'
+import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
+import { silentWorkersKey } from '../lib/records/storeKeys.js'
 import { SERVICE, testJobId, TestService, type Tenure } from './TestService.js'
 
 /** Leases of 6.5 s, as at the users' sites. */
