--- a/packages/scheduler/src/lib/duties/DutyRoster.ts
+++ b/packages/scheduler/src/lib/duties/DutyRoster.ts
@@ -9,6 +9,7 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
+import { dutyWaitMs, WAIT_A_DUTY_MS } from '@quillscale/policy'
 import { createReplica } from '../records/createReplica.js'
 import type { EventLog } from './EventLog.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../records/storeKeys.js'
@@ -46,16 +47,10 @@
   readonly random: () => number
 }
 
-/** A vacant duty is left to hosts with fewer duties for so long a duty. */
-const WAIT_A_DUTY_MS = 250
-/** And to stronger hosts for so long, times the share of the strongest host's power that is missing here. */
-const WAIT_FOR_STRONGER_MS = 1200
 /** What hosts said of their power is read again after this; it changes only when hosts of other kinds come. */
 const HOSTS_VALID_MS = 20_000
-/** At the start of a whole fleet, all say how strong they are before any takes a duty. */
+/** At the first start of a fleet, all say how strong they are before any takes a duty. When it starts again, that is known: duties are taken so much sooner. */
 const START_PAUSE_MS = 300
-/** So that not all hosts of a kind try at once. */
-const SPREAD_MS = 120
 /** A host that was deposed lets others try first. */
 const DEPOSED_PAUSE_MS = 1000
 /** For what is not written yet at a planned stop. */
@@ -91,11 +86,21 @@
 
   /** Follows who holds which duty, until stopped. */
   async run (): Promise<void> {
+    const isKnown = await this.#sayPower()
+    if (!isKnown) await delay(START_PAUSE_MS, this.#stop.signal)
+    await this.#replica.run(this.#stop.signal)
+  }
+
+  /** @returns whether this host was there before, as strong as now: then the others are known too, and nothing is to be waited for */
+  async #sayPower (): Promise<boolean> {
     const { hostName, power, store, log } = this.#options
-    const said = await store.transact({ conditions: [], puts: [{ key: hostKey(hostName), value: String(power) }], removals: [] })
+    const key = hostKey(hostName)
+    const value = String(power)
+    const before = await store.get(key)
+    if (before.ok && before.val?.value === value) return true
+    const said = await store.transact({ conditions: [], puts: [{ key, value }], removals: [] })
     if (said.err) log.warn({ error: said.val }, 'other hosts do not know how strong this one is')
-    await delay(START_PAUSE_MS, this.#stop.signal)
-    await this.#replica.run(this.#stop.signal)
+    return false
   }
 
   /** Hosts that left are counted too: at worst a duty is taken a little later. */
@@ -186,7 +191,8 @@
   }
 
   #lookForVacancies (): void {
-    const nowMs = this.#options.clock.monotonicMs()
+    const { clock, power, random } = this.#options
+    const nowMs = clock.monotonicMs()
     // Somebody has the duty that was tried last: if it is not this host, others may be tried at once.
     if (this.#replica.items.has(this.#triedKey) && this.#duties.get(this.#triedKey)?.task === undefined) this.#triedMs = -Infinity
     for (const [dutyKey, { holder }] of this.#duties) {
@@ -194,19 +200,12 @@
         this.#tryFromMs.delete(dutyKey)
         continue
       }
-      const waitMs = this.#waitMs()
-      const fromMs = Math.max(this.#tryFromMs.get(dutyKey) ?? 0, nowMs + waitMs)
+      const fromMs = this.#tryFromMs.get(dutyKey) ?? nowMs + dutyWaitMs({ power, mostPower: this.#mostPower, random: random() })
       this.#tryFromMs.set(dutyKey, fromMs)
-      setTimeout(() => holder.wake(), fromMs - nowMs + 1).unref()
+      setTimeout(() => holder.wake(), Math.max(0, fromMs + WAIT_A_DUTY_MS * this.heldCount - nowMs) + 1).unref()
     }
   }
 
-  #waitMs (): number {
-    const { power, random } = this.#options
-    const missingShare = this.#mostPower <= power ? 0 : 1 - power / this.#mostPower
-    return WAIT_A_DUTY_MS * this.heldCount + WAIT_FOR_STRONGER_MS * missingShare + SPREAD_MS * random()
-  }
-
   #mayTry (dutyKey: string): boolean {
     if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) return false
     const nowMs = this.#options.clock.monotonicMs()
--- /dev/null
+++ b/packages/scheduler/src/test/DutyRoster.test.ts
@@ -0,0 +1,114 @@
+import { expect } from 'chai'
+import { delay, Err, SeededRandom, systemClock, type Result } from '@quillscale/utils'
+import type { KeyValueStore, PlatformError } from '@quillscale/ports'
+import { MemoryKeyValueStore } from '@quillscale/platform-memory'
+import { DutyRoster, type DutyGrant, type DutyTask } from '../lib/duties/DutyRoster.js'
+import { DUTY_PREFIX, hostKey } from '../lib/records/storeKeys.js'
+import { TestLog } from './TestService.js'
+
+const TTL_MS = 1200
+const DUTIES = ['duty/a', 'duty/b', 'duty/c', 'duty/d']
+
+/** A host's way to the store, which may be cut. */
+class HostStore {
+  isCut = false
+
+  constructor (store: MemoryKeyValueStore) {
+    return new Proxy(this, {
+      get: (target, name) => {
+        if (name === 'isCut') return target.isCut
+        const method = store[name as keyof KeyValueStore] as (...args: unknown[]) => Promise<Result<unknown, PlatformError>>
+        return async (...args: unknown[]) => target.isCut ? Err({ kind: 'unavailable', detail: 'cut' }) : await method.apply(store, args)
+      }
+    })
+  }
+}
+
+/** What a host does while it has a duty: nothing, but it is noted since when. */
+class Tenures {
+  readonly holders = new Map<string, { readonly host: string, readonly fromMs: number }>()
+
+  create (dutyKey: string, host: string): (grant: DutyGrant) => DutyTask {
+    return () => {
+      this.holders.set(dutyKey, { host, fromMs: performance.now() })
+      return { run: async () => {}, close: () => {}, flush: async () => {} }
+    }
+  }
+}
+
+interface Host { readonly roster: DutyRoster, readonly store: HostStore, readonly name: string }
+
+describe('DutyRoster', () => {
+  const store = new MemoryKeyValueStore(systemClock)
+  let hosts: Host[] = []
+  const tenures = new Tenures()
+
+  afterEach(async () => {
+    await Promise.all(hosts.map(({ roster }) => roster.stop()))
+    hosts = []
+  })
+
+  function addHost (name: string, power: number): Host {
+    const own = new HostStore(store)
+    const random = new SeededRandom(hosts.length)
+    const roster = new DutyRoster({
+      hostName: name, power, store: own as unknown as KeyValueStore, clock: systemClock, log: new TestLog(), ttlMs: TTL_MS, random: () => random.next()
+    })
+    for (const dutyKey of DUTIES) roster.compete(dutyKey, tenures.create(dutyKey, name))
+    void roster.run()
+    const host = { roster, store: own, name }
+    hosts.push(host)
+    return host
+  }
+
+  async function untilHeld (keys: readonly string[], sinceMs: number, timeoutMs: number): Promise<void> {
+    const untilMs = performance.now() + timeoutMs
+    while (keys.some((key) => (tenures.holders.get(key)?.fromMs ?? 0) < sinceMs)) {
+      if (performance.now() > untilMs) throw new Error(`not taken: ${keys.filter((key) => (tenures.holders.get(key)?.fromMs ?? 0) < sinceMs).join(', ')}`)
+      await delay(10)
+    }
+  }
+
+  const cases = [
+    { name: 'hosts as strong as those that are cut off', survivors: [1, 1, 1, 1], timeoutMs: 700 },
+    { name: 'weak hosts only', survivors: [0.25, 0.25, 0.25, 0.25], timeoutMs: 1200 },
+    { name: 'two hosts, weak and strong', survivors: [0.25, 1], timeoutMs: 1500 }
+  ]
+  for (const { name, survivors, timeoutMs } of cases) {
+    it(`all duties that end at once are taken at once, by ${name}`, async () => {
+      const strong = [1, 2, 3, 4].map((number) => addHost(`strong${number}`, 1))
+      await untilHeld(DUTIES, performance.now(), 5000)
+      survivors.forEach((power, index) => addHost(`survivor${index}`, power))
+      await delay(500)
+      for (const host of strong) host.store.isCut = true
+      const lostMs = performance.now()
+      for (const key of DUTIES) {
+        const held = (await store.get(key)).unwrap()
+        if (held !== undefined) await store.transact({ conditions: [], puts: [], removals: [key] })
+      }
+      await untilHeld(DUTIES, lostMs, timeoutMs)
+    }).timeout(20_000)
+  }
+
+  it('takes duties without a pause when the fleet starts again', async () => {
+    const first = addHost('host1', 1)
+    await untilHeld(DUTIES, performance.now(), 5000)
+    await first.roster.stop()
+    hosts = []
+    const startedMs = performance.now()
+    addHost('host1', 1)
+    await delay(250)
+    expect([...tenures.holders.values()].filter(({ fromMs }) => fromMs > startedMs)).to.not.have.length(0)
+  }).timeout(20_000)
+
+  it('leaves a vacant duty to a stronger host that is there', async () => {
+    for (const name of ['weak1', 'weak2', 'weak3']) addHost(name, 0.25)
+    await store.transact({ conditions: [], puts: [{ key: hostKey('strong'), value: '1' }], removals: [] })
+    addHost('strong', 1)
+    await delay(400)
+    const sinceMs = performance.now()
+    for (const key of (await store.list(DUTY_PREFIX)).unwrap().items.map(({ key }) => key)) await store.transact({ conditions: [], puts: [], removals: [key] })
+    await untilHeld(DUTIES, sinceMs, 3000)
+    expect([...tenures.holders.values()].filter(({ host }) => host === 'strong')).to.not.have.length(0)
+  }).timeout(20_000)
+})
