--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,7 +10,7 @@
 } from './lib/jobs/JobState.js'
 export { compareRanks, rankStep, type StepRank } from './lib/jobs/rankJobs.js'
 export { RunTimes } from './lib/jobs/RunTimes.js'
-export { dutyWaitMs, WAIT_A_DUTY_MS, type DutyCandidate } from './lib/duties/dutyWaitMs.js'
+export { dutyWaitMs, type DutyCandidate } from './lib/duties/dutyWaitMs.js'
 export { demandOf, type DemandSources } from './lib/machines/demandOf.js'
 export { machinesFor, machinesNeeded, planPools, LASTING_RUN_WEIGHT, type PoolMove, type PoolView, type ServiceDemand } from './lib/machines/planPools.js'
 export { isAtWork, mayBeAway, planLeave, planVacate } from './lib/machines/planVacate.js'
--- a/packages/scheduler/src/lib/duties/DutyRoster.ts
+++ b/packages/scheduler/src/lib/duties/DutyRoster.ts
@@ -9,7 +9,7 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
-import { dutyWaitMs, WAIT_A_DUTY_MS } from '@quillscale/policy'
+import { dutyWaitMs } from '@quillscale/policy'
 import { createReplica } from '../records/createReplica.js'
 import type { EventLog } from './EventLog.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../records/storeKeys.js'
@@ -53,9 +53,14 @@
 const START_PAUSE_MS = 300
 /** A host that was deposed lets others try first. */
 const DEPOSED_PAUSE_MS = 1000
+/** A try takes two calls of the store: so long the duty counts as this host's. */
+const TRY_MS = 250
 /** For what is not written yet at a planned stop. */
 const FLUSH_MS = 600
 
+/** A duty without a holder, since this host saw that, and its luck in competing for it. */
+interface Vacancy { readonly sinceMs: number, readonly random: number }
+
 interface Duty { readonly holder: LeaseHolder, readonly stop: AbortController, readonly done: Promise<void>, task: DutyTask | undefined }
 
 /** The roster. @public */
@@ -63,7 +68,9 @@
   readonly #options: DutyRosterOptions
   readonly #replica: PrefixReplica
   readonly #duties = new Map<string, Duty>()
-  readonly #tryFromMs = new Map<string, number>()
+  readonly #vacancies = new Map<string, Vacancy>()
+  /** Duties that this host was deposed from wait until then. */
+  readonly #notBeforeMs = new Map<string, number>()
   readonly #stop = new AbortController()
   #triedMs = -Infinity
   #triedKey = ''
@@ -179,7 +186,7 @@
       fencingToken,
       mayOrder: () => duty.holder.grantAt(clock.monotonicMs())?.fencingToken === fencingToken,
       onDeposed: () => {
-        this.#tryFromMs.set(dutyKey, clock.monotonicMs() + DEPOSED_PAUSE_MS)
+        this.#notBeforeMs.set(dutyKey, clock.monotonicMs() + DEPOSED_PAUSE_MS)
         void duty.holder.abandon()
       }
     })
@@ -191,28 +198,35 @@
   }
 
   #lookForVacancies (): void {
-    const { clock, power, random } = this.#options
+    const { clock, random } = this.#options
     const nowMs = clock.monotonicMs()
     // Somebody has the duty that was tried last: if it is not this host, others may be tried at once.
     if (this.#replica.items.has(this.#triedKey) && this.#duties.get(this.#triedKey)?.task === undefined) this.#triedMs = -Infinity
     for (const [dutyKey, { holder }] of this.#duties) {
       if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) {
-        this.#tryFromMs.delete(dutyKey)
+        this.#vacancies.delete(dutyKey)
         continue
       }
-      const fromMs = this.#tryFromMs.get(dutyKey) ?? nowMs + dutyWaitMs({ power, mostPower: this.#mostPower, random: random() })
-      this.#tryFromMs.set(dutyKey, fromMs)
-      setTimeout(() => holder.wake(), Math.max(0, fromMs + WAIT_A_DUTY_MS * this.heldCount - nowMs) + 1).unref()
+      const vacancy = this.#vacancies.get(dutyKey) ?? { sinceMs: nowMs, random: random() }
+      this.#vacancies.set(dutyKey, vacancy)
+      setTimeout(() => holder.wake(), Math.max(0, this.#tryFromMs(dutyKey, vacancy, nowMs) - nowMs) + 1).unref()
     }
   }
 
+  /** What this host took meanwhile, or is about to take, lets the others go first. */
+  #tryFromMs (dutyKey: string, { sinceMs, random }: Vacancy, nowMs: number): number {
+    const { power } = this.#options
+    const isTrying = nowMs < this.#triedMs + TRY_MS
+    const heldCount = this.heldCount + (isTrying ? 1 : 0)
+    const waitMs = dutyWaitMs({ power, mostPower: this.#mostPower, heldCount, random })
+    return Math.max(sinceMs + waitMs, this.#notBeforeMs.get(dutyKey) ?? -Infinity)
+  }
+
   #mayTry (dutyKey: string): boolean {
-    if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) return false
+    const vacancy = this.#vacancies.get(dutyKey)
+    if (vacancy === undefined || !this.#replica.isListed || this.#replica.items.has(dutyKey)) return false
     const nowMs = this.#options.clock.monotonicMs()
-    const fromMs = this.#tryFromMs.get(dutyKey)
-    // What this host took meanwhile, or is about to take, lets the others go first.
-    const isEarly = fromMs === undefined || nowMs < fromMs + WAIT_A_DUTY_MS * this.heldCount || nowMs < this.#triedMs + WAIT_A_DUTY_MS
-    if (isEarly) return false
+    if (nowMs < this.#tryFromMs(dutyKey, vacancy, nowMs)) return false
     this.#triedMs = nowMs
     this.#triedKey = dutyKey
     return true
