--- a/packages/bench/src/lib/policy/SimulatedPools.ts
+++ b/packages/bench/src/lib/policy/SimulatedPools.ts
@@ -34,7 +34,8 @@
   readonly #options: SimulatedPoolsOptions
   readonly #machines: SimulatedMachine[] = []
   readonly #moving = new Map<string, string>()
-  readonly #needs = new ServiceNeeds()
+  #needs = new ServiceNeeds()
+  #tookOverMs = 0
 
   /** @param options - what it works with */
   constructor (options: SimulatedPoolsOptions) {
@@ -56,7 +57,7 @@
       instanceId, machineId: machine.id, service: machine.pool, address: '', port: 0, availabilityZone: machine.zone, state: 'ready' as const, capacity, labels: []
     }
     const worker = new SimulatedWorker(instance, silentAfterMs)
-    worker.answeredMs = nowMs
+    worker.answeredMs = this.#options.isCut(machine.zone, nowMs) ? -Infinity : nowMs
     services.get(machine.pool)?.workers.set(instanceId, worker)
   }
 
@@ -74,6 +75,12 @@
     }
   }
 
+  /** Another holder decides from now on: it remembers no needs. @param nowMs - the present */
+  takeOver (nowMs: number): void {
+    this.#needs = new ServiceNeeds()
+    this.#tookOverMs = nowMs
+  }
+
   /** Decides and carries out. @param nowMs - the present */
   plan (nowMs: number): void {
     for (const [machineId, to] of this.#moving) this.#moveIfEmpty(machineId, to, nowMs)
@@ -85,7 +92,7 @@
       machines: this.#listed(nowMs),
       busy: this.#moving,
       isRefused: () => false,
-      mayPark: nowMs > NEED_MEMORY_MS,
+      mayPark: nowMs - this.#tookOverMs > NEED_MEMORY_MS,
       recentNeed,
       comingNeed: this.#needs.coming(demands, nowMs),
       mostMoves: MOST_MOVES
--- a/packages/bench/src/lib/policy/playLoad.ts
+++ b/packages/bench/src/lib/policy/playLoad.ts
@@ -91,7 +91,10 @@
     for (let nowMs = 0; nowMs < this.#load.lengthS * MS_PER_S + FINISH_MS; nowMs += STEP_MS) {
       this.#pools.pass(nowMs, STEP_MS)
       this.#slow(nowMs)
-      if (this.#backMs(nowMs) > nowMs) continue
+      if (this.#backMs(nowMs) > nowMs) {
+        this.#pools.takeOver(nowMs)
+        continue
+      }
       for (let next = waiting[0]; next !== undefined && next.atMs <= nowMs; next = waiting[0]) {
         waiting.shift()
         const spec = { ...next.drawn.spec, submittedMs: next.atMs }
@@ -142,7 +145,8 @@
     const { machineSeconds, moves } = this.#pools
     const prices = (machineSeconds * this.#load.prices.machineS + moves * this.#load.prices.move) / owed
     const earned = WEIGHTS.day * day + WEIGHTS.worstWindows * worstWindows + WEIGHTS.worstZone * day + WEIGHTS.worstKind * worstKind
-    return { day, worstWindows, worstKind, largest: Math.min(...kinds.map((jobs) => this.#largest(jobs))), machineSeconds, moves, worth: earned - prices, windows }
+    const largest = Math.min(...kinds.map((jobs) => this.#largest(jobs)))
+    return { day, worstWindows, worstKind, largest, machineSeconds, moves, worth: earned - prices, windows }
   }
 
   /** Jobs in time among the largest tenth of a kind, against all of it. */
--- a/packages/scheduler/src/lib/workers/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/workers/SilentWorkers.ts
@@ -108,7 +108,10 @@
     }
   }
 
-  /** Once the leases of former holders are over the record says so: the next holder waits for leases of this one only, 1.7 s less where those are 1.7 s shorter. */
+  /**
+   * Once the leases of former holders are over the record says so: the next holder waits for leases of this one only, 1.7 s less where
+   * those are 1.7 s shorter.
+   */
   renew (): void {
     if (this.#options.longestLeaseMs() < this.#writtenLeaseMs) this.#put(false)
   }
--- a/packages/scheduler/src/test/fleetRestarts.test.ts
+++ b/packages/scheduler/src/test/fleetRestarts.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { delay, systemClock } from '@quillscale/utils'
+import { systemClock } from '@quillscale/utils'
 import type { WaveRequest } from '@quillscale/ports'
 import { MachineDuty } from '../lib/machines/MachineDuty.js'
 import { MACHINE_DUTY_KEY } from '../lib/records/storeKeys.js'
@@ -42,7 +42,7 @@
   /** Calls of holders that lost power meanwhile are never answered. */
   #watch<K extends string> (target: Record<K, AsyncMethod>, name: K): void {
     const method = target[name].bind(target)
-    target[name] = (async (...args: never[]) => {
+    target[name] = async (...args: never[]) => {
       const losses = this.#powerLosses
       const isFatal = !this.#isOff && this.steps++ === this.fatalStep && losses === 0
       if (this.#isOff) return await never()
@@ -50,7 +50,7 @@
       const result = await method(...args)
       if (isFatal) return await this.#losePower()
       return this.#powerLosses === losses ? result : await never()
-    })
+    }
   }
 
   async #losePower (): Promise<never> {
@@ -107,7 +107,8 @@
   get mostAwayMs (): number {
     const { records } = this.service.runs
     const gaps = records.flatMap((record) => {
-      const next = records.filter(({ taskKey, runNumber }) => taskKey === record.taskKey && runNumber > record.runNumber).sort((a, b) => a.runNumber - b.runNumber)[0]
+      const later = records.filter(({ taskKey, runNumber }) => taskKey === record.taskKey && runNumber > record.runNumber)
+      const [next] = later.sort((a, b) => a.runNumber - b.runNumber)
       return next === undefined || record.endedMs === undefined ? [] : [next.startedMs - record.endedMs]
     })
     return Math.max(0, ...gaps)
