--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Names a job; the client chooses it. @public */
 export type JobId = string & { readonly __jobId: true }
--- a/packages/scheduler/src/lib/duties/SchedulerMetrics.ts
+++ b/packages/scheduler/src/lib/duties/SchedulerMetrics.ts
@@ -3,12 +3,18 @@
  *
  * @module
  */
-import { build, type Histogram } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+// Its index also loads compression and WebAssembly, 0.05 s of processor time a start.
+import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js'
+
+const { default: Int32Histogram } = int32Histogram
 
 const QUANTILES = [50, 90, 99] as const
 /** Names kept at most: the rest are counted under one name, so that a hostile caller cannot fill the memory. */
 const MAX_SERIES = 500
+const LOWEST_MS = 1
 const HIGHEST_MS = 600_000
+const SIGNIFICANT_DIGITS = 2
 
 /** Counters and histograms by name and label. @public */
 export class SchedulerMetrics {
@@ -32,7 +38,7 @@
   /** @param name - of the histogram @param label - its one label's value @param tookMs - a duration */
   record (name: string, label: string, tookMs: number): void {
     const key = this.#key(this.#histograms, name, label)
-    const histogram = this.#histograms.get(key) ?? build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2, bitBucketSize: 32 })
+    const histogram = this.#histograms.get(key) ?? new Int32Histogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS)
     this.#histograms.set(key, histogram)
     histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(tookMs))))
   }
--- a/packages/scheduler/src/lib/jobs/JobDesk.ts
+++ b/packages/scheduler/src/lib/jobs/JobDesk.ts
@@ -8,7 +8,7 @@
 import { delay, Err, type Clock, type Result } from '@quillscale/utils'
 import type { PlatformError } from '@quillscale/ports'
 import type { JobId, JobSpec, JobStatus, StepSpec } from '@quillscale/policy'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { allTasks, findTask, type Job, type Run } from '@quillscale/policy'
 
 const runProgressSchema = z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })
--- a/packages/scheduler/src/lib/machines/SightingRecord.ts
+++ b/packages/scheduler/src/lib/machines/SightingRecord.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { KeyValue, ListedMachine } from '@quillscale/ports'
-import { z } from 'zod'
+import * as z from 'zod'
 import { SIGHTINGS_PREFIX, sightingsKey } from '../records/storeKeys.js'
 
 /** Workers by machine, of one pool. */
--- a/packages/scheduler/src/lib/machines/machineRecord.ts
+++ b/packages/scheduler/src/lib/machines/machineRecord.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { OrderPause } from './OrderPauses.js'
 
 /** Where it is kept. @public */
--- a/packages/scheduler/src/lib/workers/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/workers/SilentWorkers.ts
@@ -13,7 +13,7 @@
  */
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { RecordSource } from '../records/CommitLog.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from '../records/storeKeys.js'
