--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -54,8 +54,6 @@
   readonly #stop = new AbortController()
   /** Progress as recorded by earlier holders, until its job is seen in the inbox. */
   readonly #recorded = new Map<JobId, KeyValue>()
-  readonly #inboxListed: Promise<void>
-  #noteInboxListed: () => void = () => {}
   #wakeRound: () => void = () => {}
   /** Set once the store has answered. */
   #commits!: CommitLog
@@ -70,7 +68,6 @@
     this.#log = options.log
     // Many waits end with the scheduler.
     setMaxListeners(0, this.#stop.signal)
-    this.#inboxListed = new Promise((resolve) => { this.#noteInboxListed = resolve })
     const { clock, store, service, configuration } = options
     this.#book = new RunBook({
       clock,
@@ -158,7 +155,9 @@
     })
   }
 
+  /** Workers are met only once all jobs are known: the end of a run whose job is not would be acknowledged, and lost. */
   #followWorkers (): void {
+    if (!this.#hasHeardOfAll || !this.#registrations.isListed) return
     const { decodeWorker, service } = this.#options
     const instances = [...this.#registrations.items.values()].flatMap((item) => decodeWorker(item) ?? [])
     this.#workers.follow(instances.filter((instance) => instance.service === service))
@@ -168,25 +167,19 @@
   async run (): Promise<void> {
     const { clock, service, fencingToken } = this.#options
     this.#tookOverMs = clock.monotonicMs()
+    const registrationsFollowed = this.#registrations.run(this.#stop.signal)
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#book.jobs.size, tookMs: clock.monotonicMs() - this.#tookOverMs }, 'scheduling begins')
     await Promise.all([
-      this.#commits.run(), this.#inbox.run(this.#stop.signal), this.#meetWorkers(), this.#silentWorkers.followTimers(this.#stop.signal), this.#rounds()
+      this.#commits.run(), this.#inbox.run(this.#stop.signal), registrationsFollowed, this.#silentWorkers.followTimers(this.#stop.signal), this.#rounds()
     ])
   }
 
-  /** Workers are met only once all jobs are known: the end of a run whose job is not would be acknowledged, and lost. */
-  async #meetWorkers (): Promise<void> {
-    await this.#inboxListed
-    await this.#registrations.run(this.#stop.signal)
-  }
-
   /** Stops at once; what runs goes on under its lease, for the next holder. */
   close (): void {
     if (this.#stop.signal.aborted) return
     this.#stop.abort()
     this.#wakeRound()
-    this.#noteInboxListed()
     this.#commits?.close()
     this.#advice.close()
     this.#workers.close()
@@ -252,8 +245,10 @@
       const subject = parseInboxKey(key, prefix)
       if (subject.kind === 'vacate') this.#vacator.withdraw(subject.machineId)
     }
-    this.#hasHeardOfAll = true
-    this.#noteInboxListed()
+    if (!this.#hasHeardOfAll) {
+      this.#hasHeardOfAll = true
+      this.#followWorkers()
+    }
     this.#wake()
   }
 
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
-import { cancelKey, goneKey, inboxPrefix, vacateKey } from '../lib/records/storeKeys.js'
+import { cancelKey, goneKey, inboxPrefix, progressPrefix, vacateKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 describe('ServiceScheduler', () => {
@@ -113,6 +113,18 @@
       expect(service.runs.records, service.log.lines.join('\n')).to.have.length(4)
     })
 
+    it('asks for its workers while it reads the jobs: a list on a slow link is waited for once, not once each', async () => {
+      service = new TestService(2)
+      const former = await service.takeOver()
+      former.scheduler.close()
+      for (const prefix of [progressPrefix(SERVICE), inboxPrefix(SERVICE), 'workers/']) service.store.listDelayMs.set(prefix, 400)
+      const jobId = await service.submit(1, { runMs: 100 })
+      const tookOverMs = performance.now()
+      await service.takeOver()
+      await service.until(`${jobId} runs`, () => service.runs.records.length === 1)
+      expect(performance.now() - tookOverMs).to.be.below(1100)
+    })
+
     it('goes on with what runs', async () => {
       service = new TestService(2)
       await service.takeOver()
