--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -69,15 +69,13 @@
   /** By time, then by step. */
   readonly times: Map<number, Task[][]>
   status: JobStatus
-  /** Monotonic; when this scheduler heard of it, unless an earlier holder may have. */
-  readonly arrivedMs: number | undefined
   /** Wall clock; when it ended. */
   endedMs: number | undefined
 }
 
-/** @param spec - as accepted @param arrivedMs - monotonic, if it is new @returns the job before anything ran @public */
-export function createJob (spec: JobSpec, arrivedMs?: number): Job {
-  return { spec, times: new Map(), status: 'queued', arrivedMs, endedMs: undefined }
+/** @param spec - as accepted @returns the job before anything ran @public */
+export function createJob (spec: JobSpec): Job {
+  return { spec, times: new Map(), status: 'queued', endedMs: undefined }
 }
 
 /** @param job - any, or what is kept of it @returns whether nothing more is to be run @public */
--- a/packages/policy/src/lib/machines/ServiceNeeds.ts
+++ b/packages/policy/src/lib/machines/ServiceNeeds.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { machinesFor, machinesNeeded, type ServiceDemand } from './planPools.js'
+import { machinesNeeded, type ServiceDemand } from './planPools.js'
 
 /** Room that was needed so lately is not given back. @public */
 export const NEED_MEMORY_MS = 1200
@@ -11,8 +11,6 @@
 const GROWTH_MS = 1000
 const MOVE_LEAD_MS = 1500
 const MOST_GROWTH = 2
-/** Arrivals of less than a second vary by a third: only a rate that asks for clearly more machines is believed. */
-const CLEARLY_MORE = 1.3
 
 interface Need { readonly machines: number, readonly atMs: number }
 
@@ -32,15 +30,12 @@
 
   /** @param demands - present, taken note of @param nowMs - monotonic @returns by service, what a growing need will be when a machine ordered now works */
   coming (demands: readonly ServiceDemand[], nowMs: number): Map<string, number> {
-    return new Map(demands.map((demand) => {
-      const { service } = demand
+    return new Map(demands.map(({ service }) => {
       const needs = this.#needs.get(service) ?? []
       const last = needs.at(-1)?.machines ?? 0
       const before = needs.find(({ atMs }) => nowMs - atMs <= GROWTH_MS)?.machines ?? last
       const growth = Math.max(0, last - before) / GROWTH_MS
-      const grown = Math.min(Math.ceil(last * MOST_GROWTH), Math.round(last + growth * MOVE_LEAD_MS))
-      const arriving = machinesFor(demand.arrivingMillis, demand)
-      return [service, arriving > last * CLEARLY_MORE ? Math.max(grown, arriving) : grown]
+      return [service, Math.min(Math.ceil(last * MOST_GROWTH), Math.round(last + growth * MOVE_LEAD_MS))]
     }))
   }
 }
--- a/packages/policy/src/lib/machines/demandOf.ts
+++ b/packages/policy/src/lib/machines/demandOf.ts
@@ -6,7 +6,6 @@
 import { hasEnded, openSteps, stepOf, type Job } from '../jobs/JobState.js'
 import { cpuDemandOf } from '../placement/placeTasks.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
-import type { RunTimes } from '../jobs/RunTimes.js'
 import type { WorkerView } from '../placement/WorkerView.js'
 
 /** What the sum is made of. @public */
@@ -14,7 +13,6 @@
   readonly service: string
   readonly jobs: readonly Job[]
   readonly links: readonly WorkerView[]
-  readonly times: RunTimes
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -22,15 +20,11 @@
 
 /** Lasting tasks are spread over so many machines at least: one that is lost takes only a part of them. */
 const LEAST_MACHINES = 2
-/** Arrivals are counted over this: half of how long a machine takes to come. */
-const ARRIVALS_MS = 750
-/** Fewer say nothing of a rate. */
-const LEAST_ARRIVALS = 4
 /** For a service none of whose workers is known: a machine of the smaller users' sites. */
 const DEFAULT_MACHINE_MILLIS = 16_000
 
 /** @param sources - jobs and workers of a service @returns its demand @public */
-export function demandOf ({ service, jobs, links, times, nowMs, wallMs }: DemandSources): ServiceDemand {
+export function demandOf ({ service, jobs, links, nowMs, wallMs }: DemandSources): ServiceDemand {
   let wantedMillis = 0
   let leastMachines = LEAST_MACHINES
   for (const job of jobs) {
@@ -48,24 +42,12 @@
   return {
     service,
     wantedMillis,
-    arrivingMillis: arrivingMillis(jobs, times, nowMs),
     leastMachines,
     machineMillis: sizes.length === 0 ? DEFAULT_MACHINE_MILLIS : sizes.reduce((sum, size) => sum + size, 0) / sizes.length,
     runsByMachine: new Map(open.filter(({ instance }) => instance.machineId !== '').map((link) => [link.instance.machineId, weightOf(link)]))
   }
 }
 
-/**
- * What the jobs of the last moment, coming on like this, keep busy for good: a service whose turn comes is seen to need many
- * machines long before its work has piled up.
- */
-function arrivingMillis (jobs: readonly Job[], times: RunTimes, nowMs: number): number {
-  const arrived = jobs.filter(({ arrivedMs }) => arrivedMs !== undefined && nowMs - arrivedMs < ARRIVALS_MS)
-  if (arrived.length < LEAST_ARRIVALS) return 0
-  const steps = arrived.flatMap(({ spec }) => spec.steps).filter(({ isLasting }) => !isLasting)
-  return steps.reduce((sum, step) => sum + step.taskCount * step.cpuMillis * times.expectedMs(step), 0) / ARRIVALS_MS
-}
-
 function weightOf (link: WorkerView): number {
   return [...link.runs.values()].reduce((sum, run) => sum + (stepOf(run.task).isLasting ? LASTING_RUN_WEIGHT : 1), 0)
 }
--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -11,8 +11,6 @@
   readonly service: string
   /** Processor time, in thousandths of a core, of what runs and of what could start at once. */
   readonly wantedMillis: number
-  /** Processor time that jobs coming on at the present rate keep busy; 0 where the rate is not known. */
-  readonly arrivingMillis: number
   /** Fewest machines over which its lasting tasks are spread. */
   readonly leastMachines: number
   /** Runs on each of its machines that take work; lasting tasks weigh as {@link LASTING_RUN_WEIGHT}. */
--- /dev/null
+++ b/packages/policy/src/test/ServiceNeeds.test.ts
@@ -0,0 +1,24 @@
+import { expect } from 'chai'
+import { ServiceNeeds } from '../lib/machines/ServiceNeeds.js'
+import type { ServiceDemand } from '../lib/machines/planPools.js'
+
+const NOW_MS = 100_000
+
+describe('ServiceNeeds', () => {
+  const demand = (wantedCores: number): ServiceDemand => ({
+    service: 's', wantedMillis: wantedCores * 1000, leastMachines: 1, machineMillis: 10_000, runsByMachine: new Map()
+  })
+  const cases = [
+    { name: 'a steady need', before: 17, now: 17, expected: 2 },
+    { name: 'a growing need, extended by how long a move takes', before: 17, now: 34, expected: 7 },
+    { name: 'one that grows fast, at most twice', before: 0, now: 34, expected: 8 }
+  ]
+  for (const { name, before, now, expected } of cases) {
+    it(`foresees ${expected} machines for ${name}`, () => {
+      const needs = new ServiceNeeds()
+      needs.recent([demand(before)], NOW_MS)
+      needs.recent([demand(now)], NOW_MS + 1000)
+      expect(needs.coming([demand(now)], NOW_MS + 1000).get('s')).to.equal(expected)
+    })
+  }
+})
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -59,7 +59,7 @@
   #commits!: CommitLog
   #tookOverMs = 0
   #isRoundDue = false
-  /** The first list was read: jobs that come from now on are new. */
+  /** The first list of jobs was read: workers may be met. */
   #hasHeardOfAll = false
 
   /** @param options - what it works with */
@@ -82,7 +82,7 @@
     const put = (key: string, source: RecordSource, isUrgent: boolean): void => this.#commits.put(key, source, isUrgent)
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
-    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, times: this.#times, put })
+    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
     this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#takeAway(run) } })
     this.#registrations = createReplica(options.log, {
@@ -260,7 +260,7 @@
     }
     const spec = parsed.data
     if (this.#book.jobs.has(spec.jobId)) return
-    const job = createJob(spec, this.#hasHeardOfAll ? this.#options.clock.monotonicMs() : undefined)
+    const job = createJob(spec)
     this.#book.jobs.set(spec.jobId, job)
     const recorded = this.#recorded.get(spec.jobId)
     this.#recorded.delete(spec.jobId)
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import { demandOf, type Job, machinesNeeded, type RunTimes } from '@quillscale/policy'
+import { demandOf, type Job, machinesNeeded } from '@quillscale/policy'
 import type { RecordSource } from '../records/CommitLog.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
@@ -16,7 +16,6 @@
   readonly service: string
   readonly clock: Clock
   readonly log: EventLog
-  readonly times: RunTimes
   readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
 }
 
@@ -65,8 +64,8 @@
   /** More need is told at once, anything else now and then. */
   #writeDemand (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
     this.#demandMadeMs = nowMs
-    const { service, clock, log, times, put } = this.#options
-    const demand = demandOf({ service, jobs, links, times, nowMs, wallMs: clock.wallMs() })
+    const { service, clock, log, put } = this.#options
+    const demand = demandOf({ service, jobs, links, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#demandNeed
--- a/packages/scheduler/src/lib/records/serviceDemand.ts
+++ b/packages/scheduler/src/lib/records/serviceDemand.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ServiceDemand } from '@quillscale/policy'
 
 /** Below which demands are kept. @public */
@@ -13,15 +13,14 @@
 
 const demandSchema = z.object({
   wantedMillis: z.number(),
-  arrivingMillis: z.number().default(0),
   leastMachines: z.number(),
   machineMillis: z.number(),
   runs: z.array(z.tuple([z.string(), z.number()]))
 })
 
 /** @param demand - of a service @returns it as text @public */
-export function encodeDemand ({ wantedMillis, arrivingMillis, leastMachines, machineMillis, runsByMachine }: ServiceDemand): string {
-  return JSON.stringify({ wantedMillis, arrivingMillis: Math.round(arrivingMillis), leastMachines, machineMillis, runs: [...runsByMachine] })
+export function encodeDemand ({ wantedMillis, leastMachines, machineMillis, runsByMachine }: ServiceDemand): string {
+  return JSON.stringify({ wantedMillis, leastMachines, machineMillis, runs: [...runsByMachine] })
 }
 
 /** @param service - whose @param text - as kept @returns the demand @public */
