--- a/packages/policy/src/lib/jobs/RunTimes.ts
+++ b/packages/policy/src/lib/jobs/RunTimes.ts
@@ -7,7 +7,7 @@
 
 /** Weight of a new sample: about the last ten runs count. */
 const SAMPLE_WEIGHT = 0.15
-/** A step without a guess and without samples; about the mean of the users' sheets. */
+/** A step without a guess and without samples; about the mean of the tasks of all services known so far, in ms. */
 const DEFAULT_MS = 1000
 /** Images remembered; the oldest are forgotten. */
 const MAX_IMAGES = 2000
--- a/packages/policy/src/lib/machines/demandOf.ts
+++ b/packages/policy/src/lib/machines/demandOf.ts
@@ -20,7 +20,7 @@
 
 /** Lasting tasks are spread over so many machines at least: one that is lost takes only a part of them. */
 const LEAST_MACHINES = 2
-/** For a service none of whose workers is known: a machine of the smaller users' sites. */
+/** For a service none of whose workers is known: the smallest machine known so far, in thousandths of a core. */
 const DEFAULT_MACHINE_MILLIS = 16_000
 
 /** @param sources - jobs and workers of a service @returns its demand @public */
--- a/packages/policy/src/lib/machines/planVacate.ts
+++ b/packages/policy/src/lib/machines/planVacate.ts
@@ -5,7 +5,7 @@
  */
 import { stepOf, type Run, type Task } from '../jobs/JobState.js'
 
-/** A task that neither lasts nor saves its progress may finish; after this it is stopped. The longest tasks of the users' sheets run 4.2 s. */
+/** A task that neither lasts nor saves its progress may finish; after this it is stopped. The longest tasks that are declared run 4.2 s. */
 const FINISH_MS = 4500
 /** A lasting task is at work when its percent is this. */
 const AT_WORK_PERCENT = 100
--- a/packages/policy/src/lib/placement/WorkerHealth.ts
+++ b/packages/policy/src/lib/placement/WorkerHealth.ts
@@ -6,7 +6,7 @@
 
 /** Different jobs that must fail on it in a row: a single bad job fails on every worker. */
 const FAILED_JOBS_IN_ROW = 2
-/** First time apart; twice as long each further time. The troubles seen at the users' sites last 5 to 8 seconds. */
+/** First time apart; twice as long each further time. Workers that fail what they start do so for 5 to 8 seconds. */
 const FIRST_APART_MS = 2000
 const MAX_APART_MS = 8000
 
--- a/packages/scheduler/src/lib/records/createReplica.ts
+++ b/packages/scheduler/src/lib/records/createReplica.ts
@@ -8,7 +8,7 @@
 
 /** How long one watch waits: after so much more a silent connection is noticed. */
 const WATCH_MS = 3000
-/** What a watch missed is found after so long: below the 10 s after which a job nobody starts counts as lost at the users' sites. */
+/** What a watch missed is found after so long: below the 10 s after which a job that nobody starts counts as lost. */
 const RELIST_MS = 8000
 
 /**
