--- a/packages/bench/src/lib/policy/playLoad.ts
+++ b/packages/bench/src/lib/policy/playLoad.ts
@@ -36,6 +36,8 @@
   readonly day: number
   readonly worstWindows: number
   readonly worstKind: number
+  /** What each kind earned of what it was owed. */
+  readonly kinds: ReadonlyArray<{ readonly name: string, readonly share: number }>
   /** Among the largest tenth of jobs of a kind, the share in time, against all of the kind; of the worst kind. */
   readonly largest: number
   readonly machineSeconds: number
@@ -140,13 +142,14 @@
     const day = this.#shareOf(this.#drawn)
     const shares = windows.filter((window) => window.owed > LEAST_SHARE * owed).map((window) => window.earned / window.owed).sort((a, b) => a - b)
     const worstWindows = shares.slice(0, WORST_WINDOWS).reduce((sum, share) => sum + share, 0) / Math.max(1, Math.min(shares.length, WORST_WINDOWS))
-    const kinds = groupBy(this.#drawn, ({ kind }) => kind.name).map(([, jobs]) => jobs)
-    const worstKind = Math.min(...kinds.map((jobs) => this.#shareOf(jobs)))
+    const byKind = groupBy(this.#drawn, ({ kind }) => kind.name)
+    const kinds = byKind.map(([name, jobs]) => ({ name, share: this.#shareOf(jobs) }))
+    const worstKind = Math.min(...kinds.map(({ share }) => share))
     const { machineSeconds, moves } = this.#pools
     const prices = (machineSeconds * this.#load.prices.machineS + moves * this.#load.prices.move) / owed
     const earned = WEIGHTS.day * day + WEIGHTS.worstWindows * worstWindows + WEIGHTS.worstZone * day + WEIGHTS.worstKind * worstKind
-    const largest = Math.min(...kinds.map((jobs) => this.#largest(jobs)))
-    return { day, worstWindows, worstKind, largest, machineSeconds, moves, worth: earned - prices, windows }
+    const largest = Math.min(...byKind.map(([, jobs]) => this.#largest(jobs)))
+    return { day, worstWindows, worstKind, kinds, largest, machineSeconds, moves, worth: earned - prices, windows }
   }
 
   /** Jobs in time among the largest tenth of a kind, against all of it. */
