--- a/packages/scheduler/src/lib/duties/DutyRoster.ts
+++ b/packages/scheduler/src/lib/duties/DutyRoster.ts
@@ -75,6 +75,8 @@
   #triedMs = -Infinity
   #triedKey = ''
   #powersReadMs = -Infinity
+  /** Until then a weak host would not know that it is one, and take what strong hosts are about to. */
+  #hasAskedPowers = false
   #mostPower = 0
 
   /** @param options - what it works with */
@@ -116,6 +118,7 @@
     const nowMs = clock.monotonicMs()
     if (nowMs - this.#powersReadMs < HOSTS_VALID_MS) return
     const listed = await store.list(HOSTS_PREFIX)
+    this.#hasAskedPowers = true
     if (listed.err) {
       log.warn({ error: listed.val }, 'power of other hosts not read')
       return
@@ -203,7 +206,7 @@
     // Somebody has the duty that was tried last: if it is not this host, others may be tried at once.
     if (this.#replica.items.has(this.#triedKey) && this.#duties.get(this.#triedKey)?.task === undefined) this.#triedMs = -Infinity
     for (const [dutyKey, { holder }] of this.#duties) {
-      if (!this.#replica.isListed || this.#replica.items.has(dutyKey)) {
+      if (!this.#replica.isListed || !this.#hasAskedPowers || this.#replica.items.has(dutyKey)) {
         this.#vacancies.delete(dutyKey)
         continue
       }
--- a/packages/scheduler/src/test/DutyRoster.test.ts
+++ b/packages/scheduler/src/test/DutyRoster.test.ts
@@ -3,22 +3,26 @@
 import type { KeyValueStore, PlatformError } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { DutyRoster, type DutyGrant, type DutyTask } from '../lib/duties/DutyRoster.js'
-import { DUTY_PREFIX, hostKey } from '../lib/records/storeKeys.js'
+import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../lib/records/storeKeys.js'
 import { TestLog } from './TestService.js'
 
 const TTL_MS = 1200
 const DUTIES = ['duty/a', 'duty/b', 'duty/c', 'duty/d']
 
-/** A host's way to the store, which may be cut. */
+/** A host's way to the store, which may be cut, or slow to tell how strong the others are. */
 class HostStore {
   isCut = false
+  hostsDelayMs = 0
 
   constructor (store: MemoryKeyValueStore) {
     return new Proxy(this, {
       get: (target, name) => {
-        if (name === 'isCut') return target.isCut
+        if (name === 'isCut' || name === 'hostsDelayMs') return target[name]
         const method = store[name as keyof KeyValueStore] as (...args: unknown[]) => Promise<Result<unknown, PlatformError>>
-        return async (...args: unknown[]) => target.isCut ? Err({ kind: 'unavailable', detail: 'cut' }) : await method.apply(store, args)
+        return async (...args: unknown[]) => {
+          if (name === 'list' && args[0] === HOSTS_PREFIX) await delay(target.hostsDelayMs)
+          return target.isCut ? Err({ kind: 'unavailable', detail: 'cut' }) : await method.apply(store, args)
+        }
       }
     })
   }
@@ -48,19 +52,32 @@
     hosts = []
   })
 
-  function addHost (name: string, power: number): Host {
+  function addHost (name: string, power: number, dutyKeys: readonly string[] = DUTIES): Host {
     const own = new HostStore(store)
     const random = new SeededRandom(hosts.length)
     const roster = new DutyRoster({
       hostName: name, power, store: own as unknown as KeyValueStore, clock: systemClock, log: new TestLog(), ttlMs: TTL_MS, random: () => random.next()
     })
-    for (const dutyKey of DUTIES) roster.compete(dutyKey, tenures.create(dutyKey, name))
+    for (const dutyKey of dutyKeys) roster.compete(dutyKey, tenures.create(dutyKey, name))
     void roster.run()
     const host = { roster, store: own, name }
     hosts.push(host)
     return host
   }
 
+  it('leaves a duty that it hears of before it knows the others to a stronger host', async () => {
+    const key = 'duty/late'
+    const puts = [{ key: hostKey('strong'), value: '1' }, { key: hostKey('weak'), value: '0.25' }]
+    await store.transact({ conditions: [], puts, removals: [] })
+    const { roster, store: own } = addHost('weak', 0.25, [])
+    own.hostsDelayMs = 150
+    await delay(60)
+    const heardMs = performance.now()
+    roster.compete(key, tenures.create(key, 'weak'))
+    await untilHeld([key], heardMs, 2000)
+    expect((tenures.holders.get(key)?.fromMs ?? 0) - heardMs).to.be.above(400)
+  })
+
   async function untilHeld (keys: readonly string[], sinceMs: number, timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
     while (keys.some((key) => (tenures.holders.get(key)?.fromMs ?? 0) < sinceMs)) {
