--- a/packages/bench/src/lib/policy/SimulatedWorker.ts
+++ b/packages/bench/src/lib/policy/SimulatedWorker.ts
@@ -21,7 +21,7 @@
   readonly trueRuns = new Map<Run, TrueRun>()
   readonly clock = { isKnown: true }
   readonly health = new WorkerHealth()
-  readonly isListed = true
+  readonly takesWork = true
   readonly isNotedSilent = false
   refusingUntilMs = -Infinity
   /** It neither hears nor answers. */
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -111,7 +111,8 @@
 /** @param job - any @param taskKey - JOB.TIME.STEP.INDEX @returns the task @public */
 export function findTask (job: Job, taskKey: string): Task | undefined {
   const [, time, step, index] = taskKey.split('.')
-  if (Number(time) >= timesOf(job)) return undefined
+  const isTime = Number.isInteger(Number(time)) && Number(time) >= 0 && Number(time) < timesOf(job)
+  if (!isTime) return undefined
   return tasksOf(job, Number(time))[Number(step)]?.[Number(index)]
 }
 
--- a/packages/policy/src/lib/machines/demandOf.ts
+++ b/packages/policy/src/lib/machines/demandOf.ts
@@ -37,7 +37,7 @@
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
-  const open = links.filter((link) => link.isListed && link.instance.state === 'ready' && link.isAnswering(nowMs))
+  const open = links.filter((link) => link.takesWork && link.isAnswering(nowMs))
   const sizes = open.map(({ instance }) => instance.capacity.cpuMillis)
   return {
     service,
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -123,7 +123,7 @@
 
   #isOpen (link: WorkerView): boolean {
     const { nowMs, vacating } = this.#options
-    return link.isListed && link.instance.state === 'ready' && link.clock.isKnown && link.isAnswering(nowMs) && !link.isNotedSilent &&
+    return link.takesWork && link.clock.isKnown && link.isAnswering(nowMs) && !link.isNotedSilent &&
       nowMs >= link.refusingUntilMs && !link.health.isApart(nowMs) && !vacating.isVacating(link.instance.machineId)
   }
 
--- a/packages/policy/src/lib/placement/WorkerView.ts
+++ b/packages/policy/src/lib/placement/WorkerView.ts
@@ -11,8 +11,8 @@
 export interface WorkerView {
   /** As last registered. */
   readonly instance: WorkerInstance
-  /** Whether it is registered now. */
-  readonly isListed: boolean
+  /** Whether it is registered now and says that it takes new work. */
+  readonly takesWork: boolean
   /** Runs placed there that are not known to be over. */
   readonly runs: ReadonlyMap<string, Run>
   /** Whether its clock was read: without that no lease can be given. */
--- a/packages/ports/src/lib/KeyValueStore.ts
+++ b/packages/ports/src/lib/KeyValueStore.ts
@@ -8,6 +8,7 @@
 /** A value with the revision of its last change. @public */
 export interface KeyValue {
   readonly key: string
+  /** Bytes that are no UTF-8 text come as the empty text, which is no record of ours. */
   readonly value: string
   /** Grows with each write to the service. */
   readonly modRevision: number
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -7,6 +7,7 @@
 export type { EventLog } from './lib/duties/EventLog.js'
 export { SchedulerMetrics } from './lib/duties/SchedulerMetrics.js'
 export { MonitoredStore } from './lib/records/MonitoredStore.js'
+export { RecordReader, type RecordProblem } from './lib/records/RecordReader.js'
 export { DutyRoster, type DutyRosterOptions } from './lib/duties/DutyRoster.js'
 export type { SchedulerBounds, ServiceSchedulerOptions } from './lib/duties/ServiceSchedulerOptions.js'
 export { ConfigurationFollower, type ConfigurationFollowerOptions } from './lib/records/ConfigurationFollower.js'
--- a/packages/scheduler/src/lib/duties/DutyRoster.ts
+++ b/packages/scheduler/src/lib/duties/DutyRoster.ts
@@ -6,11 +6,13 @@
  *
  * @module
  */
-import { delay, type Clock } from '@quillscale/utils'
+import { decodeJson, delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
 import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
 import { dutyWaitMs } from '@quillscale/policy'
+import * as z from 'zod'
 import { createReplica } from '../records/createReplica.js'
+import type { RecordReader } from '../records/RecordReader.js'
 import type { EventLog } from './EventLog.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../records/storeKeys.js'
 
@@ -42,6 +44,7 @@
   readonly store: KeyValueStore
   readonly clock: Clock
   readonly log: EventLog
+  readonly records: RecordReader
   readonly ttlMs: number
   /** A number from 0 to 1, fresh at each call. */
   readonly random: () => number
@@ -58,6 +61,9 @@
 /** For what is not written yet at a planned stop. */
 const FLUSH_MS = 600
 
+/** In cores. */
+const powerSchema = z.number().positive()
+
 /** A duty without a holder, since this host saw that, and its luck in competing for it. */
 interface Vacancy { readonly sinceMs: number, readonly random: number }
 
@@ -114,7 +120,7 @@
 
   /** Hosts that left are counted too: at worst a duty is taken a little later. */
   async #learnPowers (): Promise<void> {
-    const { store, clock, log, power } = this.#options
+    const { store, clock, log, power, records } = this.#options
     const nowMs = clock.monotonicMs()
     if (nowMs - this.#powersReadMs < HOSTS_VALID_MS) return
     const listed = await store.list(HOSTS_PREFIX)
@@ -124,7 +130,7 @@
       return
     }
     this.#powersReadMs = nowMs
-    this.#mostPower = Math.max(power, ...listed.val.items.map(({ value }) => Number(value)))
+    this.#mostPower = Math.max(power, ...listed.val.items.flatMap((item) => records.read(item, (text) => decodeJson(powerSchema, text)) ?? []))
   }
 
   /**
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -8,14 +8,14 @@
  */
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
-import type { KeyValue } from '@quillscale/ports'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { createJob, hasEnded, type Job, type JobId, jobSpecSchema, PlacementRound, type Run, RunTimes, stepOf } from '@quillscale/policy'
+import { hasEnded, type Job, PlacementRound, type Run, RunTimes, stepOf } from '@quillscale/policy'
 import { AdviceBook } from '../workers/AdviceBook.js'
 import type { CommitLog, RecordSource } from '../records/CommitLog.js'
 import { createReplica } from '../records/createReplica.js'
 import type { EventLog } from './EventLog.js'
-import { decodeProgress, encodeProgress, restoreProgress } from '../jobs/jobProgress.js'
+import { InboxReader } from '../jobs/InboxReader.js'
+import { encodeProgress } from '../jobs/jobProgress.js'
 import { MachineVacator } from '../machines/MachineVacator.js'
 import { openCommitLog } from '../records/openCommitLog.js'
 import { RunBook } from '../jobs/RunBook.js'
@@ -23,8 +23,9 @@
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
-import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { untilAnswered } from '../records/untilAnswered.js'
+import { WorkerRegistrations } from '../workers/WorkerRegistrations.js'
 import { WorkerSet, type WorkerSetOptions } from '../workers/WorkerSet.js'
 
 /** The least time between two placement rounds: tasks that end together are replaced together. */
@@ -49,11 +50,11 @@
   readonly #workers: WorkerSet
   readonly #tracker: RunTracker
   readonly #statusWriter: StatusWriter
-  readonly #registrations: PrefixReplica
+  readonly #registrations: WorkerRegistrations
+  readonly #registrationItems: PrefixReplica
+  readonly #inboxReader: InboxReader
   readonly #inbox: PrefixReplica
   readonly #stop = new AbortController()
-  /** Progress as recorded by earlier holders, until its job is seen in the inbox. */
-  readonly #recorded = new Map<JobId, KeyValue>()
   #wakeRound: () => void = () => {}
   /** Set once the store has answered. */
   #commits!: CommitLog
@@ -85,9 +86,19 @@
     this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
     this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#takeAway(run) } })
-    this.#registrations = createReplica(options.log, {
+    this.#registrations = new WorkerRegistrations({
+      ...options, prefix: options.workersPrefix, isServiceNamed: (name) => configuration()?.services.some((named) => named.name === name) === true
+    })
+    this.#registrationItems = createReplica(options.log, {
       store, clock, prefix: options.workersPrefix, spacingMs: WORKERS_SPACING_MS, onChange: () => this.#followWorkers()
     })
+    this.#inboxReader = new InboxReader({
+      ...options,
+      book: this.#book,
+      vacator: this.#vacator,
+      onPlaced: (run) => this.#workers.adopt(run),
+      onGone: (instanceId, machineId) => this.#workers.noteGone(instanceId, machineId)
+    })
     this.#inbox = createReplica(options.log, {
       store, clock, prefix: inboxPrefix(service), spacingMs: INBOX_SPACING_MS, onChange: (change) => this.#readInbox(change)
     })
@@ -102,6 +113,7 @@
       log,
       book: this.#book,
       linkOf: (run) => this.#workers.linkOf(run),
+      isSetAside: (jobId) => this.#inboxReader.isSetAside(jobId),
       onBegun: (job) => this.#changed(job),
       onNoTicket: (run) => this.#advice.forget(run.task),
       count: (name, label = service) => metrics.count(name, label)
@@ -157,17 +169,15 @@
 
   /** Workers are met only once all jobs are known: the end of a run whose job is not would be acknowledged, and lost. */
   #followWorkers (): void {
-    if (!this.#hasHeardOfAll || !this.#registrations.isListed) return
-    const { decodeWorker, service } = this.#options
-    const instances = [...this.#registrations.items.values()].flatMap((item) => decodeWorker(item) ?? [])
-    this.#workers.follow(instances.filter((instance) => instance.service === service))
+    if (!this.#hasHeardOfAll || !this.#registrationItems.isListed) return
+    this.#workers.follow(this.#registrations.read(this.#registrationItems.items))
   }
 
   /** Schedules until stopped or deposed. */
   async run (): Promise<void> {
     const { clock, service, fencingToken } = this.#options
     this.#tookOverMs = clock.monotonicMs()
-    const registrationsFollowed = this.#registrations.run(this.#stop.signal)
+    const registrationsFollowed = this.#registrationItems.run(this.#stop.signal)
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#book.jobs.size, tookMs: clock.monotonicMs() - this.#tookOverMs }, 'scheduling begins')
     await Promise.all([
@@ -212,12 +222,12 @@
         }
       }, this.#stop.signal),
       untilAnswered(() => store.list(progressPrefix(service)), this.#stop.signal),
-      untilAnswered(async () => (await store.get(silentWorkersKey(service))).map((item) => ({ text: item?.value })), this.#stop.signal)
+      untilAnswered(async () => (await store.get(silentWorkersKey(service))).map((item) => ({ item })), this.#stop.signal)
     ])
     if (commits === undefined || progress === undefined || silent === undefined) return false
-    for (const item of progress.items) this.#recorded.set(item.key.slice(progressPrefix(service).length) as JobId, item)
+    this.#inboxReader.remember(progress.items)
     this.#commits = commits
-    this.#silentWorkers.restore(silent.text, commits.formerDutyRevision)
+    this.#silentWorkers.restore(silent.item, commits.formerDutyRevision)
     return true
   }
 
@@ -228,23 +238,8 @@
     this.#options.onDeposed()
   }
 
-  #readInbox ({ changed, removed }: PrefixChange): void {
-    const prefix = inboxPrefix(this.#options.service)
-    for (const item of changed) {
-      const subject = parseInboxKey(item.key, prefix)
-      if (subject.kind === 'vacate') this.#vacator.request(subject.machineId, item.value)
-      else if (subject.kind === 'job') this.#addJob(item)
-    }
-    // These last: a list may bring them before the jobs that they are about.
-    for (const item of changed) {
-      const subject = parseInboxKey(item.key, prefix)
-      if (subject.kind === 'cancel') this.#cancel(subject.jobId)
-      else if (subject.kind === 'gone') this.#workers.noteGone(subject.instanceId)
-    }
-    for (const key of removed) {
-      const subject = parseInboxKey(key, prefix)
-      if (subject.kind === 'vacate') this.#vacator.withdraw(subject.machineId)
-    }
+  #readInbox (change: PrefixChange): void {
+    this.#inboxReader.read(change)
     if (!this.#hasHeardOfAll) {
       this.#hasHeardOfAll = true
       this.#followWorkers()
@@ -252,28 +247,6 @@
     this.#wake()
   }
 
-  #addJob (item: KeyValue): void {
-    const parsed = jobSpecSchema.safeParse(JSON.parse(item.value))
-    if (!parsed.success) {
-      this.#log.warn({ key: item.key, problem: parsed.error.issues[0] }, 'a job record cannot be read')
-      return
-    }
-    const spec = parsed.data
-    if (this.#book.jobs.has(spec.jobId)) return
-    const job = createJob(spec)
-    this.#book.jobs.set(spec.jobId, job)
-    const recorded = this.#recorded.get(spec.jobId)
-    this.#recorded.delete(spec.jobId)
-    if (recorded === undefined) return
-    for (const run of restoreProgress(job, decodeProgress(recorded.value), this.#options.clock.monotonicMs())) this.#workers.adopt(run)
-  }
-
-  #cancel (jobId: JobId): void {
-    const job = this.#book.jobs.get(jobId)
-    if (job === undefined || hasEnded(job)) return
-    this.#book.end(job, 'cancelled')
-  }
-
   /** Placements and ends of jobs are waited for; ends of tasks only keep their worker's list long. */
   #changed (job: Job, isUrgent = hasEnded(job)): void {
     this.#commits.put(progressKey(this.#options.service, job.spec.jobId), () => encodeProgress(job), isUrgent)
@@ -312,9 +285,9 @@
   #round (): void {
     const nowMs = this.#options.clock.monotonicMs()
     this.#workers.closeLapsed(nowMs)
-    if (!this.#inbox.isListed || !this.#registrations.isListed) return
+    if (!this.#inbox.isListed || !this.#registrationItems.isListed) return
     this.#vacator.step(this.#workers, nowMs)
-    this.#vacator.stepLeaving(this.#workers.leaving(this.#registrations.steadyForMs(nowMs), nowMs), nowMs)
+    this.#vacator.stepLeaving(this.#workers.leaving(this.#registrationItems.steadyForMs(nowMs), nowMs), nowMs)
     this.#place(nowMs)
     this.#statusWriter.write([...this.#book.jobs.values()], this.#workers.links, nowMs)
     this.#forgetEnded()
@@ -353,7 +326,7 @@
       const link = this.#workers.linkOf(run)
       const isWanted = run.phase === 'recording' && run.task.runs.includes(run)
       if (!isWanted) continue
-      if (link === undefined || link.instance.state !== 'ready') {
+      if (link?.takesWork !== true) {
         this.#book.close(run, 'not-started')
         continue
       }
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import type { Clock } from '@quillscale/utils'
+import type { Clock, Result } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, WorkerInstance } from '@quillscale/ports'
+import type { RecordProblem, RecordReader } from '../records/RecordReader.js'
 import type { EventLog } from './EventLog.js'
 import type { SchedulerMetrics } from './SchedulerMetrics.js'
 
@@ -34,11 +35,12 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly metrics: SchedulerMetrics
+  readonly records: RecordReader
   readonly configuration: () => FleetConfiguration | undefined
   readonly bounds: () => SchedulerBounds
   /** Where workers register themselves, and how they are read. */
   readonly workersPrefix: string
-  readonly decodeWorker: (item: KeyValue) => WorkerInstance | undefined
+  readonly decodeWorker: (item: KeyValue) => Result<WorkerInstance, RecordProblem>
   /** Called when another holder has taken over. */
   readonly onDeposed: () => void
 }
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { Ok, type Result } from '@quillscale/utils'
-import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
+import { decodeJson, Err, Ok, type DecodeProblem, type Result } from '@quillscale/utils'
+import type { KeyValueStore, PlatformError } from '@quillscale/ports'
 import { hasEnded, type JobId, type JobSpec, jobSpecSchema, machinesNeeded } from '@quillscale/policy'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
@@ -48,11 +48,12 @@
   /** @returns all services whose scheduler has told its need */
   async services (): Promise<Result<ServiceRow[], PlatformError>> {
     const listed = await this.#store.list(DEMAND_PREFIX)
-    return listed.map(({ items }) => items.map(({ key, value }) => {
+    return listed.map(({ items }) => items.flatMap(({ key, value }) => {
       const demand = decodeDemand(key.slice(DEMAND_PREFIX.length), value)
-      return {
-        service: demand.service, machines: demand.runsByMachine.size, machinesNeeded: machinesNeeded(demand), wantedCores: demand.wantedMillis / MILLIS_A_CORE
-      }
+      // Nobody reads it, the holder of machines neither: it counts as not told.
+      if (demand.err) return []
+      const { service, runsByMachine, wantedMillis } = demand.val
+      return { service, machines: runsByMachine.size, machinesNeeded: machinesNeeded(demand.val), wantedCores: wantedMillis / MILLIS_A_CORE }
     }))
   }
 
@@ -74,13 +75,19 @@
       if (progress.err) return progress
       if (cancel.err) return cancel
       if (duties.err) return duties
-      return Ok(explainJob(jobSpecSchema.parse(JSON.parse(record.val.value)), row, decodeItem(progress.val), cancel.val !== undefined, duties.val, wallMs))
+      const spec = decodeJson(jobSpecSchema, record.val.value)
+      if (spec.err) return unreadable(record.val.key, spec.val)
+      const known = progress.val === undefined ? Ok(undefined) : decodeProgress(progress.val.value)
+      if (known.err) return unreadable(progressKey(row.service, jobId), known.val)
+      return Ok(explainJob(spec.val, row, known.val, cancel.val !== undefined, duties.val, wallMs))
     }
     return Ok(undefined)
   }
 }
 
-const decodeItem = (item: KeyValue | undefined): JobProgress | undefined => item === undefined ? undefined : decodeProgress(item.value)
+function unreadable (key: string, { path, detail }: DecodeProblem): Result<never, PlatformError> {
+  return Err({ kind: 'unavailable', detail: `${key} cannot be read: ${path === '' ? '' : `${path}: `}${detail}` })
+}
 
 function explainJob (
   spec: JobSpec, row: ServiceRow, progress: JobProgress | undefined, isCancelled: boolean, duties: readonly DutyRow[], wallMs: number
--- /dev/null
+++ b/packages/scheduler/src/lib/jobs/InboxReader.ts
@@ -0,0 +1,112 @@
+/**
+ * Takes jobs, cancels and requests from a service's inbox, and joins jobs with what earlier holders recorded of them.
+ *
+ * @module
+ */
+import { decodeJson, type Clock } from '@quillscale/utils'
+import type { KeyValue } from '@quillscale/ports'
+import type { PrefixChange } from '@quillscale/leases'
+import { createJob, hasEnded, type JobId, type JobSpec, jobSpecSchema, type Run } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
+import type { MachineVacator } from '../machines/MachineVacator.js'
+import type { RecordReader } from '../records/RecordReader.js'
+import { CANCEL_VALUE, inboxPrefix, parseInboxKey, progressPrefix } from '../records/storeKeys.js'
+import { decodeProgress, restoreProgress } from './jobProgress.js'
+import type { RunBook } from './RunBook.js'
+
+/** What the reader works with. @public */
+export interface InboxReaderOptions {
+  readonly service: string
+  readonly clock: Clock
+  readonly log: EventLog
+  readonly records: RecordReader
+  readonly book: RunBook
+  readonly vacator: Pick<MachineVacator, 'request' | 'withdraw'>
+  /** Called for each run that an earlier holder placed. */
+  readonly onPlaced: (run: Run) => void
+  /** Called when a worker's lifetime is over, as its machine is down. */
+  readonly onGone: (instanceId: string, machineId: string) => void
+}
+
+/** The reader. @public */
+export class InboxReader {
+  readonly #options: InboxReaderOptions
+  /** Progress as recorded by earlier holders, until its job is seen in the inbox. */
+  readonly #recorded = new Map<JobId, KeyValue>()
+  /** Jobs whose progress cannot be read. */
+  readonly #setAside = new Map<JobId, JobSpec>()
+
+  /** @param options - what it works with */
+  constructor (options: InboxReaderOptions) {
+    this.#options = options
+  }
+
+  /** @param items - progress of the service's jobs, as earlier holders recorded it */
+  remember (items: readonly KeyValue[]): void {
+    const prefix = progressPrefix(this.#options.service)
+    for (const item of items) this.#recorded.set(item.key.slice(prefix.length) as JobId, item)
+  }
+
+  /**
+   * Tells whether a job is left as it is. What became of its tasks is not known, so that one which is done or running could be started
+   * again: it is neither started nor stopped until it is cancelled.
+   *
+   * @param jobId - any
+   */
+  isSetAside (jobId: JobId): boolean {
+    return this.#setAside.has(jobId)
+  }
+
+  /** @param change - of the inbox */
+  read ({ changed, removed }: PrefixChange): void {
+    const { service, vacator, onGone } = this.#options
+    const prefix = inboxPrefix(service)
+    for (const item of changed) {
+      const subject = parseInboxKey(item.key, prefix)
+      if (subject.kind === 'vacate') vacator.request(subject.machineId, item.value)
+      else if (subject.kind === 'job') this.#addJob(item, subject.jobId)
+    }
+    // These last: a list may bring them before the jobs that they are about.
+    for (const item of changed) {
+      const subject = parseInboxKey(item.key, prefix)
+      if (subject.kind === 'cancel' && item.value === CANCEL_VALUE) this.#cancel(subject.jobId)
+      else if (subject.kind === 'gone') onGone(subject.instanceId, item.value)
+    }
+    for (const key of removed) {
+      const subject = parseInboxKey(key, prefix)
+      if (subject.kind === 'vacate') vacator.withdraw(subject.machineId)
+    }
+  }
+
+  #addJob (item: KeyValue, jobId: JobId): void {
+    const { book, clock, log, records, onPlaced } = this.#options
+    if (book.jobs.has(jobId) || this.#setAside.has(jobId)) return
+    const spec = records.read(item, (text) => decodeJson(jobSpecSchema, text))
+    // A record under another job's key is nobody's.
+    if (spec?.jobId !== jobId) return
+    const recorded = this.#recorded.get(jobId)
+    this.#recorded.delete(jobId)
+    const progress = recorded === undefined ? undefined : records.read(recorded, decodeProgress)
+    if (recorded !== undefined && progress === undefined) {
+      this.#setAside.set(jobId, spec)
+      log.warn({ jobId, queue: spec.queue, key: recorded.key, revision: recorded.modRevision }, 'job set aside: what became of its tasks cannot be read')
+      return
+    }
+    const job = createJob(spec)
+    book.jobs.set(jobId, job)
+    if (progress === undefined) return
+    for (const run of restoreProgress(job, progress, clock.monotonicMs())) onPlaced(run)
+  }
+
+  #cancel (jobId: JobId): void {
+    const { book } = this.#options
+    const setAside = this.#setAside.get(jobId)
+    if (setAside !== undefined) {
+      // Its runs are stopped as those that nobody recorded.
+      this.#setAside.delete(jobId)
+      book.jobs.set(jobId, createJob(setAside))
+    }
+    const job = book.jobs.get(jobId)
+    if (job !== undefined && !hasEnded(job)) book.end(job, 'cancelled')
+  }
+}
--- a/packages/scheduler/src/lib/jobs/JobDesk.ts
+++ b/packages/scheduler/src/lib/jobs/JobDesk.ts
@@ -5,25 +5,27 @@
  *
  * @module
  */
-import { delay, Err, type Clock, type Result } from '@quillscale/utils'
-import type { PlatformError } from '@quillscale/ports'
-import type { JobId, JobSpec, JobStatus, StepSpec } from '@quillscale/policy'
+import { decodeJson, delay, Err, type Clock, type Result } from '@quillscale/utils'
+import type { KeyValue, PlatformError, TransactionOutcome } from '@quillscale/ports'
+import { jobSpecSchema, type JobId, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
-import { cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from '../records/storeKeys.js'
+import type { RecordReader } from '../records/RecordReader.js'
+import { CANCEL_VALUE, cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from '../records/storeKeys.js'
 
 /** What the desk works with. @public */
 export interface JobDeskOptions {
   readonly store: MonitoredStore
   readonly clock: Clock
   readonly log: EventLog
+  readonly records: RecordReader
 }
 
 /** `refused`: surely not written by this try, now or later. `unknown`: it may be. @public */
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown'
-/** `unavailable`: the store gave no answer in time. @public */
+/** `unavailable`: the store gave no answer in time, or what it has of the job cannot be read. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
 /** What became of a cancel. @public */
 export type CancelOutcome = 'accepted' | 'no-such-job' | 'unavailable'
@@ -43,6 +45,8 @@
 
 const NOT_ASKED: PlatformError = { kind: 'unavailable', detail: 'the store has not answered for a while and was not asked' }
 
+const UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'what the store has of the job cannot be read' }
+
 const waitingSchema = z.object({ atMs: z.number(), counts: z.record(z.string(), z.number()) })
 
 /** The desk. @public */
@@ -55,7 +59,7 @@
   }
 
   /**
-   * Takes a job in. The same job again is the same job: the write happens only where there is none.
+   * Takes a job in. The same job again is the same job: the write happens only where there is none. What cannot be read is none.
    *
    * @param spec - the job
    * @param service - whose workers run it
@@ -63,10 +67,8 @@
    * @returns what became of it
    */
   async submit (spec: JobSpec, service: string, deadlineMs: number): Promise<SubmitOutcome> {
-    const { store, log } = this.#options
-    const key = jobKey(service, spec.jobId)
-    const transaction = { conditions: [{ key, modRevision: 0 }], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }
-    const written = await this.#retry(deadlineMs, () => store.transact(transaction))
+    const { log } = this.#options
+    const written = await this.#write(spec, service, deadlineMs)
     const outcome: SubmitOutcome = written.result.ok ? 'accepted' : written.mayHaveEffect ? 'unknown' : 'refused'
     const fields = { jobId: spec.jobId, queue: spec.queue, service, outcome, tries: written.tries }
     if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
@@ -74,6 +76,25 @@
     return outcome
   }
 
+  async #write (spec: JobSpec, service: string, deadlineMs: number): Promise<Tried<TransactionOutcome>> {
+    const { store } = this.#options
+    const key = jobKey(service, spec.jobId)
+    const put = (modRevision: number): Promise<Tried<TransactionOutcome>> => this.#retry(deadlineMs, () =>
+      store.transact({ conditions: [{ key, modRevision }], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }))
+    const written = await put(0)
+    if (written.result.err || written.result.val.committed) return written
+    const found = written.result.val.current.find((item) => item.key === key)
+    if (found === undefined || this.#readJob(found) !== undefined) return written
+    const replaced = await put(found.modRevision)
+    if (replaced.result.err || replaced.result.val.committed) return replaced
+    const isThere = replaced.result.val.current.some((item) => item.key === key && this.#readJob(item) !== undefined)
+    return isThere ? replaced : { ...replaced, result: Err(UNREADABLE), mayHaveEffect: true }
+  }
+
+  #readJob (item: KeyValue): JobSpec | undefined {
+    return this.#options.records.read(item, (text) => decodeJson(jobSpecSchema, text))
+  }
+
   /** @param jobId - any @param services - where it may be, the likeliest first @param deadlineMs - monotonic @returns its state */
   async status (jobId: JobId, services: readonly string[], deadlineMs: number): Promise<StatusOutcome> {
     const [likeliest, ...others] = services
@@ -86,13 +107,14 @@
   }
 
   async #statusIn (jobId: JobId, service: string, deadlineMs: number): Promise<StatusOutcome> {
-    const { store } = this.#options
-    const progress = await this.#retry(deadlineMs, () => store.get(progressKey(service, jobId)))
-    if (progress.result.err) return this.#unavailable(jobId, progress.result.val)
-    if (progress.result.val !== undefined) return decodeProgress(progress.result.val.value).status
+    const { store, records } = this.#options
+    const recorded = await this.#retry(deadlineMs, () => store.get(progressKey(service, jobId)))
+    if (recorded.result.err) return this.#unavailable(jobId, recorded.result.val)
+    if (recorded.result.val !== undefined) return records.read(recorded.result.val, decodeProgress)?.status ?? this.#unavailable(jobId, UNREADABLE)
     const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
     if (job.result.err) return this.#unavailable(jobId, job.result.val)
-    return job.result.val === undefined ? 'no-such-job' : 'queued'
+    if (job.result.val === undefined) return 'no-such-job'
+    return this.#readJob(job.result.val) === undefined ? this.#unavailable(jobId, UNREADABLE) : 'queued'
   }
 
   #unavailable (jobId: JobId, error: PlatformError): 'unavailable' {
@@ -107,7 +129,7 @@
       const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
       if (job.result.err) return this.#unavailable(jobId, job.result.val)
       if (job.result.val === undefined) continue
-      const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: '1' }], removals: [] }
+      const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: CANCEL_VALUE }], removals: [] }
       const written = await this.#retry(deadlineMs, () => store.transact(put))
       if (written.result.err) return this.#unavailable(jobId, written.result.val)
       log.info({ jobId, service }, 'cancel taken in')
@@ -119,19 +141,19 @@
 
   /** @param queue - by name @param service - its service @param deadlineMs - monotonic @returns how many of its jobs have not begun */
   async waiting (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
-    const { store, clock, log } = this.#options
+    const { store, clock, log, records } = this.#options
     const read = await this.#retry(deadlineMs, () => store.get(waitingKey(service)))
     if (read.result.err) {
       log.warn({ queue, error: read.result.val }, 'count of waiting jobs not read')
       return 'unavailable'
     }
-    const counts = read.result.val === undefined ? undefined : waitingSchema.parse(JSON.parse(read.result.val.value))
+    const counts = read.result.val === undefined ? undefined : records.read(read.result.val, (text) => decodeJson(waitingSchema, text))
     if (counts !== undefined && Math.abs(clock.wallMs() - counts.atMs) < COUNT_FRESH_MS) return counts.counts[queue] ?? 0
     return this.#countWaiting(queue, service, deadlineMs)
   }
 
   async #countWaiting (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
-    const { store, log } = this.#options
+    const { store, log, records } = this.#options
     const [inbox, progress] = await Promise.all([
       this.#retry(deadlineMs, () => store.list(inboxPrefix(service))), this.#retry(deadlineMs, () => store.list(progressPrefix(service)))
     ])
@@ -140,13 +162,13 @@
       return 'unavailable'
     }
     // A job that was placed has a record, and still waits until a worker has begun with it.
-    const begun = new Set(progress.result.val.items.filter(({ value }) => decodeProgress(value).status !== 'queued')
+    const begun = new Set(progress.result.val.items.filter((item) => records.read(item, decodeProgress)?.status !== 'queued')
       .map(({ key }) => key.slice(progressPrefix(service).length)))
-    return inbox.result.val.items.filter(({ key, value }) => {
-      const subject = parseInboxKey(key, inboxPrefix(service))
+    return inbox.result.val.items.filter((item) => {
+      const subject = parseInboxKey(item.key, inboxPrefix(service))
       if (subject.kind !== 'job' || begun.has(subject.jobId)) return false
-      const spec = JSON.parse(value) as JobSpec
-      return spec.queue === queue && spec.schedule === undefined
+      const spec = this.#readJob(item)
+      return spec?.queue === queue && spec.schedule === undefined
     }).length
   }
 
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders } from '@quillscale/ports'
-import { hasEnded, type Job, planPaces, type Run, stepOf } from '@quillscale/policy'
+import { hasEnded, type Job, type JobId, planPaces, type Run, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { LossEvidence, RunBook } from './RunBook.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
@@ -18,6 +18,8 @@
   readonly log: EventLog
   readonly book: RunBook
   readonly linkOf: (run: Run) => WorkerLink | undefined
+  /** Whether a job's runs are left alone, since what was recorded of them cannot be read. */
+  readonly isSetAside: (jobId: JobId) => boolean
   /** Called for each job that left the queue. */
   readonly onBegun: (job: Job) => void
   /** Called when a ticket was refused. */
@@ -41,7 +43,7 @@
 
   /** @param link - whose report @param report - both lists @param askedMs - monotonic, when the worker was asked */
   read (link: WorkerLink, report: HoldReport, askedMs: number): void {
-    const { book, clock, log, orders, fencingToken } = this.#options
+    const { book, clock, log, orders, fencingToken, isSetAside } = this.#options
     const nowMs = clock.monotonicMs()
     for (const end of report.ended) book.noteEnd(link, end)
     const running = new Map(report.running.map((run) => [runKey(run), run]))
@@ -51,7 +53,7 @@
       else if (!report.hasMoreEnds) this.#notSeen(run, askedMs)
     }
     for (const [key, seen] of running) {
-      if (link.runs.has(key)) continue
+      if (link.runs.has(key) || isSetAside(jobIdOf(seen.taskKey))) continue
       // Placements are written before starts, so this is a run that was given up; it is stopped again.
       log.warn({ taskKey: seen.taskKey, runNumber: seen.runNumber, instanceId: link.instance.instanceId }, 'a run that is not recorded is stopped')
       void orders.stop(link.instance, seen, fencingToken)
@@ -125,3 +127,5 @@
     this.#options.onBegun(job)
   }
 }
+
+const jobIdOf = (taskKey: string): JobId => (taskKey.split('.')[0] ?? '') as JobId
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
 import { allTasks, findTask, type Job, type Run } from '@quillscale/policy'
 
@@ -52,8 +53,8 @@
   return { runNumber, instanceId, isStopping: isStopping || undefined }
 }
 
-/** @param text - as kept @returns the progress @public */
-export const decodeProgress = (text: string): JobProgress => progressSchema.parse(JSON.parse(text))
+/** @param text - as kept @returns the progress, or why it cannot be read @public */
+export const decodeProgress = (text: string): Result<JobProgress, DecodeProblem> => decodeJson(progressSchema, text)
 
 /**
  * Takes over what an earlier holder recorded.
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -14,8 +14,9 @@
 import { createReplica } from '../records/createReplica.js'
 import type { DutyGrant, DutyTask } from '../duties/DutyRoster.js'
 import type { EventLog } from '../duties/EventLog.js'
-import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, type MachineTask, type WaveProgress } from './machineRecord.js'
+import { decodeMachineRecord, encodeMachineRecord, MACHINE_RECORD_KEY, UNKNOWN_MACHINE_RECORD, type MachineRecord, type MachineTask, type WaveProgress } from './machineRecord.js'
 import { DemandBook } from '../records/DemandBook.js'
+import type { RecordReader } from '../records/RecordReader.js'
 import { openCommitLog } from '../records/openCommitLog.js'
 import { OrderPauses } from './OrderPauses.js'
 import { DEMAND_PREFIX } from '../records/serviceDemand.js'
@@ -31,6 +32,7 @@
   readonly machines: MachineControl
   readonly clock: Clock
   readonly log: EventLog
+  readonly records: RecordReader
   /** The waves that operators asked for. */
   readonly waves: () => Iterable<WaveRequest>
   /** Services whose schedulers empty machines. */
@@ -80,7 +82,7 @@
   readonly #waves = new Map<number, WaveProgress>()
   readonly #requests = new Map<number, WaveRequest>()
   readonly #refused = new Set<string>()
-  readonly #demands = new DemandBook()
+  readonly #demands: DemandBook
   readonly #needs = new ServiceNeeds()
   readonly #pauses: OrderPauses
   readonly #watch = new MachineWatch()
@@ -96,6 +98,7 @@
   constructor (options: MachineDutyOptions) {
     this.#options = options
     const { store, clock, log } = options
+    this.#demands = new DemandBook(options.records)
     this.#pauses = new OrderPauses(() => options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS)
     const ignored = (): void => {}
     this.#vacated = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignored })
@@ -104,7 +107,7 @@
 
   /** Works until closed. */
   async run (): Promise<void> {
-    const { store, clock, log, dutyKey, fencingToken, onDeposed } = this.#options
+    const { store, clock, log, records, dutyKey, fencingToken, onDeposed } = this.#options
     this.#tookOverMs = clock.monotonicMs()
     const [commits, record, sightings] = await Promise.all([
       openCommitLog({
@@ -124,8 +127,8 @@
     ])
     if (commits === undefined || this.#stop.signal.aborted) return
     this.#commits = commits
-    if (record !== undefined) this.#restore(record.value)
-    if (sightings !== undefined) this.#watch.restore(this.#sightings.restore(sightings.items))
+    if (record !== undefined) this.#restore(records.read(record, decodeMachineRecord) ?? UNKNOWN_MACHINE_RECORD)
+    if (sightings !== undefined) this.#watch.restore(this.#sightings.restore(sightings.items, records))
     await this.#releaseForgotten()
     await Promise.all([this.#commits.run(), this.#vacated.run(this.#stop.signal), this.#demandItems.run(this.#stop.signal), this.#rounds()])
   }
@@ -145,8 +148,7 @@
     await this.#commits.flushWithin(timeoutMs)
   }
 
-  #restore (text: string): void {
-    const { tasks, waves, pauses, allPausedMs } = decodeMachineRecord(text)
+  #restore ({ tasks, waves, pauses, allPausedMs }: MachineRecord): void {
     this.#pauses.restore(pauses, allPausedMs, this.#options.clock.monotonicMs())
     for (const wave of waves) this.#waves.set(wave.wave, wave)
     for (const task of tasks) {
--- a/packages/scheduler/src/lib/machines/SightingRecord.ts
+++ b/packages/scheduler/src/lib/machines/SightingRecord.ts
@@ -7,8 +7,10 @@
  *
  * @module
  */
+import { decodeJson } from '@quillscale/utils'
 import type { KeyValue, ListedMachine } from '@quillscale/ports'
 import * as z from 'zod'
+import type { RecordReader } from '../records/RecordReader.js'
 import { SIGHTINGS_PREFIX, sightingsKey } from '../records/storeKeys.js'
 
 /** Workers by machine, of one pool. */
@@ -28,13 +30,14 @@
   readonly #written = new Map<string, string>()
   #writtenMs = -Infinity
 
-  /** @param items - as former holders wrote them @returns the machines as last listed */
-  restore (items: readonly KeyValue[]): Map<string, ListedMachine> {
+  /** @param items - as former holders wrote them @param records - reads them @returns the machines as last listed */
+  restore (items: readonly KeyValue[], records: RecordReader): Map<string, ListedMachine> {
     const sightings = new Map<string, ListedMachine>()
-    for (const { key, value } of items) {
-      const pool = key.slice(SIGHTINGS_PREFIX.length)
-      this.#written.set(pool, value)
-      for (const [machineId, instanceId] of Object.entries(sightingsSchema.parse(JSON.parse(value)))) {
+    for (const item of items) {
+      const pool = item.key.slice(SIGHTINGS_PREFIX.length)
+      this.#written.set(pool, item.value)
+      const workers = records.read(item, (text) => decodeJson(sightingsSchema, text)) ?? {}
+      for (const [machineId, instanceId] of Object.entries(workers)) {
         sightings.set(machineId, { machineId, pool, state: 'up', availabilityZone: '', instanceId })
       }
     }
--- a/packages/scheduler/src/lib/machines/machineRecord.ts
+++ b/packages/scheduler/src/lib/machines/machineRecord.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
 import type { OrderPause } from './OrderPauses.js'
 
@@ -68,9 +69,13 @@
   return JSON.stringify({ tasks: kept, waves, ordered, pausesMs, allPausedMs })
 }
 
-/** @param text - as kept @returns what it holds @public */
-export function decodeMachineRecord (text: string): MachineRecord {
-  const { tasks, waves, pausesMs, allPausedMs } = recordSchema.parse(JSON.parse(text))
-  const pauses = Object.entries(pausesMs ?? {}).map(([machineId, leftMs]) => ({ machineId, leftMs }))
-  return { tasks, waves, pauses, allPausedMs: pausesMs === undefined ? Infinity : allPausedMs }
+/** What a holder goes by that knows nothing of the one before: any machine may just have been ordered. @public */
+export const UNKNOWN_MACHINE_RECORD: MachineRecord = { tasks: [], waves: [], pauses: [], allPausedMs: Infinity }
+
+/** @param text - as kept @returns what it holds, or why it cannot be read @public */
+export function decodeMachineRecord (text: string): Result<MachineRecord, DecodeProblem> {
+  return decodeJson(recordSchema, text).map(({ tasks, waves, pausesMs, allPausedMs }) => {
+    const pauses = Object.entries(pausesMs ?? {}).map(([machineId, leftMs]) => ({ machineId, leftMs }))
+    return { tasks, waves, pauses, allPausedMs: pausesMs === undefined ? Infinity : allPausedMs }
+  })
 }
--- a/packages/scheduler/src/lib/records/ConfigurationFollower.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationFollower.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import type { Clock } from '@quillscale/utils'
+import type { Clock, Result } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, KeyValueStore, WaveRequest } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
 import type { EventLog } from '../duties/EventLog.js'
+import type { RecordProblem, RecordReader } from './RecordReader.js'
 
 /** What the follower works with. @public */
 export interface ConfigurationFollowerOptions {
@@ -17,8 +18,10 @@
   readonly prefix: string
   /** The key of the configuration. */
   readonly configurationKey: string
-  readonly decodeConfiguration: (item: KeyValue) => FleetConfiguration | undefined
-  readonly decodeWave: (item: KeyValue) => WaveRequest | undefined
+  readonly records: RecordReader
+  readonly decodeConfiguration: (text: string) => Result<FleetConfiguration, RecordProblem>
+  /** `undefined` for keys that are no wave's. */
+  readonly decodeWave: (item: KeyValue) => Result<WaveRequest, RecordProblem> | undefined
   /** Called when another version or other waves are in force. */
   readonly onChange: () => void
 }
@@ -82,20 +85,21 @@
 
   #read (item: KeyValue): void {
     if (item.key === this.#options.configurationKey) return this.#adopt(item)
-    const wave = this.#options.decodeWave(item)
+    const { decodeWave, records, log } = this.#options
+    const decoded = decodeWave(item)
+    if (decoded === undefined) return
+    const wave = records.read(item, () => decoded)
     if (wave === undefined) return
     this.waves.set(item.key, wave)
-    this.#options.log.info({ wave: wave.wave, machines: wave.machineIds.length, deadlineMs: wave.deadlineMs, maxAtOnce: wave.maxAtOnce, revision: item.modRevision }, 'wave requested')
+    log.info({ wave: wave.wave, machines: wave.machineIds.length, deadlineMs: wave.deadlineMs, maxAtOnce: wave.maxAtOnce, revision: item.modRevision }, 'wave requested')
   }
 
   #adopt (item: KeyValue): void {
-    const next = this.#options.decodeConfiguration(item)
-    if (next === undefined) {
-      this.#options.log.warn({ revision: item.modRevision }, 'a configuration cannot be read; the one in force stays')
-      return
-    }
-    if (this.#configuration !== undefined && next.version <= this.#configuration.version) return
-    this.#options.log.info({ version: next.version, before: this.#configuration?.version, revision: item.modRevision, queues: next.queues.length, services: next.services.length }, 'configuration in force')
+    const { decodeConfiguration, records, log } = this.#options
+    // One that cannot be read leaves the one in force.
+    const next = records.read(item, decodeConfiguration)
+    if (next === undefined || (this.#configuration !== undefined && next.version <= this.#configuration.version)) return
+    log.info({ version: next.version, before: this.#configuration?.version, revision: item.modRevision, queues: next.queues.length, services: next.services.length }, 'configuration in force')
     this.#configuration = next
   }
 }
--- a/packages/scheduler/src/lib/records/serviceDemand.ts
+++ b/packages/scheduler/src/lib/records/serviceDemand.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
 import type { ServiceDemand } from '@quillscale/policy'
 
@@ -11,11 +12,12 @@
 /** The demand of a service. @public */
 export const demandKey = (service: string): string => `${DEMAND_PREFIX}${service}`
 
+const amount = z.number().nonnegative()
 const demandSchema = z.object({
-  wantedMillis: z.number(),
-  leastMachines: z.number(),
-  machineMillis: z.number(),
-  runs: z.array(z.tuple([z.string(), z.number()]))
+  wantedMillis: amount,
+  leastMachines: amount,
+  machineMillis: amount,
+  runs: z.array(z.tuple([z.string(), amount]))
 })
 
 /** @param demand - of a service @returns it as text @public */
@@ -23,8 +25,7 @@
   return JSON.stringify({ wantedMillis, leastMachines, machineMillis, runs: [...runsByMachine] })
 }
 
-/** @param service - whose @param text - as kept @returns the demand @public */
-export function decodeDemand (service: string, text: string): ServiceDemand {
-  const { runs, ...rest } = demandSchema.parse(JSON.parse(text))
-  return { service, ...rest, runsByMachine: new Map(runs) }
+/** @param service - whose @param text - as kept @returns the demand, or why it cannot be read @public */
+export function decodeDemand (service: string, text: string): Result<ServiceDemand, DecodeProblem> {
+  return decodeJson(demandSchema, text).map(({ runs, ...rest }) => ({ service, ...rest, runsByMachine: new Map(runs) }))
 }
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -9,6 +9,8 @@
 export const inboxPrefix = (service: string): string => `inbox/${service}/`
 /** An accepted job; written once by the accepting host. @public */
 export const jobKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}`
+/** What is written there; anything else cancels nothing. @public */
+export const CANCEL_VALUE = '1'
 /** That a job is to be cancelled. @public */
 export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
 /** Below which machines that a service is to empty are named. @public */
--- a/packages/scheduler/src/lib/workers/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/workers/SilentWorkers.ts
@@ -11,10 +11,11 @@
  *
  * @module
  */
-import { delay, type Clock } from '@quillscale/utils'
-import type { KeyValueStore } from '@quillscale/ports'
+import { decodeJson, delay, type Clock } from '@quillscale/utils'
+import type { KeyValue, KeyValueStore } from '@quillscale/ports'
 import * as z from 'zod'
 import type { RecordSource } from '../records/CommitLog.js'
+import type { RecordReader } from '../records/RecordReader.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
@@ -37,6 +38,7 @@
   readonly store: KeyValueStore
   readonly clock: Clock
   readonly log: EventLog
+  readonly records: RecordReader
   /** The shortest lease that the store grants. */
   readonly minTtlMs: () => number
   /** The longest lease that any holder may have given, this one among them. */
@@ -84,13 +86,13 @@
   /**
    * Takes over what a former holder wrote, and writes it down as this holder's.
    *
-   * @param text - the record
+   * @param item - the record, if there is one; one that cannot be read is not believed
    * @param formerToken - of the holder that wrote anything last
    */
-  restore (text: string | undefined, formerToken: number | undefined): void {
+  restore (item: KeyValue | undefined, formerToken: number | undefined): void {
     // Nobody has ever held the duty: there are no leases.
     if (formerToken === undefined) this.#formerLeaseMs = 0
-    const record = text === undefined ? undefined : recordSchema.parse(JSON.parse(text))
+    const record = item === undefined ? undefined : this.#options.records.read(item, (text) => decodeJson(recordSchema, text))
     if (record !== undefined && record.fencingToken === formerToken) this.#believe(record)
     const { service, log } = this.#options
     const isBelieved = this.#formerLeaseMs !== undefined
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -58,8 +58,8 @@
   readonly runs = new Map<string, Run>()
   /** As last registered. */
   instance: WorkerInstance
-  /** Whether the platform still lists it. */
-  isListed = true
+  /** Whether its entry is there; one that cannot be read any more names no worker for new work, and says nothing about what runs there. */
+  registration: 'readable' | 'unreadable' | 'missing' = 'readable'
   /** Monotonic; no work is placed until then, since it refused some. */
   refusingUntilMs = -Infinity
   processedSequence = 0
@@ -79,6 +79,16 @@
     setMaxListeners(0, this.#stop.signal)
   }
 
+  /** Whether the platform still lists it. */
+  get isListed (): boolean {
+    return this.registration !== 'missing'
+  }
+
+  /** Whether it says that it takes new work. */
+  get takesWork (): boolean {
+    return this.registration === 'readable' && this.instance.state === 'ready'
+  }
+
   /** @param nowMs - monotonic @returns whether it has answered lately */
   isAnswering (nowMs: number): boolean {
     return nowMs - this.#answeredMs < SILENT_AFTER_MS
--- a/packages/scheduler/src/lib/workers/WorkerSet.ts
+++ b/packages/scheduler/src/lib/workers/WorkerSet.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from '../duties/EventLog.js'
 import type { LossEvidence } from '../jobs/RunBook.js'
 import type { SilentWorkers } from './SilentWorkers.js'
+import type { RegisteredWorkers } from './WorkerRegistrations.js'
 import { CLOCK_DRIFT_SHARE } from './WorkerClock.js'
 import { runKey, SILENT_AFTER_MS, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
 
@@ -59,8 +60,10 @@
   readonly #links = new Map<string, WorkerLink>()
   /** Runs of earlier holders on workers that are not listed. */
   readonly #orphans = new Set<Run>()
-  /** Lifetimes that are over, although they may still be registered. */
+  /** Lifetimes that are over, although they may still be registered: their machine is down. */
   readonly #gone = new Set<string>()
+  /** The same: another lifetime answered at their address. */
+  readonly #answeredAsOthers = new Set<string>()
   readonly #tookOverMs: number
   #listedIds: ReadonlySet<string> = new Set()
   #hasToldOfWaits = false
@@ -99,7 +102,7 @@
    */
   leaving (storeSteadyMs: number, nowMs: number): WorkerLink[] {
     const isBelieved = storeSteadyMs > REGISTRATIONS_BACK_MS
-    const hasOthers = this.links.some((link) => link.isListed && link.instance.state === 'ready' && link.isAnswering(nowMs))
+    const hasOthers = this.links.some((link) => link.takesWork && link.isAnswering(nowMs))
     return this.links.filter((link) => hasOthers && link.isAnswering(nowMs) && (link.isListed ? link.instance.state === 'draining' : isBelieved))
   }
 
@@ -110,30 +113,42 @@
     else link.runs.set(runKey(run), run)
   }
 
-  /** @param listed - the service's workers as registered now */
-  follow (listed: readonly WorkerInstance[]): void {
+  /** @param registered - who is registered now */
+  follow ({ workers: listed, registeredIds }: RegisteredWorkers): void {
     for (const instance of listed) this.#meet(instance)
     if (this.#firstListedMs === Infinity) this.#firstListedMs = this.#options.clock.monotonicMs()
     const ids = new Set(listed.map(({ instanceId }) => instanceId))
-    this.#listedIds = ids
-    const liveMachines = new Map(listed.map(({ machineId, instanceId }) => [machineId, instanceId]))
+    this.#listedIds = registeredIds
     for (const link of this.links) {
-      const { instanceId, machineId } = link.instance
-      const wasListed = link.isListed
-      link.isListed = ids.has(instanceId)
-      if (link.isListed) continue
-      if (wasListed) this.#options.log.info({ instanceId, runs: link.runs.size }, 'worker is not listed any more')
-      const successor = liveMachines.get(machineId)
-      if (machineId !== '' && successor !== undefined && successor !== instanceId) this.#instanceOver(link, 'its machine has another worker')
+      const { instanceId } = link.instance
+      const { isListed: wasListed } = link
+      link.registration = ids.has(instanceId) ? 'readable' : registeredIds.has(instanceId) ? 'unreadable' : 'missing'
+      if (wasListed && !link.isListed) this.#options.log.info({ instanceId, runs: link.runs.size }, 'worker is not listed any more')
     }
     this.#forgetGone()
     this.#options.onChange()
   }
 
-  /** Takes note that a lifetime is over, whatever its registration says: its runs are. @param instanceId - whose */
-  noteGone (instanceId: string): void {
-    this.#gone.add(instanceId)
+  /** A machine has one worker at a time. The next one must have answered: an entry alone may be anybody's. */
+  #endReplaced (): void {
+    const missing = this.links.filter((link) => !link.isListed && link.instance.machineId !== '')
+    if (missing.length === 0) return
+    const answering = this.links.filter((link) => link.isListed && link.hasAnswered)
+    const nextByMachine = new Map(answering.map((link) => [link.instance.machineId, link]))
+    for (const link of missing) {
+      const next = nextByMachine.get(link.instance.machineId)
+      if (next !== undefined && next.metMs > link.metMs) this.#instanceOver(link, 'its machine has another worker')
+    }
+  }
+
+  /** Takes note that a lifetime is over, whatever its registration says: its runs are. @param instanceId - whose @param machineId - that is down */
+  noteGone (instanceId: string, machineId: string): void {
     const link = this.#links.get(instanceId)
+    if (link !== undefined && link.instance.machineId !== '' && link.instance.machineId !== machineId) {
+      this.#options.log.warn({ instanceId, machineId, runsOn: link.instance.machineId }, 'not believed that a worker is gone: it runs on another machine')
+      return
+    }
+    this.#gone.add(instanceId)
     if (link !== undefined) this.#instanceOver(link, MACHINE_GONE)
     for (const run of this.#orphans) if (run.instanceId === instanceId) this.#loseOrphan(run, MACHINE_GONE)
     this.#forgetGone()
@@ -142,6 +157,7 @@
   /** Runs on workers that do not answer are over once their leases surely are. @param nowMs - monotonic */
   closeLapsed (nowMs: number): void {
     this.#tellOfWaits(nowMs)
+    this.#endReplaced()
     this.#options.silentWorkers.renew()
     void this.#options.silentWorkers.note(this.#silent(SILENT_AFTER_MS, FIRST_ANSWERS_MS, nowMs))
     for (const link of this.links) {
@@ -232,6 +248,7 @@
   }
 
   #forgetGone (): void {
+    for (const instanceId of this.#answeredAsOthers) if (!this.#listedIds.has(instanceId)) this.#answeredAsOthers.delete(instanceId)
     for (const instanceId of this.#gone) {
       if (this.#listedIds.has(instanceId)) continue
       this.#gone.delete(instanceId)
@@ -242,7 +259,7 @@
   #meet (instance: WorkerInstance): void {
     const { clock, log, linkOptions } = this.#options
     const { instanceId, state, address, labels, capacity } = instance
-    if (this.#gone.has(instanceId)) return
+    if (this.#gone.has(instanceId) || this.#answeredAsOthers.has(instanceId)) return
     const known = this.#links.get(instanceId)
     if (known !== undefined) {
       if (known.instance.state !== state) log.info({ instanceId, state }, 'worker changed its state')
@@ -255,7 +272,10 @@
       ...linkOptions,
       clock,
       leaseMs,
-      onInstanceOver: (of) => this.#instanceOver(of, 'it answered as another lifetime'),
+      onInstanceOver: (of) => {
+        this.#answeredAsOthers.add(instanceId)
+        this.#instanceOver(of, 'it answered as another lifetime')
+      },
       onContact: (of, error) => log.warn({ instanceId: of.instance.instanceId, error }, error === undefined ? 'worker answers again' : 'worker does not answer'),
       holdWaitMs: () => this.#holdWaitMs(link),
       isNotedSilent: () => this.#options.silentWorkers.isNoted(instanceId),
--- a/packages/scheduler/src/test/DutyRoster.test.ts
+++ b/packages/scheduler/src/test/DutyRoster.test.ts
@@ -4,6 +4,8 @@
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { DutyRoster, type DutyGrant, type DutyTask } from '../lib/duties/DutyRoster.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../lib/records/storeKeys.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
+import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { TestLog } from './TestService.js'
 
 const TTL_MS = 1200
@@ -56,7 +58,14 @@
     const own = new HostStore(store)
     const random = new SeededRandom(hosts.length)
     const roster = new DutyRoster({
-      hostName: name, power, store: own as unknown as KeyValueStore, clock: systemClock, log: new TestLog(), ttlMs: TTL_MS, random: () => random.next()
+      hostName: name,
+      power,
+      store: own as unknown as KeyValueStore,
+      clock: systemClock,
+      log: new TestLog(),
+      records: new RecordReader(new TestLog(), new SchedulerMetrics()),
+      ttlMs: TTL_MS,
+      random: () => random.next()
     })
     for (const dutyKey of dutyKeys) roster.compete(dutyKey, tenures.create(dutyKey, name))
     void roster.run()
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -36,6 +36,7 @@
       machines,
       clock: systemClock,
       log: service.log,
+      records: service.records,
       waves: () => waves,
       headroomPools: () => [PARKED],
       services: () => [SERVICE],
--- a/packages/scheduler/src/test/ServiceScheduler.test.ts
+++ b/packages/scheduler/src/test/ServiceScheduler.test.ts
@@ -56,7 +56,7 @@
     await service.until('it runs', () => service.runs.records.length === 1)
     const lostId = service.runs.records[0]?.instanceId ?? ''
     service.runs.workers.get(lostId)?.crash()
-    service.write(goneKey(SERVICE, lostId), 'm')
+    service.write(goneKey(SERVICE, lostId), service.runs.workers.get(lostId)?.instance.machineId)
     await service.until('it runs again', () => service.runs.records.length === 2, 1000)
     expect(service.runs.records[1]?.instanceId).not.to.equal(lostId)
     service.unlist(lostId)
--- a/packages/scheduler/src/test/SightingRecord.test.ts
+++ b/packages/scheduler/src/test/SightingRecord.test.ts
@@ -1,7 +1,10 @@
 import { expect } from 'chai'
 import type { ListedMachine, MachineState } from '@quillscale/ports'
+import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { SightingRecord } from '../lib/machines/SightingRecord.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
 import { sightingsKey } from '../lib/records/storeKeys.js'
+import { TestLog } from './TestService.js'
 
 const machine = (machineId: string, pool: string, instanceId: string, state: MachineState = 'up'): ListedMachine =>
   ({ machineId, pool, state, availabilityZone: 'z', instanceId })
@@ -25,7 +28,7 @@
 
   it('is taken over, and not written again as it was', () => {
     const record = new SightingRecord()
-    const restored = record.restore([A, B].map((item) => ({ ...item, modRevision: 1 })))
+    const restored = record.restore([A, B].map((item) => ({ ...item, modRevision: 1 })), new RecordReader(new TestLog(), new SchedulerMetrics()))
     expect([...restored.values()].map(({ machineId, pool, instanceId }) => `${machineId} ${pool} ${instanceId}`)).to.deep.equal(['m1 a i-1', 'm2 a i-2', 'm3 b i-3'])
     expect(record.changes(LIST, 0)).to.deep.equal([])
   })
--- a/packages/scheduler/src/test/SilentWorkers.test.ts
+++ b/packages/scheduler/src/test/SilentWorkers.test.ts
@@ -1,13 +1,17 @@
 import { expect } from 'chai'
 import { delay, systemClock } from '@quillscale/utils'
 import { SilentWorkers } from '../lib/workers/SilentWorkers.js'
-import { leaseTimerKey, leaseTimerPrefix } from '../lib/records/storeKeys.js'
+import { leaseTimerKey, leaseTimerPrefix, silentWorkersKey } from '../lib/records/storeKeys.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
+import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { FaultyStore, TestLog } from './TestService.js'
 
 const TOKEN = 7
 const LEFT_MS = 300
 const LEASE_MS = 800
 
+const RECORD = { key: silentWorkersKey('s'), value: JSON.stringify({ fencingToken: 5, leaseMs: 6500, workers: [{ instanceId: 'a', timer: '5-1' }] }), modRevision: 1 }
+
 /** A record with writes that the test makes durable itself. */
 class Recorded {
   readonly store = new FaultyStore()
@@ -21,6 +25,7 @@
     fencingToken: TOKEN,
     clock: systemClock,
     log: this.log,
+    records: new RecordReader(this.log, new SchedulerMetrics()),
     store: this.store,
     minTtlMs: () => 100,
     longestLeaseMs: () => LEASE_MS,
@@ -112,7 +117,7 @@
   for (const { name, formerToken, isBelieved } of writers) {
     it(`${isBelieved ? 'believes' : 'does not believe'} a record that was written ${name}`, async () => {
       const recorded = new Recorded()
-      recorded.silent.restore(JSON.stringify({ fencingToken: 5, leaseMs: 6500, workers: [{ instanceId: 'a', timer: '5-1' }] }), formerToken)
+      recorded.silent.restore(RECORD, formerToken)
       await recorded.silent.followTimers(new AbortController().signal)
       expect(recorded.silent.areFormerLeasesOver('a')).to.equal(isBelieved)
       expect(recorded.silent.isNoted('a')).to.equal(isBelieved)
@@ -126,7 +131,7 @@
     const recorded = new Recorded()
     const lease = (await recorded.store.grantLease(300)).unwrap()
     await recorded.store.transact({ conditions: [], puts: [{ key: leaseTimerKey('s', '5-1'), value: '', leaseId: lease }], removals: [] })
-    recorded.silent.restore(JSON.stringify({ fencingToken: 5, leaseMs: 6500, workers: [{ instanceId: 'a', timer: '5-1' }] }), 5)
+    recorded.silent.restore(RECORD, 5)
     const followed = recorded.silent.followTimers(new AbortController().signal)
     await delay(100)
     recorded.store.isDown = true
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
-import { delay, Err, Ok, systemClock, type Result } from '@quillscale/utils'
+import { decodeJson, delay, Err, Ok, systemClock, type Result } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, PlatformError, Transaction, TransactionOutcome, WorkerInstance } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
 import { type JobId, jobSpecSchema, type StepSpec } from '@quillscale/policy'
+import * as z from 'zod'
 import { JobDesk } from '../lib/jobs/JobDesk.js'
 import type { EventLog } from '../lib/duties/EventLog.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { ServiceScheduler } from '../lib/duties/ServiceScheduler.js'
 import { leaseTimerPrefix, serviceDutyKey } from '../lib/records/storeKeys.js'
@@ -22,6 +24,8 @@
 const WORKERS_PREFIX = 'workers/'
 const DUTY_KEY = serviceDutyKey(SERVICE)
 const DEADLINE_MS = 2000
+/** As {@link TestService.list} writes it. */
+const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const POLL_MS = 5
 
 /** A store that is slow in parts, or whose answers are lost. */
@@ -104,6 +108,8 @@
   readonly store = new FaultyStore()
   readonly runs: StandInRuns
   readonly log = new TestLog()
+  readonly metrics = new SchedulerMetrics()
+  readonly records = new RecordReader(this.log, this.metrics)
   /** In the program other calls find out that the store is back; here a test has to make one. */
   readonly deskStore: MonitoredStore
   readonly desk: JobDesk
@@ -120,7 +126,7 @@
   constructor (workers: number, cpuMillis = 4000) {
     this.runs = new StandInRuns(systemClock, (taskKey) => ({ cpuMillis: this.#cpuOf(taskKey), memoryMb: 0, gpus: 0 }))
     this.deskStore = new MonitoredStore(this.store, systemClock)
-    this.desk = new JobDesk({ store: this.deskStore, clock: systemClock, log: this.log })
+    this.desk = new JobDesk({ store: this.deskStore, clock: systemClock, log: this.log, records: this.records })
     for (let index = 0; index < workers; index++) this.addWorker(index, 1, cpuMillis)
   }
 
@@ -190,11 +196,12 @@
       advice: { advise: async () => Ok({ workers: [], validMs: 1000 }) },
       clock: systemClock,
       log: this.log,
-      metrics: new SchedulerMetrics(),
+      metrics: this.metrics,
+      records: this.records,
       configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
       workersPrefix: WORKERS_PREFIX,
-      decodeWorker: ({ value }) => JSON.parse(value) as WorkerInstance,
+      decodeWorker: ({ value }) => decodeJson(workerSchema, value),
       onDeposed: () => { tenure().isDeposed = true }
     })
   }
--- /dev/null
+++ b/packages/scheduler/src/test/decoders.test.ts
@@ -0,0 +1,48 @@
+import { expect } from 'chai'
+import * as fc from 'fast-check'
+import { decodeJson, type Result } from '@quillscale/utils'
+import { allTasks, createJob, jobSpecSchema } from '@quillscale/policy'
+import { decodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
+import { decodeMachineRecord, encodeMachineRecord } from '../lib/machines/machineRecord.js'
+import { decodeDemand, encodeDemand } from '../lib/records/serviceDemand.js'
+import { testJobId } from './TestService.js'
+
+const JOB = { jobId: testJobId(1), queue: 'q', command: 'c', submittedMs: 1, steps: [{ taskCount: 2, cpuMillis: 1000 }] }
+const MACHINE_RECORD = {
+  tasks: [{ machineId: 'm', kind: 'move' as const, wave: 0, from: 'a', to: 'b', state: 'vacating' as const, request: 'move 1.1' }],
+  waves: [{ wave: 1, startedWallMs: 5, settled: ['m'], isDone: false }],
+  pauses: [{ machineId: 'm', leftMs: 5 }],
+  allPausedMs: 0
+}
+const PROGRESS = { status: 'running', tasks: [{ key: `${JOB.jobId}.0.0.0`, lastRunNumber: 1, runs: [{ runNumber: 1, instanceId: 'w' }] }] }
+const DEMAND = { service: 's', wantedMillis: 1, leastMachines: 1, machineMillis: 1, runsByMachine: new Map([['m', 1]]) }
+
+const decoders: ReadonlyArray<{ name: string, good: string, decode: (text: string) => Result<unknown, unknown> }> = [
+  { name: 'a job', good: JSON.stringify(JOB), decode: (text) => decodeJson(jobSpecSchema, text) },
+  { name: 'progress', good: JSON.stringify(PROGRESS), decode: decodeProgress },
+  { name: 'need', good: encodeDemand(DEMAND), decode: (text) => decodeDemand('s', text) },
+  { name: 'what is under way with machines', good: encodeMachineRecord(MACHINE_RECORD), decode: decodeMachineRecord }
+]
+
+describe('decoders of records', () => {
+  for (const { name, good, decode } of decoders) {
+    it(`${name}: reads what was written, and throws at nothing`, () => {
+      expect(decode(good).ok).to.equal(true)
+      fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), (text) => { decode(text) }))
+    })
+
+    it(`${name}: reads none that was cut short`, () => {
+      for (let length = 0; length < good.length; length++) expect(decode(good.slice(0, length)).err, good.slice(0, length)).to.equal(true)
+    })
+  }
+
+  it('progress of another job, or of tasks that it does not have, is restored for none of its tasks', () => {
+    const key = fc.oneof(fc.string(), fc.tuple(fc.nat(3), fc.nat(3), fc.nat(9)).map((parts) => [JOB.jobId, ...parts].join('.')), fc.constant(`${JOB.jobId}.-1.0.0`))
+    fc.assert(fc.property(fc.array(key), (keys) => {
+      const job = createJob(jobSpecSchema.parse(JOB))
+      const tasks = keys.map((each) => ({ key: each, lastRunNumber: 1, runs: [{ runNumber: 1, instanceId: 'w' }] }))
+      restoreProgress(job, { status: 'running', tasks }, 0)
+      expect(allTasks(job).length).to.be.at.most(2)
+    }))
+  })
+})
--- a/packages/scheduler/src/test/fleetRestarts.test.ts
+++ b/packages/scheduler/src/test/fleetRestarts.test.ts
@@ -83,6 +83,7 @@
       machines,
       clock: systemClock,
       log: service.log,
+      records: service.records,
       waves: () => [WAVE],
       headroomPools: () => [PARKED],
       services: () => [SERVICE],
--- /dev/null
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -0,0 +1,191 @@
+import { expect } from 'chai'
+import { delay } from '@quillscale/utils'
+import type { JobId } from '@quillscale/policy'
+import { FleetReport } from '../lib/jobs/FleetReport.js'
+import { demandKey } from '../lib/records/serviceDemand.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, silentWorkersKey, vacateKey, waitingKey } from '../lib/records/storeKeys.js'
+import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
+
+const DEADLINE_MS = 2000
+const JUNK = ['', '{', 'null', '[]', '7', '"text"', '{"status":"paused","tasks":[]}', '{"jobId":7}', '\uFFFD\uFFFD']
+const OTHER_JOB = 'a'.repeat(16) as JobId
+
+/** Records that another writer left, or that were cut short. */
+describe('records that cannot be read', () => {
+  let service: TestService
+  afterEach(() => service.close())
+
+  const unreadableLines = (): string[] => service.log.lines.filter((line) => line.startsWith('a record cannot be read'))
+
+  const keys: ReadonlyArray<{ name: string, key: string }> = [
+    { name: 'of a job', key: jobKey(SERVICE, OTHER_JOB) },
+    { name: 'of progress', key: progressKey(SERVICE, OTHER_JOB) },
+    { name: 'of silent workers', key: silentWorkersKey(SERVICE) },
+    { name: 'of the last transaction', key: chainKey(SERVICE) },
+    { name: 'of need', key: demandKey(SERVICE) },
+    { name: 'of waiting jobs', key: waitingKey(SERVICE) },
+    { name: 'of a cancel', key: cancelKey(SERVICE, testJobId(1)) },
+    { name: 'of a key that nobody named', key: `${inboxPrefix(SERVICE)}else/where/at/all` },
+    { name: 'of a worker', key: 'workers/w0-9' }
+  ]
+  for (const { name, key } of keys) {
+    it(`${name}: jobs run, before and after a take-over`, async () => {
+      service = new TestService(2)
+      for (const value of JUNK) {
+        service.write(key, value)
+        const tenure = await service.takeOver()
+        const number = JUNK.indexOf(value) + 1
+        const jobId = await service.submit(number, { runMs: 10 }, [{ taskCount: 2 }])
+        await service.untilStatus(jobId, 'succeeded')
+        expect(tenure.isDeposed, value).to.equal(false)
+        tenure.scheduler.close()
+      }
+      expect(service.doubled).to.deep.equal([])
+      expect(service.runs.records).to.have.length(2 * JUNK.length)
+    })
+  }
+
+  it('a line is written once for each revision, and all are counted by reason', async () => {
+    service = new TestService(1)
+    service.write('workers/w9-1', '{')
+    await service.takeOver()
+    await service.until('it is told', () => unreadableLines().length === 1)
+    for (let index = 0; index < 20; index++) service.addWorker(0, 1)
+    await delay(300)
+    expect(unreadableLines()).to.have.length(1)
+    service.write('workers/w9-1', '{"instanceId":7}')
+    await service.until('the next one is told', () => unreadableLines().length === 2)
+    expect(service.metrics.counts('unreadable_records')).to.deep.equal({ 'not-json': 1, 'wrong-field': 1 })
+  })
+
+  it('a worker whose entry cannot be read any more keeps its runs, and gets no new ones until it can be', async () => {
+    service = new TestService(1)
+    service.maxLeaseMs = 3000
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    service.write('workers/w0-1', '{"instanceId":"w0-1"}')
+    const jobId = await service.submit(2, { runMs: 10 })
+    // Beyond its lease, and beyond the time after which a missing entry counts as an end.
+    await delay(3500)
+    expect(service.runs.records).to.have.length(1)
+    expect(service.runs.records[0]?.end).to.equal(undefined)
+    service.addWorker(0, 1)
+    await service.untilStatus(jobId, 'succeeded')
+    expect(service.doubled).to.deep.equal([])
+  })
+
+  it('what runs on a worker whose entry cannot be read as a next holder comes runs elsewhere only once its lease is over', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 2000
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    const instanceId = service.runs.records[0]?.instanceId ?? ''
+    service.write(`workers/${instanceId}`, '{')
+    service.tenures[0]?.scheduler.close()
+    await service.takeOver()
+    await service.until('it runs elsewhere', () => service.runs.records.length === 2, 8000)
+    // Nobody calls it any more: what its lease ended is seen when it is looked at.
+    service.runs.workers.get(instanceId)?.step()
+    expect(service.doubled).to.deep.equal([])
+  })
+
+  it('an entry that names the machine of a worker that lives does not end that one, unless somebody answers there', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 5000
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    const worker = service.runs.workers.get(service.runs.records[0]?.instanceId ?? '')
+    if (worker === undefined) throw new Error('no worker')
+    service.list({ ...worker.instance, instanceId: 'foreign', address: '10.9.9.9' })
+    service.unlist(worker.instance.instanceId)
+    await delay(600)
+    expect(service.runs.records).to.have.length(1)
+  })
+
+  it('an entry under whose address another lifetime answers is asked once', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    const { instance } = service.runs.workers.get('w0-1') ?? {}
+    if (instance === undefined) throw new Error('no worker')
+    service.list({ ...instance, instanceId: 'copy', machineId: 'm-copy' })
+    for (let index = 0; index < 5; index++) {
+      await delay(200)
+      service.addWorker(7, index + 1)
+    }
+    expect(service.log.lines.filter((line) => line.startsWith('worker met') && line.includes('"copy"'))).to.have.length(1)
+  })
+
+  it('a worker is not taken for gone since its machine is said to be another', async () => {
+    service = new TestService(1)
+    service.maxLeaseMs = 5000
+    await service.takeOver()
+    await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    service.write(goneKey(SERVICE, 'w0-1'), 'some other machine')
+    await delay(300)
+    expect(service.runs.records).to.have.length(1)
+  })
+
+  it('a job whose progress cannot be read is neither started again nor stopped, and its clients are not told a state', async () => {
+    service = new TestService(2)
+    service.maxLeaseMs = 5000
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 1500 })
+    const other = await service.submit(2, { runMs: 100 })
+    await service.until('both run', () => service.runs.records.length === 2)
+    await service.untilStatus(other, 'succeeded')
+    service.tenures[0]?.scheduler.close()
+    service.write(progressKey(SERVICE, jobId), '{"status":')
+    await service.takeOver()
+    await delay(2500)
+    const runs = service.runs.records.filter(({ taskKey }) => taskKey.startsWith(jobId))
+    expect(runs.map(({ end }) => end)).to.deep.equal(['done'])
+    expect(await service.status(jobId)).to.equal('unavailable')
+    const explained = await new FleetReport(service.store).explain(jobId, Date.now())
+    expect(explained.err && explained.val.detail).to.match(/^progress.*cannot be read/)
+  })
+
+  it('a job whose progress cannot be read can be cancelled: what runs of it is stopped', async () => {
+    service = new TestService(1)
+    service.maxLeaseMs = 5000
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 0 }, [{ isLasting: true }])
+    await service.until('it runs', () => service.runs.records.length === 1)
+    service.tenures[0]?.scheduler.close()
+    service.write(progressKey(SERVICE, jobId), '{}')
+    await service.takeOver()
+    await delay(300)
+    expect(service.runs.records[0]?.end).to.equal(undefined)
+    expect(await service.desk.cancel(jobId, [SERVICE], performance.now() + DEADLINE_MS)).to.equal('accepted')
+    await service.until('it is stopped', () => service.runs.records[0]?.end === 'stopped')
+    expect(await service.status(jobId)).to.equal('cancelled')
+  })
+
+  it('a job is taken in where something unreadable stands, and runs', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    for (const [index, value] of JUNK.entries()) {
+      service.write(jobKey(SERVICE, testJobId(index + 1)), value)
+      await delay(30)
+      const jobId = await service.submit(index + 1, { runMs: 5 })
+      await service.untilStatus(jobId, 'succeeded')
+    }
+  })
+
+  it('what stands under a job that nobody handed in is not shown as one', async () => {
+    service = new TestService(1)
+    service.write(jobKey(SERVICE, OTHER_JOB), '{"jobId":')
+    expect(await service.status(OTHER_JOB)).to.equal('unavailable')
+    expect(await service.desk.waiting(QUEUE, SERVICE, performance.now() + DEADLINE_MS)).to.equal(0)
+  })
+
+  it('a request to empty a machine is repeated in the answer, whatever it says', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    service.write(vacateKey(SERVICE, 'm0'), '\uFFFD{')
+    await service.until('it is empty', async () => (await service.store.get('vacated/m0')).unwrap()?.value === '\uFFFD{')
+  })
+})
--- a/packages/scheduler/src/test/takeOvers.test.ts
+++ b/packages/scheduler/src/test/takeOvers.test.ts
@@ -227,7 +227,7 @@
     const first = { status: 'running' as const, tasks: [{ key: `${spec.jobId}.0.0.0`, lastRunNumber: 1, runs: [run] }] }
     const second = createJob(spec)
     restoreProgress(second, first, 0)
-    expect(decodeProgress(encodeProgress(second)).tasks[0]?.runs).to.deep.equal([run])
+    expect(decodeProgress(encodeProgress(second)).unwrap().tasks[0]?.runs).to.deep.equal([run])
   })
 
   it('neither doubles nor forgets lasting tasks, whichever workers fall silent meanwhile', async () => {
--- a/packages/soak/src/lib/SoakWorld.ts
+++ b/packages/soak/src/lib/SoakWorld.ts
@@ -26,6 +26,11 @@
 /** The most machines of a wave that may be down. @public */
 export const MAX_IN_UPKEEP = 2
 
+/** Cut short, of another type, or naming an address where nobody listens. */
+const FOREIGN_VALUES: readonly string[] = [
+  '', '{', '7', '[]', JSON.stringify({ Service: SERVICES[0], Address: '127.0.0.1:9', State: 'ready' }), JSON.stringify({ Service: 7, Address: '127.0.0.1:99999', State: 'x' })
+]
+
 /** A change of the extra queue. @public */
 export interface ExtraChange { readonly atMs: number, readonly exists: boolean }
 
@@ -103,6 +108,13 @@
     await this.#write(encodeWaveRequest(++this.#wave, machineIds, MAX_IN_UPKEEP))
   }
 
+  /** Somebody else writes below the prefixes that the program reads. @param random - picks what and where */
+  async writeForeign (random: SeededRandom): Promise<void> {
+    const value = random.pick(FOREIGN_VALUES)
+    const keys = ['servers/foreign', 'op/wave/x', 'op/other', 'demand/foreign', 'hosts/foreign', `inbox/${SERVICES[0]}/ffffffffffffffff`]
+    await this.#write({ key: random.pick(keys), value })
+  }
+
   async #write (record: { readonly key: string, readonly value: string }): Promise<void> {
     await this.memory.transact({ conditions: [], puts: [record], removals: [] })
   }
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -35,7 +35,7 @@
   }
 }
 
-/** Every kind of fault. @public */
+/** Every kind of fault; new ones come last, so that a seed can be played with those that there were. @public */
 export const FAULTS: Readonly<Record<string, Fault>> = {
   'host killed': (world, random) => {
     random.pick(world.hosts).kill()
@@ -98,6 +98,10 @@
   'configuration changes': (world) => {
     void world.setExtra(world.extraChanges.at(-1)?.exists !== true)
     return undefined
+  },
+  'entries of another writer': (world, random) => {
+    void world.writeForeign(random)
+    return undefined
   }
 }
 
@@ -109,10 +113,10 @@
 const LEAST_MS = 200
 const MOST_MS = 4000
 
-/** @param random - of the seed @param lengthMs - of the run @returns its faults @public */
-export function planFaults (random: SeededRandom, lengthMs: number): PlannedFault[] {
+/** @param random - of the seed @param lengthMs - of the run @param kindCount - the first so many kinds are drawn from @returns its faults @public */
+export function planFaults (random: SeededRandom, lengthMs: number, kindCount = Infinity): PlannedFault[] {
   const planned: PlannedFault[] = []
-  const kinds = Object.keys(FAULTS)
+  const kinds = Object.keys(FAULTS).slice(0, kindCount)
   for (let atMs = random.exponentialMs(MEAN_GAP_MS); atMs < lengthMs; atMs += random.exponentialMs(MEAN_GAP_MS)) {
     planned.push({ kind: random.pick(kinds), atMs, forMs: LEAST_MS + random.next() * (MOST_MS - LEAST_MS) })
   }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -19,6 +19,8 @@
   readonly lengthMs: number
   readonly hosts: number
   readonly machinesPerService: number
+  /** The first so many kinds of faults; all by default. */
+  readonly kindCount?: number | undefined
 }
 
 /** What came of it. @public */
@@ -41,12 +43,12 @@
 const SETTLE_MS = 25_000
 
 /** @param options - which run @returns what came of it @public */
-export async function runSoak ({ seed, lengthMs, hosts, machinesPerService }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, lengthMs, hosts, machinesPerService, kindCount }: SoakOptions): Promise<SoakResult> {
   const directory = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
   const random = new SeededRandom(seed)
   const world = new SoakWorld(systemClock, { hosts, machinesPerService })
   const callers = new SoakCallers(world, new SeededRandom(seed + 1))
-  const faults = planFaults(random, lengthMs)
+  const faults = planFaults(random, lengthMs, kindCount)
   try {
     await world.start(hosts, directory, random)
     await delay(START_MS)
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -9,11 +9,12 @@
 const EXTRA_MS = 60_000
 
 describe('fault soak', () => {
-  const cases = [{ seed: 20_261_202, seconds: 6, cause: 'a short run of its own' }, ...FAILED_SEEDS]
-  for (const { seed, seconds, cause } of cases) {
+  const cases = [{ seed: 20_261_202, seconds: 6, cause: 'a short run of its own', kindCount: undefined }, ...FAILED_SEEDS]
+  for (const { seed, seconds, cause, kindCount } of cases) {
     it(`keeps all promises with seed ${seed} (${cause})`, async function () {
       this.timeout(seconds * MS_PER_S + EXTRA_MS)
-      const { broken, accepted, directory } = await runSoak({ seed, lengthMs: seconds * MS_PER_S, hosts: HOSTS, machinesPerService: MACHINES_PER_SERVICE })
+      const size = { hosts: HOSTS, machinesPerService: MACHINES_PER_SERVICE }
+      const { broken, accepted, directory } = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount, ...size })
       expect(broken, `see ${directory}`).to.deep.equal([])
       expect(accepted).to.be.above(0)
     })
