Calls bear the keys of client accounts, and jobs belong to the account that handed them in

Ruled out: keeping keys to compare them (a lookup that takes longer for a key which begins like a real one, and a key in every dump): only hashes are kept. A condition on the configuration's revision in the transaction that accepts a job: it closes the last moment between check and write, and refuses jobs for each change of a time-out; left out. A job is recorded with its account's name and the start of its key's hash, so that its client still has it after keys were replaced or the account was renamed; others are told that there is no such job, and 409 to its id. Texts that are no JSON are not quoted any more: they may hold keys.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -7,7 +7,9 @@
   clearIfSurvived, isSuspect, judgeTask, LOSS_POINTS, mayCrash, SOON_MS, type LossKind, type Verdict
 } from './lib/jobs/crashes.js'
 export { createCrashRecord, type CrashRecord } from './lib/jobs/CrashRecord.js'
-export { isJobId, jobSpecSchema, stepProblem, stepSpecSchema, type JobId, type JobSpec, type StepSpec } from './lib/jobs/JobSpec.js'
+export {
+  isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, stepProblem, stepSpecSchema, type JobId, type JobOwner, type JobSpec, type StepSpec
+} from './lib/jobs/JobSpec.js'
 export {
   allTasks, createJob, dueMs, findTask, hasEnded, isWholeJobDone, openSteps, stepOf, tasksOf, timesOf,
   type Job, type JobStatus, type Run, type RunPhase, type Task
@@ -23,6 +25,7 @@
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
 export { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './lib/placement/placeTasks.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
+export { fitsWithin, least, mapResources, minus, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, unlimitedWhereZero, type Resources } from './lib/quotas/resources.js'
 export { stillFits } from './lib/placement/stillFits.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
 export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as z from 'zod'
+import type { AccountName } from '@quillscale/ports'
 
 /** Names a job; the client chooses it. @public */
 export type JobId = string & { readonly __jobId: true }
@@ -50,10 +51,21 @@
   maxAway: count.optional()
 })
 
+/** Checks who handed a job in. @public */
+export const jobOwnerSchema = z.object({
+  account: z.custom<AccountName>((value) => typeof value === 'string' && value !== ''),
+  /** The start of the hash of its key: the account is still known by it after it was renamed. */
+  keyTag: z.string()
+})
+
 /** Checks a job as it is kept. @public */
 export const jobSpecSchema = z.object({
   jobId: z.custom<JobId>(isJobId),
   queue: z.string(),
+  /** `undefined` for a job that was handed in without a key. */
+  owner: jobOwnerSchema.optional(),
+  /** Its queue was public: anybody may ask for it and cancel it. */
+  isPublic: z.boolean().default(false),
   command: z.string(),
   steps: z.array(stepSpecSchema).min(1),
   /** On the accepting host's clock, since 1970. */
@@ -64,9 +76,24 @@
 
 /** A step of a job. @public */
 export type StepSpec = z.infer<typeof stepSpecSchema>
+/** The client account that handed a job in, as recorded with it. @public */
+export type JobOwner = z.infer<typeof jobOwnerSchema>
 /** A job. @public */
 export type JobSpec = z.infer<typeof jobSpecSchema>
 
+/**
+ * Tells whether a caller may ask for a job or cancel it.
+ *
+ * @param owner - of the job, `undefined` if everybody may
+ * @param caller - by its present account and key, `undefined` without a key
+ * @returns whether account or key are the owner's: keys are replaced and accounts renamed while jobs run
+ * @public
+ */
+export function isOwnedBy (owner: JobOwner | undefined, caller: JobOwner | undefined): boolean {
+  if (owner === undefined) return true
+  return caller !== undefined && (caller.account === owner.account || caller.keyTag === owner.keyTag)
+}
+
 /** Finds what no schema sees. @param steps - of a job @returns the field that is wrong and why, `undefined` if none @public */
 export function stepProblem (steps: readonly StepSpec[]): string | undefined {
   const index = steps.findIndex((step, at) => step.dependsOn.some((earlier) => earlier >= at))
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -5,7 +5,7 @@
  */
 export { MAX_TRANSACTION_ENTRIES } from './lib/KeyValueStore.js'
 export type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from './lib/KeyValueStore.js'
-export type { FleetConfiguration, QueueConfiguration, ServiceConfiguration, WaveRequest, AdviceTerms } from './lib/FleetConfiguration.js'
+export type { AccountName, AdviceTerms, ClientAccount, FleetConfiguration, KeyHash, QueueConfiguration, ServiceConfiguration, WaveRequest } from './lib/FleetConfiguration.js'
 export type { PlacementAdvice, AdvisedWorker, StepAdvice } from './lib/PlacementAdvice.js'
 export type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, MachineState } from './lib/MachineControl.js'
 export type {
--- a/packages/ports/src/lib/FleetConfiguration.ts
+++ b/packages/ports/src/lib/FleetConfiguration.ts
@@ -3,6 +3,24 @@
  *
  * @module
  */
+import type { WorkerCapacity } from './RunOrders.js'
+
+/** Names a client account. @public */
+export type AccountName = string & { readonly __accountName: true }
+
+/** A key that was hashed; the key itself is kept nowhere. @public */
+export type KeyHash = string & { readonly __keyHash: true }
+
+/** A client account: who may hand in jobs, and how much of the fleet they may take. @public */
+export interface ClientAccount {
+  readonly name: AccountName
+  /** Any of its keys stands for it. */
+  readonly keyHashes: readonly KeyHash[]
+  /** Jobs a second that are its share when everything is full. */
+  readonly weight: number
+  /** What it may have running on all workers together; 0 for no limit. */
+  readonly limit: WorkerCapacity
+}
 
 /** A queue may need advice on which workers run a step. @public */
 export interface AdviceTerms {
@@ -29,6 +47,8 @@
   readonly targetLatencyMs: number
   /** How long a request may take. */
   readonly timeoutMs: number
+  /** Calls need no key. */
+  readonly isPublic?: boolean | undefined
   readonly advice?: AdviceTerms | undefined
 }
 
@@ -47,6 +67,8 @@
   readonly version: number
   readonly queues: readonly QueueConfiguration[]
   readonly services: readonly ServiceConfiguration[]
+  /** `undefined` where there are no client accounts: then no call needs a key. */
+  readonly accounts?: readonly ClientAccount[] | undefined
   readonly maxBodyBytes: number
 }
 
--- a/packages/scheduler/src/lib/jobs/JobDesk.ts
+++ b/packages/scheduler/src/lib/jobs/JobDesk.ts
@@ -7,7 +7,7 @@
  */
 import { decodeJson, delay, Err, type Clock, type Result } from '@quillscale/utils'
 import type { KeyValue, PlatformError, TransactionOutcome } from '@quillscale/ports'
-import { jobSpecSchema, type JobId, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
+import { isOwnedBy, jobSpecSchema, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
@@ -23,8 +23,8 @@
   readonly records: RecordReader
 }
 
-/** `refused`: surely not written by this try, now or later. `unknown`: it may be. @public */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown'
+/** `refused`: surely not written by this try, now or later. `unknown`: it may be. `taken`: the id is another account's job. @public */
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken'
 /** `unavailable`: the store gave no answer in time, or what it has of the job cannot be read. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
 /** What became of a cancel. @public */
@@ -69,13 +69,21 @@
   async submit (spec: JobSpec, service: string, deadlineMs: number): Promise<SubmitOutcome> {
     const { log } = this.#options
     const written = await this.#write(spec, service, deadlineMs)
-    const outcome: SubmitOutcome = written.result.ok ? 'accepted' : written.mayHaveEffect ? 'unknown' : 'refused'
-    const fields = { jobId: spec.jobId, queue: spec.queue, service, outcome, tries: written.tries }
-    if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
+    const outcome = this.#outcomeOf(spec, service, written)
+    const fields = { jobId: spec.jobId, queue: spec.queue, service, account: spec.owner?.account, outcome, tries: written.tries }
+    if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
+    else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
     else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.map(shapeOf) }, 'job taken in')
     return outcome
   }
 
+  #outcomeOf ({ jobId, owner }: JobSpec, service: string, { result, mayHaveEffect }: Tried<TransactionOutcome>): SubmitOutcome {
+    if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
+    const found = result.val.committed ? undefined : result.val.current.find(({ key }) => key === jobKey(service, jobId))
+    const known = found === undefined ? undefined : this.#readJob(found)
+    return known === undefined || isOwnedBy(ownerOf(known), owner) ? 'accepted' : 'taken'
+  }
+
   async #write (spec: JobSpec, service: string, deadlineMs: number): Promise<Tried<TransactionOutcome>> {
     const { store } = this.#options
     const key = jobKey(service, spec.jobId)
@@ -95,26 +103,43 @@
     return this.#options.records.read(item, (text) => decodeJson(jobSpecSchema, text))
   }
 
-  /** @param jobId - any @param services - where it may be, the likeliest first @param deadlineMs - monotonic @returns its state */
-  async status (jobId: JobId, services: readonly string[], deadlineMs: number): Promise<StatusOutcome> {
+  /**
+   * @param jobId - any
+   * @param services - where it may be, the likeliest first
+   * @param deadlineMs - monotonic
+   * @param caller - who asks; another account's job is not there for it
+   * @returns its state
+   */
+  async status (jobId: JobId, services: readonly string[], deadlineMs: number, caller?: JobOwner): Promise<StatusOutcome> {
     const [likeliest, ...others] = services
     for (const service of likeliest === undefined ? [] : [likeliest, ...others]) {
-      const status = await this.#statusIn(jobId, service, deadlineMs)
+      const status = await this.#statusIn(jobId, service, deadlineMs, caller)
       if (status !== 'no-such-job') return status
     }
     this.#options.log.info({ jobId, services }, 'no such job')
     return 'no-such-job'
   }
 
-  async #statusIn (jobId: JobId, service: string, deadlineMs: number): Promise<StatusOutcome> {
+  async #statusIn (jobId: JobId, service: string, deadlineMs: number, caller: JobOwner | undefined): Promise<StatusOutcome> {
     const { store, records } = this.#options
     const recorded = await this.#retry(deadlineMs, () => store.get(progressKey(service, jobId)))
     if (recorded.result.err) return this.#unavailable(jobId, recorded.result.val)
-    if (recorded.result.val !== undefined) return records.read(recorded.result.val, decodeProgress)?.status ?? this.#unavailable(jobId, UNREADABLE)
+    if (recorded.result.val !== undefined) {
+      const progress = records.read(recorded.result.val, decodeProgress)
+      if (progress === undefined) return this.#unavailable(jobId, UNREADABLE)
+      return isOwnedBy(progress.owner, caller) ? progress.status : this.#notOwned(jobId, caller)
+    }
     const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
     if (job.result.err) return this.#unavailable(jobId, job.result.val)
     if (job.result.val === undefined) return 'no-such-job'
-    return this.#readJob(job.result.val) === undefined ? this.#unavailable(jobId, UNREADABLE) : 'queued'
+    const spec = this.#readJob(job.result.val)
+    if (spec === undefined) return this.#unavailable(jobId, UNREADABLE)
+    return isOwnedBy(ownerOf(spec), caller) ? 'queued' : this.#notOwned(jobId, caller)
+  }
+
+  #notOwned (jobId: JobId, caller: JobOwner | undefined): 'no-such-job' {
+    this.#options.log.info({ jobId, account: caller?.account }, 'the job is another account\'s: none for this one')
+    return 'no-such-job'
   }
 
   #unavailable (jobId: JobId, error: PlatformError): 'unavailable' {
@@ -122,13 +147,22 @@
     return 'unavailable'
   }
 
-  /** @param jobId - any @param services - where it may be, the likeliest first @param deadlineMs - monotonic @returns what became of it */
-  async cancel (jobId: JobId, services: readonly string[], deadlineMs: number): Promise<CancelOutcome> {
+  /**
+   * @param jobId - any
+   * @param services - where it may be, the likeliest first
+   * @param deadlineMs - monotonic
+   * @param caller - who cancels; another account's job is not there for it
+   * @returns what became of it
+   */
+  async cancel (jobId: JobId, services: readonly string[], deadlineMs: number, caller?: JobOwner): Promise<CancelOutcome> {
     const { store, log } = this.#options
     for (const service of services) {
       const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
       if (job.result.err) return this.#unavailable(jobId, job.result.val)
       if (job.result.val === undefined) continue
+      const spec = this.#readJob(job.result.val)
+      // One that cannot be read may be anybody's, and has to be stopped by somebody.
+      if (spec !== undefined && !isOwnedBy(ownerOf(spec), caller)) return this.#notOwned(jobId, caller)
       const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: CANCEL_VALUE }], removals: [] }
       const written = await this.#retry(deadlineMs, () => store.transact(put))
       if (written.result.err) return this.#unavailable(jobId, written.result.val)
@@ -197,6 +231,9 @@
   }
 }
 
+/** Who alone may ask for a job; `undefined` if everybody may. */
+const ownerOf = ({ owner, isPublic }: JobSpec): JobOwner | undefined => isPublic ? undefined : owner
+
 /** What an operator needs to know of a step to see why it waits. */
 function shapeOf (step: StepSpec): string {
   const traits = [
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -5,7 +5,7 @@
  */
 import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
-import { allTasks, createCrashRecord, findTask, type Job, type Run } from '@quillscale/policy'
+import { allTasks, createCrashRecord, findTask, jobOwnerSchema, type Job, type Run } from '@quillscale/policy'
 
 const runProgressSchema = z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })
 type RunProgress = z.infer<typeof runProgressSchema>
@@ -23,6 +23,8 @@
 const progressSchema = z.object({
   status: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
   endedMs: z.number().optional(),
+  /** Who alone may ask for it; `undefined` if everybody may. */
+  owner: jobOwnerSchema.optional(),
   tasks: z.array(taskProgressSchema)
 })
 
@@ -36,6 +38,7 @@
   const progress: JobProgress = {
     status: job.status,
     endedMs: job.endedMs,
+    owner: job.spec.isPublic ? undefined : job.spec.owner,
     tasks: touched.filter(({ runs }) => !isEnded || runs.length > 0).map((task) => ({
       key: task.key,
       isDone: task.isDone || undefined,
--- a/packages/scheduler/src/lib/records/ConfigurationFollower.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationFollower.ts
@@ -4,14 +4,15 @@
  * @module
  */
 import type { Clock, Result } from '@quillscale/utils'
-import type { FleetConfiguration, KeyValue, KeyValueStore, WaveRequest } from '@quillscale/ports'
+import type { FleetConfiguration, KeyValue, WaveRequest } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
 import type { EventLog } from '../duties/EventLog.js'
+import type { MonitoredStore } from './MonitoredStore.js'
 import type { RecordProblem, RecordReader } from './RecordReader.js'
 
 /** What the follower works with. @public */
 export interface ConfigurationFollowerOptions {
-  readonly store: KeyValueStore
+  readonly store: MonitoredStore
   readonly clock: Clock
   readonly log: EventLog
   /** Below which the operators write. */
@@ -37,7 +38,10 @@
   #configuration: FleetConfiguration | undefined
   readonly #options: ConfigurationFollowerOptions
   readonly #replica: PrefixReplica
-  #refreshing: Promise<void> | undefined
+  #refreshing: Promise<boolean> | undefined
+  /** Monotonic: when the last reading of its own began, and when the last one that was answered did. */
+  #triedMs = -Infinity
+  #readMs = -Infinity
 
   /** @param options - what it works with */
   constructor (options: ConfigurationFollowerOptions) {
@@ -65,7 +69,7 @@
 
   /** @param nowMs - monotonic @returns how old the knowledge may be */
   ageMs (nowMs: number): number {
-    return this.#replica.ageMs(nowMs)
+    return Math.min(this.#replica.ageMs(nowMs), nowMs - this.#readMs)
   }
 
   /** @param signal - ends the task */
@@ -73,12 +77,29 @@
     return this.#replica.run(signal)
   }
 
-  /** Reads the configuration now; callers that come meanwhile share the reading. */
-  refresh (): Promise<void> {
+  /**
+   * Makes what is known no older than so much, if the store answers. Callers that come meanwhile share the reading, and none begins sooner
+   * than so much after the last: however many callers ask for what there is not, the store is read a few times a second.
+   *
+   * @param nowMs - monotonic
+   * @param maxAgeMs - how old it may be
+   */
+  async ensureFresh (nowMs: number, maxAgeMs: number): Promise<void> {
+    // Callers are refused at once, not after a time-out.
+    if (this.ageMs(nowMs) <= maxAgeMs || this.#options.store.isSilent(nowMs)) return
+    if (this.#refreshing === undefined && nowMs - this.#triedMs <= maxAgeMs) return
+    if (this.#refreshing === undefined) this.#triedMs = nowMs
+    const askedMs = this.#triedMs
+    if (await this.refresh()) this.#readMs = askedMs
+  }
+
+  /** Reads the configuration now; callers that come meanwhile share the reading. @returns whether the store answered */
+  refresh (): Promise<boolean> {
     this.#refreshing ??= this.#options.store.get(this.#options.configurationKey).then((read) => {
       this.#refreshing = undefined
       if (read.ok && read.val !== undefined) this.#read(read.val)
       else if (read.err) this.#options.log.warn({ error: read.val }, 'configuration not read again')
+      return read.ok
     })
     return this.#refreshing
   }
--- a/packages/utils/src/lib/decodeJson.ts
+++ b/packages/utils/src/lib/decodeJson.ts
@@ -27,8 +27,9 @@
   try {
     raw = JSON.parse(text)
   } catch (error) {
-    // Told to the caller, which knows whose text it is.
-    return Err({ reason: 'not-json', path: '', detail: error instanceof Error ? error.message : String(error) })
+    // Told to the caller, which knows whose text it is; the error itself quotes a part of it, which may be a secret.
+    const position = error instanceof Error ? /at position \d+/.exec(error.message)?.[0] ?? '' : ''
+    return Err({ reason: 'not-json', path: '', detail: `is not JSON ${position}`.trimEnd() })
   }
   const parsed = schema.safeParse(raw)
   if (parsed.success) return Ok(parsed.data)
