--- a/packages/bench/src/lib/policy/SimulatedService.ts
+++ b/packages/bench/src/lib/policy/SimulatedService.ts
@@ -109,6 +109,7 @@
       links: [...this.workers.values()],
       times: this.#times,
       advice: NO_TICKETS,
+      accountRooms: () => undefined,
       vacating: { isVacating: (machineId) => this.vacating.has(machineId) },
       nowMs,
       wallMs: nowMs
@@ -128,6 +129,6 @@
   /** @param nowMs - the present @returns what it needs of machines */
   demand (nowMs: number): ServiceDemand {
     const jobs = this.#jobs()
-    return demandOf({ service: this.#name, jobs, links: [...this.workers.values()], nowMs, wallMs: nowMs })
+    return demandOf({ service: this.#name, jobs, links: [...this.workers.values()], limitOf: () => undefined, nowMs, wallMs: nowMs })
   }
 }
--- a/packages/policy/src/lib/machines/demandOf.ts
+++ b/packages/policy/src/lib/machines/demandOf.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
-import { hasEnded, openSteps, stepOf, type Job } from '../jobs/JobState.js'
+import type { AccountName } from '@quillscale/ports'
+import { hasEnded, openSteps, stepOf, type Job, type Task } from '../jobs/JobState.js'
 import { cpuDemandOf } from '../placement/placeTasks.js'
+import { NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, type Resources } from '../quotas/resources.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
 import type { WorkerView } from '../placement/WorkerView.js'
 
@@ -13,6 +15,8 @@
   readonly service: string
   readonly jobs: readonly Job[]
   readonly links: readonly WorkerView[]
+  /** What each account may have running, `undefined` without a limit: no machine is needed for what exceeds it. */
+  readonly limitOf: (account: AccountName) => Resources | undefined
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -24,8 +28,8 @@
 const DEFAULT_MACHINE_MILLIS = 16_000
 
 /** @param sources - jobs and workers of a service @returns its demand @public */
-export function demandOf ({ service, jobs, links, nowMs, wallMs }: DemandSources): ServiceDemand {
-  let wantedMillis = 0
+export function demandOf ({ service, jobs, links, limitOf, nowMs, wallMs }: DemandSources): ServiceDemand {
+  const wanted = new WantedByAccount(limitOf)
   let leastMachines = LEAST_MACHINES
   for (const job of jobs) {
     if (hasEnded(job)) continue
@@ -33,7 +37,7 @@
       const first = step[0]
       if (first === undefined) continue
       const { isLasting, maxPerWorker, taskCount } = stepOf(first)
-      wantedMillis += cpuDemandOf(stepOf(first)) * step.filter(({ isDone }) => !isDone).length
+      wanted.add(first, step.filter(({ isDone }) => !isDone).length)
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
@@ -41,13 +45,41 @@
   const sizes = open.map(({ instance }) => instance.capacity.cpuMillis)
   return {
     service,
-    wantedMillis,
+    wantedMillis: wanted.cpuMillis(),
     leastMachines,
     machineMillis: sizes.length === 0 ? DEFAULT_MACHINE_MILLIS : sizes.reduce((sum, size) => sum + size, 0) / sizes.length,
     runsByMachine: new Map(open.filter(({ instance }) => instance.machineId !== '').map((link) => [link.instance.machineId, weightOf(link)]))
   }
 }
 
+interface AccountWish { cpuMillis: number, resources: Resources }
+
+/** Sums up what open tasks want, each account's no higher than it may have. */
+class WantedByAccount {
+  readonly #limitOf: DemandSources['limitOf']
+  readonly #wishes = new Map<AccountName | undefined, AccountWish>()
+
+  constructor (limitOf: DemandSources['limitOf']) {
+    this.#limitOf = limitOf
+  }
+
+  add (first: Task, taskCount: number): void {
+    const account = first.job.spec.owner?.account
+    const wish = this.#wishes.get(account) ?? { cpuMillis: 0, resources: NO_RESOURCES }
+    this.#wishes.set(account, wish)
+    wish.cpuMillis += cpuDemandOf(stepOf(first)) * taskCount
+    wish.resources = plus(wish.resources, times(resourcesOf(stepOf(first)), taskCount))
+  }
+
+  cpuMillis (): number {
+    return [...this.#wishes].reduce((sum, [account, { cpuMillis, resources }]) => {
+      const limit = account === undefined ? undefined : this.#limitOf(account)
+      const shares = limit === undefined ? [] : RESOURCE_KINDS.map((kind) => resources[kind] === 0 ? 1 : limit[kind] / resources[kind])
+      return sum + Math.ceil(cpuMillis * Math.min(1, ...shares))
+    }, 0)
+  }
+}
+
 function weightOf (link: WorkerView): number {
   return [...link.runs.values()].reduce((sum, run) => sum + (stepOf(run.task).isLasting ? LASTING_RUN_WEIGHT : 1), 0)
 }
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -6,6 +6,7 @@
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { isSuspect, judgeTask, mayCrash } from '../jobs/crashes.js'
 import { hasEnded, openSteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import { QuotaRound, type AccountRooms } from '../quotas/QuotaRound.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
 import { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './placeTasks.js'
 import { compareRanks, rankStep, TIERS, type StepRank } from '../jobs/rankJobs.js'
@@ -32,6 +33,8 @@
   readonly links: readonly WorkerView[]
   readonly times: RunTimes
   readonly advice: TicketSource
+  /** What each account may have running here. */
+  readonly accountRooms: AccountRooms
   /** Machines that are being emptied. */
   readonly vacating: { isVacating (machineId: string): boolean }
   /** Monotonic. */
@@ -56,12 +59,15 @@
   readonly toStop: Run[] = []
   /** Tasks that end the workers which start them, found while placing. */
   readonly toGiveUp: Task[] = []
+  /** What accounts' allowances had room for, and what waits for one. */
+  readonly quota: QuotaRound
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
 
   /** @param options - what it sees */
   constructor (options: PlacementRoundOptions) {
     this.#options = options
+    this.quota = new QuotaRound(options.accountRooms)
     this.#queues = new Map(options.configuration.queues.map((queue) => [queue.name, queue]))
   }
 
@@ -73,7 +79,7 @@
     const givenUp = new Set(this.toGiveUp.map(({ job }) => job))
     const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
-    const placements = placeTasks(groups, rooms)
+    const placements = placeTasks(groups, rooms, this.quota)
     this.#displace(groups, placements)
     this.#findStalled()
     return this.#runsOf(placements)
@@ -150,7 +156,7 @@
       for (const task of tasks) {
         const step = stepOf(task)
         const waitedMs = this.#options.nowMs - (task.waitingSinceMs ?? this.#options.nowMs)
-        if (placed.has(task) || isSuspect(task) || !step.isLasting || step.isFiller || waitedMs < DISPLACE_AFTER_MS) continue
+        if (placed.has(task) || this.quota.held.has(task) || isSuspect(task) || !step.isLasting || step.isFiller || waitedMs < DISPLACE_AFTER_MS) continue
         this.#displaceFor(task)
         return
       }
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -7,6 +7,7 @@
 import type { StepSpec } from '../jobs/JobSpec.js'
 import { isSuspect } from '../jobs/crashes.js'
 import { stepOf, type Job, type Task } from '../jobs/JobState.js'
+import type { QuotaRound } from '../quotas/QuotaRound.js'
 import { countRun, isIsolated, leaveRooms, runsOfOthers, suspectsFirst } from './isolation.js'
 
 /** A worker as the decision sees it; the room is used up as tasks are placed. @public */
@@ -57,12 +58,13 @@
  *
  * @param groups - steps with waiting tasks, the most important first
  * @param rooms - the workers that take work; their room is used up
+ * @param quota - what each account may start; used up, too
  * @returns what to start where; tasks without a suitable worker are left out
  * @public
  */
-export function placeTasks (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[]): Placement[] {
+export function placeTasks (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[], quota: QuotaRound): Placement[] {
   const placements: Placement[] = []
-  leaveRooms(groups, rooms)
+  leaveRooms(groups.filter(({ tasks }) => quota.hasRoomFor(tasks)), rooms)
   // Rooms only shrink: once no worker has so much processor time left, later tasks that want as much need not look.
   let leastRefusedMillis = Infinity
   for (const group of groups) {
@@ -70,7 +72,11 @@
     if (first === undefined) continue
     const wantedMillis = cpuDemandOf(stepOf(first))
     if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
-    const placed = stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, rooms)
+    const tasks = quota.admit(suspectsFirst(group.tasks))
+    if (tasks.length === 0) continue
+    const admitted = { ...group, tasks }
+    const placed = stepOf(first).isGang ? placeGang(admitted, rooms) : placeEach(admitted, rooms)
+    for (const { task } of placed) quota.take(task)
     if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
     placements.push(...placed)
   }
@@ -79,7 +85,7 @@
 
 function placeEach (group: PlacementGroup, rooms: readonly WorkerRoom[]): Placement[] {
   const placements: Placement[] = []
-  for (const task of suspectsFirst(group.tasks)) {
+  for (const task of group.tasks) {
     const room = bestRoom(task, group, rooms)
     if (room !== undefined) {
       take(room, task, 1)
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -43,6 +43,7 @@
     links,
     times: new RunTimes(),
     advice: { ticketsFor: () => undefined },
+    accountRooms: () => undefined,
     vacating: { isVacating: () => false },
     nowMs: NOW_MS,
     wallMs: NOW_MS
--- /dev/null
+++ b/packages/policy/src/test/QuotaRound.test.ts
@@ -0,0 +1,105 @@
+import { expect } from 'chai'
+import type { AccountName } from '@quillscale/ports'
+import { createJob, tasksOf, type Task } from '../lib/jobs/JobState.js'
+import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
+import { demandOf } from '../lib/machines/demandOf.js'
+import { placeTasks, type WorkerRoom } from '../lib/placement/placeTasks.js'
+import { QuotaRound } from '../lib/quotas/QuotaRound.js'
+import { NO_RESOURCES, type Resources } from '../lib/quotas/resources.js'
+import { testJobId } from './testJobId.js'
+
+const PRESS = 'press' as AccountName
+const HERALD = 'herald' as AccountName
+const cpu = (cpuMillis: number): Resources => ({ cpuMillis, memoryMb: Infinity, gpus: Infinity })
+
+function tasksFor (number: number, account: AccountName | undefined, step: Partial<StepSpec>): readonly Task[] {
+  const owner = account === undefined ? undefined : { account, keyTag: 't' }
+  const spec = jobSpecSchema.parse({ jobId: testJobId(number), queue: 'q', command: '', owner, submittedMs: 0, steps: [{ taskCount: 4, cpuMillis: 100, ...step }] })
+  return tasksOf(createJob(spec), 0)[0] ?? []
+}
+
+function roomOf (instanceId: string, cpuMillis: number): WorkerRoom {
+  const capacity = { cpuMillis, memoryMb: 1000, gpus: 0 }
+  return {
+    instanceId,
+    labels: ['a', 'r1'],
+    ...capacity,
+    capacity,
+    servingTasks: 0,
+    fillers: 0,
+    runsByStep: new Map(),
+    runsByJob: new Map(),
+    lastingRuns: 0,
+    leftTo: undefined
+  }
+}
+
+interface GroupShape { readonly account?: AccountName, readonly step?: Partial<StepSpec> }
+
+describe('QuotaRound', () => {
+  const cases: ReadonlyArray<{
+    readonly name: string,
+    readonly usable: number,
+    readonly used?: number,
+    readonly limit?: number,
+    readonly groups: readonly GroupShape[]
+    readonly placed: readonly number[],
+    readonly wanted?: number,
+    readonly first?: number,
+    readonly oversized?: number
+  }> = [
+    { name: 'all that the allowance holds', usable: 250, groups: [{ account: PRESS }], placed: [2], wanted: 200, first: 100 },
+    { name: 'what runs counts', usable: 250, used: 200, groups: [{ account: PRESS }], placed: [0], wanted: 400, first: 100 },
+    { name: 'jobs of nobody are not counted', usable: 0, groups: [{}], placed: [4] },
+    { name: 'another account goes on', usable: 100, groups: [{ account: PRESS }, { account: HERALD }], placed: [1, 4], wanted: 300, first: 100 },
+    { name: 'smaller tasks behind one that is too large for now', usable: 250, groups: [{ account: PRESS, step: { taskCount: 1, cpuMillis: 300 } }, { account: PRESS }], placed: [0, 2], wanted: 500, first: 300 },
+    { name: 'a gang whole', usable: 400, groups: [{ account: PRESS, step: { isGang: true } }], placed: [4] },
+    { name: 'a gang not in part', usable: 399, groups: [{ account: PRESS, step: { isGang: true } }], placed: [0], wanted: 400, first: 400 },
+    {
+      name: 'a task that exceeds the limit waits, and asks for nothing',
+      usable: 1000,
+      limit: 1000,
+      groups: [{ account: PRESS, step: { taskCount: 1, cpuMillis: 1001 } }, { account: PRESS }],
+      placed: [0, 4],
+      oversized: 1
+    },
+    { name: 'a gang that exceeds the limit, too', usable: 300, limit: 300, groups: [{ account: PRESS, step: { isGang: true } }, { account: PRESS }], placed: [0, 3], wanted: 100, first: 100, oversized: 1 },
+    { name: 'one that no worker has room for leaves the allowance to the next', usable: 5000, groups: [{ account: PRESS, step: { taskCount: 1, cpuMillis: 5000 } }, { account: PRESS }], placed: [0, 4] },
+    { name: 'a lowered limit: nothing starts', usable: 0, used: 700, limit: 500, groups: [{ account: PRESS }], placed: [0], wanted: 400, first: 100 }
+  ]
+  for (const { name, usable, used = 0, limit = 10_000, groups, placed, wanted, first, oversized = 0 } of cases) {
+    it(name, () => {
+      const room = { used: { ...NO_RESOURCES, cpuMillis: used }, usable: cpu(usable), limit: cpu(limit) }
+      const quota = new QuotaRound((account) => account === PRESS ? room : undefined)
+      const steps = groups.map(({ account, step = {} }, at) => tasksFor(at, account, step))
+      const placements = placeTasks(steps.map((tasks) => ({ tasks, mayReserve: false })), [roomOf('w0', 2000)], quota)
+      expect(steps.map((tasks) => placements.filter(({ task }) => tasks.includes(task)).length)).to.deep.equal(placed)
+      expect(quota.shortages.get(PRESS)?.wanted.cpuMillis).to.equal(wanted)
+      expect(quota.shortages.get(PRESS)?.first.cpuMillis).to.equal(first)
+      expect(quota.oversized).to.have.length(oversized)
+    })
+  }
+
+  it('keeps no room on workers for tasks that wait for an allowance', () => {
+    const quota = new QuotaRound((account) => account === PRESS ? { used: NO_RESOURCES, usable: cpu(0), limit: cpu(1000) } : undefined)
+    const [held, open] = [tasksFor(1, PRESS, { isLasting: true }), tasksFor(2, HERALD, {})]
+    const placements = placeTasks([{ tasks: held, mayReserve: true }, { tasks: open, mayReserve: false }], [roomOf('w0', 400)], quota)
+    expect(placements.map(({ task }) => task)).to.deep.equal(open)
+  })
+})
+
+describe('demandOf', () => {
+  const cases = [
+    { name: 'all that waits, without a limit', limit: undefined, wantedMillis: 400 },
+    { name: 'all that waits, below the limit', limit: cpu(1000), wantedMillis: 400 },
+    { name: 'no more than the account may have', limit: cpu(150), wantedMillis: 150 },
+    { name: 'no more than its memory lets it have', limit: { cpuMillis: Infinity, memoryMb: 100, gpus: Infinity }, wantedMillis: 100 }
+  ]
+  for (const { name, limit, wantedMillis } of cases) {
+    it(name, () => {
+      const job = tasksFor(1, PRESS, { memoryMb: 100 })[0]?.job
+      const demand = demandOf({ service: 's', jobs: job === undefined ? [] : [job], links: [], limitOf: () => limit, nowMs: 0, wallMs: 0 })
+      expect(demand.wantedMillis).to.equal(wantedMillis)
+    })
+  }
+})
--- a/packages/policy/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
+import { QuotaRound } from '../lib/quotas/QuotaRound.js'
 import { placeTasks, type PlacementGroup, type WorkerRoom } from '../lib/placement/placeTasks.js'
 import { testJobId } from './testJobId.js'
 
@@ -52,14 +53,14 @@
   for (const { name, rooms, jobs, cpuMillis, placed } of cases) {
     it(`places ${name}`, () => {
       const made = rooms.map((free, index) => new CountedRoom(`w${index}`, free))
-      expect(placeTasks(groupsOf(jobs, cpuMillis), made)).to.have.length(placed)
+      expect(placeTasks(groupsOf(jobs, cpuMillis), made, new QuotaRound(() => undefined))).to.have.length(placed)
     })
   }
 
   it('looks at full workers a few times, however many tasks wait', () => {
     const rooms = Array.from({ length: 200 }, (_, index) => new CountedRoom(`w${index}`, 100))
     CountedRoom.looks = 0
-    expect(placeTasks(groupsOf(500, (job) => 1000 + job), rooms)).to.have.length(0)
+    expect(placeTasks(groupsOf(500, (job) => 1000 + job), rooms, new QuotaRound(() => undefined))).to.have.length(0)
     expect(CountedRoom.looks).to.be.at.most(rooms.length * 3)
   })
 })
--- /dev/null
+++ b/packages/policy/src/test/planAllowance.test.ts
@@ -0,0 +1,153 @@
+import { expect } from 'chai'
+import * as fc from 'fast-check'
+import { planAllowance, sumGranted, type AllowanceClaim, type OwnClaim } from '../lib/quotas/planAllowance.js'
+import { fitsWithin, least, NO_RESOURCES, plus, type Resources } from '../lib/quotas/resources.js'
+
+const amounts = (cpuMillis: number, memoryMb = 0): Resources => ({ cpuMillis, memoryMb, gpus: 0 })
+const LIMIT: Resources = { cpuMillis: 800, memoryMb: Infinity, gpus: Infinity }
+
+interface Shape { readonly granted?: number, readonly used?: number, readonly wanted?: number, readonly first?: number, readonly sinceMs?: number }
+
+function claimOf (service: string, { granted = 0, used = 0, wanted = used, first = 0, sinceMs }: Shape): OwnClaim {
+  return { service, granted: amounts(granted), used: amounts(used), wanted: amounts(wanted), first: amounts(first), lackingSinceMs: sinceMs }
+}
+
+describe('planAllowance', () => {
+  const cases: ReadonlyArray<{
+    readonly name: string, readonly own: Shape, readonly others?: readonly Shape[], readonly granted: number, readonly usable?: number
+  }> = [
+    { name: 'nothing running: a part of the limit is kept ready', own: {}, granted: 100 },
+    { name: 'a burst: twice what it wants', own: { granted: 100, used: 100, wanted: 300, first: 0 }, granted: 600 },
+    { name: 'a burst beyond the limit: the limit', own: { used: 0, wanted: 3000, first: 10 }, granted: 800 },
+    { name: 'the others hold a part: what is free', own: { wanted: 3000, first: 10 }, others: [{ granted: 300, used: 300 }], granted: 500 },
+    { name: 'less work than before: the allowance stays until somebody lacks one', own: { granted: 700, used: 10 }, granted: 700 },
+    { name: 'another lacks one: what is not used is given up', own: { granted: 700, used: 10 }, others: [{ wanted: 600, first: 10, sinceMs: 1 }], granted: 10 },
+    {
+      name: 'another lacks one while all of this is used: it keeps it, and starts nothing beyond half',
+      own: { granted: 800, used: 800, wanted: 900, sinceMs: 1 },
+      others: [{ wanted: 900, sinceMs: 2 }],
+      granted: 800,
+      usable: 400
+    },
+    {
+      name: 'both lack one: the free part up to half of the limit',
+      own: { wanted: 900, first: 10, sinceMs: 2 },
+      others: [{ granted: 800, wanted: 900, sinceMs: 1 }],
+      granted: 0
+    },
+    {
+      name: 'both lack one, and there is room: half of the limit',
+      own: { wanted: 900, first: 10, sinceMs: 2 },
+      others: [{ granted: 300, wanted: 900, sinceMs: 1 }],
+      granted: 405
+    },
+    {
+      name: 'a limit of one task for two that want one: the one that waits longer',
+      own: { wanted: 700, first: 700, sinceMs: 1 },
+      others: [{ wanted: 700, first: 700, sinceMs: 2 }],
+      granted: 700
+    },
+    {
+      name: 'a limit of one task for two that want one: not the other',
+      own: { wanted: 700, first: 700, sinceMs: 2 },
+      others: [{ wanted: 700, first: 700, sinceMs: 1 }],
+      granted: 100,
+      usable: 100
+    },
+    {
+      name: 'rests in five places that hold a task together: each gives up its own',
+      own: { granted: 160, used: 100 },
+      others: [{ wanted: 300, first: 300, sinceMs: 1 }, ...Array.from({ length: 4 }, () => ({ granted: 160 }))],
+      granted: 100
+    },
+    { name: 'a lowered limit: what runs stays, nothing starts', own: { granted: 1200, used: 900, wanted: 2000, sinceMs: 1 }, granted: 900, usable: 0 },
+    {
+      name: 'a lowered limit that another exceeds: nothing starts',
+      own: { granted: 100, used: 0, wanted: 50, first: 50 },
+      others: [{ granted: 900 }],
+      granted: 50,
+      usable: 0
+    },
+    { name: 'work that was placed before there was a limit: it counts', own: { granted: 0, used: 300 }, granted: 600 }
+  ]
+  for (const { name, own, others = [], granted, usable } of cases) {
+    it(name, () => {
+      const plan = planAllowance(claimOf('own', own), others.map((shape, at) => claimOf(`other${at}`, shape)), LIMIT)
+      expect(plan.granted.cpuMillis).to.equal(granted)
+      if (usable !== undefined) expect(plan.usable.cpuMillis).to.equal(usable)
+    })
+  }
+
+  it('limits nothing that has no limit', () => {
+    const plan = planAllowance({ ...claimOf('own', { wanted: 100 }), wanted: amounts(100, 5000) }, [], LIMIT)
+    expect(plan.granted.memoryMb).to.be.at.least(5000)
+  })
+
+  const NAMES = ['a', 'b', 'c'] as const
+  const LIMIT_OF_MODEL: Resources = { cpuMillis: 100, memoryMb: 60, gpus: Infinity }
+  const amountsArbitrary = fc.record({ cpuMillis: fc.integer({ min: 0, max: 60 }), memoryMb: fc.integer({ min: 0, max: 40 }), gpus: fc.constant(0) })
+  const stepArbitrary = fc.record({
+    service: fc.constantFrom(...NAMES),
+    waiting: amountsArbitrary,
+    task: amountsArbitrary,
+    ends: fc.boolean(),
+    isOvertaken: fc.boolean(),
+    isUnknown: fc.boolean()
+  })
+
+  /** A service of the model: what it runs, and what waits. */
+  interface Holder { used: Resources, waiting: Resources, first: Resources }
+
+  it('never grants more than the limit altogether, and starts nothing beyond it, in any order of changes', () => {
+    fc.assert(fc.property(fc.array(stepArbitrary, { maxLength: 60 }), (steps) => {
+      const holders = new Map<string, Holder>(NAMES.map((name) => [name, { used: NO_RESOURCES, waiting: NO_RESOURCES, first: NO_RESOURCES }]))
+      const claims = new Map<string, AllowanceClaim>()
+      for (const { service, waiting, task, ends, isOvertaken, isUnknown } of steps) {
+        const holder = holders.get(service) as Holder
+        if (ends) holder.used = NO_RESOURCES
+        Object.assign(holder, { waiting, first: task })
+        const known = claims.get(service)
+        const own: OwnClaim = {
+          service,
+          used: holder.used,
+          granted: known?.granted ?? NO_RESOURCES,
+          wanted: plus(holder.used, waiting),
+          first: NO_RESOURCES,
+          lackingSinceMs: known?.lackingSinceMs
+        }
+        const others = [...claims.values()].filter((claim) => claim.service !== service)
+        const plan = planAllowance(own, others, LIMIT_OF_MODEL)
+        const usable = { ...plan.usable, gpus: Infinity }
+        const isWritten = !isOvertaken
+        if (isWritten) claims.set(service, { ...own, granted: plan.granted, lackingSinceMs: 1 })
+        // Its answer may be lost: then only what was granted before as well counts.
+        const mayUse = isWritten && !isUnknown ? usable : { ...least(usable, own.granted), gpus: Infinity }
+        if (fitsWithin(plus(holder.used, task), mayUse)) holder.used = plus(holder.used, task)
+        expect(fitsWithin(sumGranted([...claims.values()]), LIMIT_OF_MODEL)).to.equal(true)
+        const running = [...holders.values()].reduce((sum, { used }) => plus(sum, used), NO_RESOURCES)
+        expect(fitsWithin(running, LIMIT_OF_MODEL)).to.equal(true)
+      }
+    }))
+  })
+
+  it('gives each service its first task in the end, whatever the others want', () => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 100 }), { minLength: 2, maxLength: 4 }), (sizes) => {
+      const limit = amounts(100)
+      const claims = new Map<string, OwnClaim>(sizes.map((size, at) => [`s${at}`, claimOf(`s${at}`, { wanted: size * 5, first: size, sinceMs: at })]))
+      const hasRun = new Set<string>()
+      for (let round = 0; round < 40; round++) {
+        for (const [service, claim] of claims) {
+          const size = claim.first.cpuMillis === 0 ? claim.used.cpuMillis : claim.first.cpuMillis
+          const { granted, usable } = planAllowance(claim, [...claims.values()].filter((other) => other !== claim), limit)
+          const starts = claim.used.cpuMillis === 0 && size <= usable.cpuMillis
+          if (starts) hasRun.add(service)
+          // One task runs for a round, then waits again behind the others.
+          const used = starts ? size : 0
+          const sinceMs = starts ? 100 + round : claim.lackingSinceMs ?? 0
+          claims.set(service, claimOf(service, { used, granted: granted.cpuMillis, wanted: size * 5, first: used > 0 ? 0 : size, sinceMs }))
+        }
+      }
+      expect([...hasRun]).to.have.length(sizes.length)
+    }))
+  })
+})
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -9,7 +9,9 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { hasEnded, type Job, PlacementRound, type Run, RunTimes, stepOf, stillFits } from '@quillscale/policy'
+import { hasEnded, type Job, PlacementRound, type Run, RunTimes } from '@quillscale/policy'
+import { accountsOf } from '../accounts/AccountDirectory.js'
+import { AllowanceLedger } from '../accounts/AllowanceLedger.js'
 import { AdviceBook } from '../workers/AdviceBook.js'
 import type { CommitLog, RecordSource } from '../records/CommitLog.js'
 import { createReplica } from '../records/createReplica.js'
@@ -20,6 +22,7 @@
 import { MachineVacator } from '../machines/MachineVacator.js'
 import { openCommitLog } from '../records/openCommitLog.js'
 import { RunBook } from '../jobs/RunBook.js'
+import { RunStarter } from '../jobs/RunStarter.js'
 import { RunTracker } from '../jobs/RunTracker.js'
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
@@ -48,9 +51,11 @@
   readonly #advice: AdviceBook
   readonly #vacator: MachineVacator
   readonly #silentWorkers: SilentWorkers
+  readonly #ledger: AllowanceLedger
   readonly #workers: WorkerSet
   readonly #tracker: RunTracker
   readonly #crashBook: CrashBook
+  readonly #starter: RunStarter
   readonly #statusWriter: StatusWriter
   readonly #registrations: WorkerRegistrations
   readonly #registrationItems: PrefixReplica
@@ -79,18 +84,27 @@
       attemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts ?? DEFAULT_ATTEMPTS,
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#changed(job),
+      onClosed: (run) => this.#ledger.noteEnd(run),
       onUnneeded: (run) => this.#tracker.discard(run)
     })
+    this.#ledger = this.#createLedger()
     this.#tracker = this.#createTracker()
+    this.#starter = new RunStarter({
+      book: this.#book,
+      flushed: () => this.#commits.flushed(),
+      linkOf: (run) => this.#workers.linkOf(run),
+      discard: (run) => this.#tracker.discard(run),
+      onChanged: (job) => this.#changed(job, true)
+    })
     this.#crashBook = new CrashBook({
       log: options.log, count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#changed(job)
     })
     const put = (key: string, source: RecordSource, isUrgent: boolean): void => this.#commits.put(key, source, isUrgent)
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
-    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put })
+    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put, limitOf: (account) => accountsOf(configuration()).limitOf(account) })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
-    this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#takeAway(run) } })
+    this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#starter.takeAway(run) } })
     this.#registrations = new WorkerRegistrations({
       ...options, prefix: options.workersPrefix, isServiceNamed: (name) => configuration()?.services.some((named) => named.name === name) === true
     })
@@ -101,7 +115,7 @@
       ...options,
       book: this.#book,
       vacator: this.#vacator,
-      onPlaced: (run) => this.#workers.adopt(run),
+      onPlaced: (run) => this.#adopt(run),
       onGone: (instanceId, machineId) => this.#workers.noteGone(instanceId, machineId)
     })
     this.#inbox = createReplica(options.log, {
@@ -109,6 +123,17 @@
     })
   }
 
+  #createLedger (): AllowanceLedger {
+    const { configuration, bounds, metrics } = this.#options
+    return new AllowanceLedger({
+      ...this.#options,
+      accounts: () => accountsOf(configuration()),
+      longestLeaseMs: () => bounds().maxLeaseMs,
+      count: (kind) => metrics.count('allowance_writes', kind),
+      onChange: () => this.#wake()
+    })
+  }
+
   #createTracker (): RunTracker {
     const { orders, fencingToken, clock, log, metrics, service } = this.#options
     return new RunTracker({
@@ -183,6 +208,7 @@
   async run (): Promise<void> {
     const { clock, service, fencingToken } = this.#options
     this.#tookOverMs = clock.monotonicMs()
+    this.#ledger.begin(this.#stop.signal)
     const registrationsFollowed = this.#registrationItems.run(this.#stop.signal)
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#book.jobs.size, tookMs: clock.monotonicMs() - this.#tookOverMs }, 'scheduling begins')
@@ -309,11 +335,15 @@
       links: this.#workers.links,
       times: this.#times,
       advice: this.#advice,
+      accountRooms: (account) => this.#ledger.roomOf(account, nowMs),
       vacating: this.#vacator,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
+    for (const run of runs) this.#adopt(run)
+    this.#ledger.step(round.quota.shortages, nowMs)
+    this.#ledger.noteOversized(round.quota.oversized)
     for (const run of round.toStop) this.#tracker.discard(run)
     for (const task of round.toGiveUp) {
       if (hasEnded(task.job)) continue
@@ -321,42 +351,17 @@
       this.#crashBook.clearOthers(task.job)
     }
     if (runs.length === 0) return
-    for (const run of runs) this.#workers.adopt(run)
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const placed = runs.filter(({ task }) => task.job === job)
       this.#log.info({ jobId: job.spec.jobId, runs: placed.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
       this.#changed(job, true)
     }
-    void this.#startRecorded(runs)
-  }
-
-  /** Starts runs once their placement is durable. */
-  async #startRecorded (runs: readonly Run[]): Promise<void> {
-    if (!await this.#commits.flushed()) return
-    for (const run of runs) {
-      const link = this.#workers.linkOf(run)
-      const isWanted = run.phase === 'recording' && run.task.runs.includes(run)
-      if (!isWanted) continue
-      if (link?.takesWork !== true || !stillFits(link, run)) {
-        this.#book.close(run, 'not-started')
-        continue
-      }
-      run.phase = 'starting'
-      const { task } = run
-      const checkpoint = stepOf(task).isCheckpointing && task.checkpoint !== '' ? task.checkpoint : undefined
-      void link.start(run, task.job.spec.command, checkpoint)
-    }
+    void this.#starter.start(runs)
   }
 
-  /**
-   * Stops a run so that its machine becomes empty. Where only so many tasks of a step may be away, that is written down first:
-   * the worker goes on listing the run until it is over, and a next holder would take another task of the step away meanwhile.
-   */
-  async #takeAway (run: Run): Promise<void> {
-    if (stepOf(run.task).maxAway === undefined) return this.#tracker.discard(run)
-    run.phase = 'stopping'
-    this.#changed(run.task.job, true)
-    if (await this.#commits.flushed()) await this.#workers.linkOf(run)?.stop(run)
+  #adopt (run: Run): void {
+    this.#ledger.noteRun(run)
+    this.#workers.adopt(run)
   }
 
   /** Ended jobs are removed once nobody is owed an answer about them. */
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -5,7 +5,8 @@
  */
 import { decodeJson, Err, Ok, type DecodeProblem, type Result } from '@quillscale/utils'
 import type { KeyValueStore, PlatformError } from '@quillscale/ports'
-import { hasEnded, type JobId, type JobSpec, jobSpecSchema, machinesNeeded } from '@quillscale/policy'
+import { hasEnded, isLacking, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, sumGranted, type Resources } from '@quillscale/policy'
+import { allowanceKey, decodeAllowance, type AllowanceRecord } from '../accounts/allowanceRecord.js'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
 import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
@@ -21,6 +22,8 @@
   readonly jobId: JobId
   readonly service: string
   readonly queue: string
+  /** The client account that handed it in, `undefined` if it came without a key. */
+  readonly account: string | undefined
   readonly status: string
   readonly ageMs: number
   /** A line for each step, and one for each reason why something waits. */
@@ -79,24 +82,43 @@
       if (spec.err) return unreadable(record.val.key, spec.val)
       const known = progress.val === undefined ? Ok(undefined) : decodeProgress(progress.val.value)
       if (known.err) return unreadable(progressKey(row.service, jobId), known.val)
-      return Ok(explainJob(spec.val, row, known.val, cancel.val !== undefined, duties.val, wallMs))
+      const allowance = await this.#allowanceOf(spec.val)
+      if (allowance.err) return allowance
+      return Ok(explainJob(spec.val, row, { progress: known.val, isCancelled: cancel.val !== undefined, duties: duties.val, allowance: allowance.val }, wallMs))
     }
     return Ok(undefined)
   }
+
+  async #allowanceOf ({ owner }: JobSpec): Promise<Result<AllowanceRecord | undefined, PlatformError>> {
+    if (owner === undefined) return Ok(undefined)
+    const key = allowanceKey(owner.account)
+    const record = await this.#store.get(key)
+    if (record.err) return record
+    if (record.val === undefined) return Ok(undefined)
+    const decoded = decodeAllowance(record.val.value)
+    return decoded.err ? unreadable(key, decoded.val) : decoded
+  }
+}
+
+interface JobRecords {
+  readonly progress: JobProgress | undefined
+  readonly isCancelled: boolean
+  readonly duties: readonly DutyRow[]
+  /** `undefined` where its account has no limit, or has run nothing yet. */
+  readonly allowance: AllowanceRecord | undefined
 }
 
 function unreadable (key: string, { path, detail }: DecodeProblem): Result<never, PlatformError> {
   return Err({ kind: 'unavailable', detail: `${key} cannot be read: ${path === '' ? '' : `${path}: `}${detail}` })
 }
 
-function explainJob (
-  spec: JobSpec, row: ServiceRow, progress: JobProgress | undefined, isCancelled: boolean, duties: readonly DutyRow[], wallMs: number
-): JobExplanation {
+function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, duties, allowance }: JobRecords, wallMs: number): JobExplanation {
   const status = progress?.status ?? 'queued'
   const isOver = hasEnded({ status })
-  const reasons = isOver ? [] : reasonsToWait(row, isCancelled, duties)
+  const reasons = isOver ? [] : [...reasonsToWait(row, isCancelled, duties), ...quotaReasons(row.service, allowance)]
   const steps = isOver ? [] : spec.steps.map((_, index) => explainStep(spec, index, progress))
-  return { jobId: spec.jobId, service: row.service, queue: spec.queue, status, ageMs: wallMs - spec.submittedMs, lines: [...steps, ...reasons] }
+  const { jobId, queue, owner, submittedMs } = spec
+  return { jobId, service: row.service, queue, account: owner?.account, status, ageMs: wallMs - submittedMs, lines: [...steps, ...reasons] }
 }
 
 function explainStep (spec: JobSpec, index: number, progress: JobProgress | undefined): string {
@@ -125,6 +147,15 @@
 
 const isHeld = (dutyKey: string, duties: readonly DutyRow[]): boolean => duties.some(({ duty }) => `${DUTY_PREFIX}${duty}` === dutyKey)
 
+function quotaReasons (service: string, allowance: AllowanceRecord | undefined): string[] {
+  const claim = allowance?.claims.find((each) => each.service === service)
+  if (allowance === undefined || claim === undefined || !isLacking(claim)) return []
+  const [has, wants, all] = [claim.granted, claim.wanted, sumGranted(allowance.claims)].map(amountsOf)
+  return [`account ${allowance.account} has ${has} for ${service} and wants ${wants}; all its services have ${all}`]
+}
+
+const amountsOf = ({ cpuMillis, memoryMb, gpus }: Resources): string => `${cpuMillis} mcpu, ${memoryMb} MB${gpus === 0 ? '' : `, ${gpus} GPUs`}`
+
 function reasonsToWait (row: ServiceRow, isCancelled: boolean, duties: readonly DutyRow[]): string[] {
   const isScheduled = isHeld(serviceDutyKey(row.service), duties)
   const isShort = row.machinesNeeded > row.machines
--- a/packages/scheduler/src/lib/jobs/RunBook.ts
+++ b/packages/scheduler/src/lib/jobs/RunBook.ts
@@ -42,6 +42,8 @@
   readonly linkOf: (run: Run) => WorkerLink | undefined
   /** Called for each job whose progress is to be written. */
   readonly onChanged: (job: Job) => void
+  /** Called for each run that is surely over. */
+  readonly onClosed: (run: Run) => void
   /** Called for each run that is not needed any more. */
   readonly onUnneeded: (run: Run) => void
 }
@@ -62,6 +64,7 @@
     const at = task.runs.indexOf(run)
     if (at < 0) return
     task.runs.splice(at, 1)
+    this.#options.onClosed(run)
     this.#options.linkOf(run)?.runs.delete(runKey(run))
     if (checkpoint !== '' && stepOf(task).isCheckpointing) task.checkpoint = checkpoint
     const { job } = task
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import { demandOf, type Job, machinesNeeded } from '@quillscale/policy'
+import type { AccountName } from '@quillscale/ports'
+import { demandOf, type Job, machinesNeeded, type Resources } from '@quillscale/policy'
 import type { RecordSource } from '../records/CommitLog.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
@@ -16,6 +17,8 @@
   readonly service: string
   readonly clock: Clock
   readonly log: EventLog
+  /** What an account may have running, `undefined` without a limit. */
+  readonly limitOf: (account: AccountName) => Resources | undefined
   readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
 }
 
@@ -64,8 +67,8 @@
   /** More need is told at once, anything else now and then. */
   #writeDemand (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
     this.#demandMadeMs = nowMs
-    const { service, clock, log, put } = this.#options
-    const demand = demandOf({ service, jobs, links, nowMs, wallMs: clock.wallMs() })
+    const { service, clock, log, limitOf, put } = this.#options
+    const demand = demandOf({ service, jobs, links, limitOf, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#demandNeed
--- /dev/null
+++ b/packages/scheduler/src/test/AllowanceLedger.test.ts
@@ -0,0 +1,256 @@
+import { expect } from 'chai'
+import { delay, SeededRandom, systemClock } from '@quillscale/utils'
+import type { AccountName, FleetConfiguration } from '@quillscale/ports'
+import { createJob, jobSpecSchema, QuotaRound, tasksOf, type Run, type Task } from '@quillscale/policy'
+import { accountsOf } from '../lib/accounts/AccountDirectory.js'
+import { AllowanceLedger } from '../lib/accounts/AllowanceLedger.js'
+import { allowanceKey } from '../lib/accounts/allowanceRecord.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
+import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
+import { FaultyStore, testJobId, TestLog } from './TestService.js'
+
+const PRESS = 'press' as AccountName
+const TASK_MILLIS = 100
+const ROUND_MS = 5
+/** What the users allow for a job with nothing running, while its account is under half of its limit. */
+const START_BOUND_MS = 3000
+
+/** One service's holder: starts what its allowance has room for, and ends it after a while. */
+class Holder {
+  readonly ledger: AllowanceLedger
+  readonly running = new Set<Run>()
+  readonly stop = new AbortController()
+  readonly #fleet: Fleet
+  waiting: Task[]
+  startedMs: number | undefined
+  runMs = 30
+
+  constructor (fleet: Fleet, readonly service: string, fencingToken: number, tasks: readonly Task[]) {
+    this.#fleet = fleet
+    this.waiting = [...tasks]
+    const { store, log, metrics, records } = fleet
+    this.ledger = new AllowanceLedger({
+      service,
+      dutyKey: `duty/${service}`,
+      fencingToken,
+      store,
+      clock: systemClock,
+      log,
+      records,
+      accounts: () => accountsOf(fleet.configuration),
+      configuration: () => fleet.configuration,
+      longestLeaseMs: () => 100,
+      count: (kind) => metrics.count('allowance_writes', kind),
+      onChange: () => {}
+    })
+    this.ledger.begin(this.stop.signal)
+    void this.#rounds()
+  }
+
+  async #rounds (): Promise<void> {
+    while (!this.stop.signal.aborted) {
+      this.round(performance.now())
+      await delay(ROUND_MS)
+    }
+  }
+
+  round (nowMs: number): void {
+    const quota = new QuotaRound((account) => this.ledger.roomOf(account, nowMs))
+    const admitted = quota.admit(this.waiting)
+    for (const task of admitted) quota.take(task)
+    this.waiting = this.waiting.slice(admitted.length)
+    for (const task of admitted) this.#start(task)
+    this.ledger.step(quota.shortages, nowMs)
+  }
+
+  #start (task: Task): void {
+    this.startedMs ??= performance.now()
+    const run = { task } as unknown as Run
+    this.running.add(run)
+    this.ledger.noteRun(run)
+    this.#fleet.noteMost()
+    setTimeout(() => this.end(run), this.runMs)
+  }
+
+  end (run: Run): void {
+    if (this.stop.signal.aborted || !this.running.delete(run)) return
+    this.ledger.noteEnd(run)
+  }
+}
+
+/** Services that share an account's limit. */
+class Fleet {
+  readonly store = new FaultyStore()
+  readonly log = new TestLog()
+  readonly metrics = new SchedulerMetrics()
+  readonly records = new RecordReader(this.log, this.metrics)
+  readonly holders = new Map<string, Holder>()
+  configuration: FleetConfiguration
+  mostMillis = 0
+  #jobs = 0
+
+  constructor (limitMillis: number) {
+    this.configuration = this.#configurationOf(1, limitMillis)
+  }
+
+  #configurationOf (version: number, limitMillis: number, services = ['a', 'b', 'c']): FleetConfiguration {
+    return {
+      version,
+      queues: [],
+      maxBodyBytes: 0,
+      services: services.map((name) => ({ name, isHeadroom: false, refusesOverload: true, healthPath: '' })),
+      accounts: [{ name: PRESS, keyHashes: [], weight: 1, limit: { cpuMillis: limitMillis, memoryMb: 0, gpus: 0 } }]
+    }
+  }
+
+  limit (limitMillis: number, services?: string[]): void {
+    this.configuration = this.#configurationOf(this.configuration.version + 1, limitMillis, services)
+  }
+
+  tasks (count: number, cpuMillis = TASK_MILLIS): readonly Task[] {
+    const spec = jobSpecSchema.parse({
+      jobId: testJobId(++this.#jobs), queue: 'q', command: '', submittedMs: 0, owner: { account: PRESS, keyTag: '' }, steps: [{ taskCount: count, cpuMillis }]
+    })
+    return tasksOf(createJob(spec), 0)[0] ?? []
+  }
+
+  /** Gives a service's duty to a new holder, which finds what the one before had running. */
+  async takeOver (service: string, tasks: readonly Task[] = []): Promise<Holder> {
+    const former = this.holders.get(service)
+    former?.stop.abort()
+    const key = `duty/${service}`
+    const held = (await this.store.get(key)).unwrap()
+    const taken = (await this.store.compareAndSwap({ key, expectedModRevision: held?.modRevision ?? 0, value: 'x' })).unwrap()
+    const holder = new Holder(this, service, taken.swapped ? taken.modRevision : 0, [...tasks, ...former?.waiting ?? []])
+    for (const run of former?.running ?? []) {
+      holder.running.add(run)
+      holder.ledger.noteRun(run)
+      setTimeout(() => holder.end(run), holder.runMs)
+    }
+    this.holders.set(service, holder)
+    return holder
+  }
+
+  get runningMillis (): number {
+    return [...this.holders.values()].flatMap(({ running }) => [...running]).reduce((sum, { task }) => sum + (task.job.spec.steps[0]?.cpuMillis ?? 0), 0)
+  }
+
+  noteMost (): void {
+    this.mostMillis = Math.max(this.mostMillis, this.runningMillis)
+  }
+
+  async until (what: string, condition: () => boolean, timeoutMs: number): Promise<number> {
+    const startedMs = performance.now()
+    while (!condition()) {
+      if (performance.now() - startedMs > timeoutMs) throw new Error(`never: ${what}\n${this.log.lines.slice(-20).join('\n')}`)
+      await delay(ROUND_MS)
+    }
+    return performance.now() - startedMs
+  }
+
+  close (): void {
+    for (const { stop } of this.holders.values()) stop.abort()
+  }
+}
+
+describe('AllowanceLedger', () => {
+  let fleet: Fleet
+  afterEach(() => fleet.close())
+
+  it('lets all that waits run in the end, and never more than the limit at once', async () => {
+    fleet = new Fleet(1000)
+    const holders = await Promise.all(['a', 'b', 'c'].map((service) => fleet.takeOver(service, fleet.tasks(60))))
+    await fleet.until('all has run', () => holders.every(({ waiting }) => waiting.length === 0), 10_000)
+    expect(fleet.mostMillis).to.be.at.most(1000)
+    expect(fleet.mostMillis).to.be.at.least(900)
+  })
+
+  it('brings the unused rests of others together for a task that needs them all', async () => {
+    fleet = new Fleet(1000)
+    const [a, b] = [await fleet.takeOver('a', fleet.tasks(9)), await fleet.takeOver('b', fleet.tasks(1))]
+    await fleet.until('both have run', () => a.waiting.length + b.waiting.length === 0, 2000)
+    const c = await fleet.takeOver('c', fleet.tasks(1, 1000))
+    expect(await fleet.until('the large task runs', () => c.startedMs !== undefined, START_BOUND_MS)).to.be.below(START_BOUND_MS)
+  })
+
+  it('starts nothing by a limit that was lowered until what runs fits, and goes on then', async () => {
+    fleet = new Fleet(2000)
+    const a = await fleet.takeOver('a', fleet.tasks(20))
+    a.runMs = 400
+    await fleet.until('all runs', () => a.running.size === 20, 2000)
+    fleet.limit(300)
+    a.waiting.push(...fleet.tasks(10))
+    const b = await fleet.takeOver('b', fleet.tasks(3))
+    await delay(150)
+    expect(fleet.runningMillis).to.equal(2000)
+    fleet.mostMillis = 0
+    await fleet.until('the rest runs', () => a.waiting.length + b.waiting.length === 0, 8000)
+    expect(fleet.mostMillis).to.be.at.most(300)
+  })
+
+  it('uses a raised limit', async () => {
+    fleet = new Fleet(200)
+    const a = await fleet.takeOver('a', fleet.tasks(30))
+    a.runMs = 1000
+    await fleet.until('the limit is used', () => a.running.size === 2, 2000)
+    fleet.limit(1500)
+    await fleet.until('the raised limit is used', () => a.running.size === 15, 1000)
+  })
+
+  it('hands a predecessor\'s allowance on, and takes it for another service that lacks it', async () => {
+    fleet = new Fleet(1000)
+    const a = await fleet.takeOver('a', fleet.tasks(10))
+    await fleet.until('all has run', () => a.waiting.length === 0 && a.running.size === 0, 2000)
+    a.stop.abort()
+    const b = await fleet.takeOver('b', fleet.tasks(10))
+    b.runMs = 2000
+    await delay(100)
+    expect(b.running.size).to.be.below(10)
+    await fleet.takeOver('a')
+    expect(await fleet.until('the other service has it', () => b.running.size === 10, START_BOUND_MS)).to.be.below(START_BOUND_MS)
+  })
+
+  it('takes back what a service held that is not configured any more, once its last leases are over', async () => {
+    fleet = new Fleet(1000)
+    const a = await fleet.takeOver('a', fleet.tasks(10))
+    await fleet.until('all has run', () => a.waiting.length === 0 && a.running.size === 0, 2000)
+    a.stop.abort()
+    fleet.limit(1000, ['b', 'c'])
+    const b = await fleet.takeOver('b', fleet.tasks(10))
+    b.runMs = 2000
+    await fleet.until('the other service has it', () => b.running.size === 10, START_BOUND_MS)
+  })
+
+  it('starts nothing by a record that cannot be read, and writes it anew', async () => {
+    fleet = new Fleet(1000)
+    await fleet.store.transact({ conditions: [], puts: [{ key: allowanceKey(PRESS), value: '{"account":"press","claims":7}' }], removals: [] })
+    const a = await fleet.takeOver('a', fleet.tasks(3))
+    await delay(300)
+    expect(a.running.size).to.equal(0)
+    await fleet.until('it has run', () => a.waiting.length === 0, START_BOUND_MS)
+  })
+
+  it('counts nothing of accounts without a limit', async () => {
+    fleet = new Fleet(0)
+    const a = await fleet.takeOver('a', fleet.tasks(500))
+    await fleet.until('all has run', () => a.waiting.length === 0, 1000)
+    expect((await fleet.store.list('allowance/')).unwrap().items).to.deep.equal([])
+  })
+
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    it(`never exceeds the limit with lost answers, slow writes and holders that change, seed ${seed}`, async () => {
+      fleet = new Fleet(1000)
+      const random = new SeededRandom(seed)
+      fleet.store.loseAnswers = () => random.next() < 0.15
+      fleet.store.writeDelayMs = () => Math.floor(random.next() * 25)
+      const services = ['a', 'b', 'c']
+      for (const service of services) await fleet.takeOver(service, fleet.tasks(40))
+      for (let change = 0; change < 6; change++) {
+        await delay(60)
+        await fleet.takeOver(services[Math.floor(random.next() * services.length)] ?? 'a')
+      }
+      await fleet.until('all has run', () => [...fleet.holders.values()].every(({ waiting }) => waiting.length === 0), 15_000)
+      expect(fleet.mostMillis).to.be.at.most(1000)
+    })
+  }
+})
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { decodeJson, delay, Err, Ok, systemClock, type Result } from '@quillscale/utils'
-import type { FleetConfiguration, KeyValue, PlatformError, Transaction, TransactionOutcome, WorkerInstance } from '@quillscale/ports'
+import type { AccountName, FleetConfiguration, KeyValue, PlatformError, Transaction, TransactionOutcome, WorkerInstance } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
-import { type JobId, type JobSpec, jobSpecSchema, type StepSpec } from '@quillscale/policy'
+import { type JobId, type JobOwner, type JobSpec, jobSpecSchema, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import { JobDesk } from '../lib/jobs/JobDesk.js'
 import type { EventLog } from '../lib/duties/EventLog.js'
@@ -27,6 +27,8 @@
 /** As {@link TestService.list} writes it. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const POLL_MS = 5
+/** Asks for all jobs of a test, whichever account handed them in. */
+const TEST_CALLER: JobOwner = { account: 'test' as AccountName, keyTag: 'test' }
 
 /** A store that is slow in parts, or whose answers are lost. */
 export class FaultyStore extends MemoryKeyValueStore {
@@ -208,7 +210,7 @@
 
   /** Submits a job. @param number - names it @param command - for all tasks @param steps - what differs from one task of a step */
   async submit (
-    number: number, command: StandInCommand, steps: ReadonlyArray<Partial<StepSpec>> = [{}], attempts = 1, schedule?: JobSpec['schedule']
+    number: number, command: StandInCommand, steps: ReadonlyArray<Partial<StepSpec>> = [{}], attempts = 1, schedule?: JobSpec['schedule'], owner?: JobOwner
   ): Promise<JobId> {
     const jobId = testJobId(number)
     const spec = jobSpecSchema.parse({
@@ -217,6 +219,7 @@
       command: JSON.stringify(command),
       submittedMs: Date.now(),
       schedule,
+      owner,
       steps: steps.map((step) => ({ taskCount: 1, cpuMillis: 1000, ...step }))
     })
     spec.steps.forEach((step, index) => this.#cpu.set(`${jobId}.${index}`, step.isFiller ? 0 : step.cpuMillis))
@@ -226,7 +229,7 @@
 
   /** @param jobId - any @returns its state as clients see it */
   status (jobId: JobId): Promise<string> {
-    return this.desk.status(jobId, [SERVICE], performance.now() + DEADLINE_MS)
+    return this.desk.status(jobId, [SERVICE], performance.now() + DEADLINE_MS, TEST_CALLER)
   }
 
   /** Waits until a condition holds. @param what - for the error @param condition - to hold @param timeoutMs - at most */
