What an account sends beyond its share goes after what others are owed

Rejecting for share was not tried: what is beyond a share is still served where there is room, and no caller is better off with a refusal than with a late answer. Change: each holder counts arrivals of an account against its share, in the order in which they were accepted (ShareMeter); what is beyond it is a tier of its own, after what is late and before what nobody waits for.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,7 +12,7 @@
 } from './lib/jobs/JobSpec.js'
 export {
   allTasks, createJob, dueMs, findTask, hasEnded, isWholeJobDone, openSteps, stepOf, tasksOf, timesOf,
-  type Job, type JobStatus, type Run, type RunPhase, type Task
+  type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
 export { compareRanks, rankStep, TIERS, type StepRank } from './lib/jobs/rankJobs.js'
 export { RunTimes } from './lib/jobs/RunTimes.js'
@@ -25,8 +25,9 @@
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
 export { cpuDemandOf, occupy, placeTasks, type Placement, type PlacementGroup, type WorkerRoom } from './lib/placement/placeTasks.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
-export { isLacking, planAllowance, sumGranted, type AllowanceClaim, type AllowancePlan, type OwnClaim } from './lib/quotas/planAllowance.js'
+export { isLacking, planGrant, sumGranted, type QuotaClaim, type GrantPlan, type OwnClaim } from './lib/quotas/planGrant.js'
 export { QuotaRound, type AccountRoom, type AccountRooms, type QuotaShortage } from './lib/quotas/QuotaRound.js'
+export { ShareMeter } from './lib/quotas/ShareMeter.js'
 export { fitsWithin, least, mapResources, minus, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, unlimitedWhereZero, type Resources } from './lib/quotas/resources.js'
 export { stillFits } from './lib/placement/stillFits.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -68,19 +68,29 @@
   waitingSinceMs: number | undefined
 }
 
+/** Why a job has failed: a task of it failed too often, or ended the workers that started it. @public */
+export interface JobFailure {
+  readonly reason: 'attempts' | 'crashes'
+  readonly taskKey: string
+}
+
 /** A job. @public */
 export interface Job {
   readonly spec: JobSpec
   /** By time, then by step. */
   readonly times: Map<number, Task[][]>
   status: JobStatus
+  /** Its account had sent more than its share of jobs when it came: others go first. */
+  isExcess: boolean
+  /** Of one that failed, `undefined` where an older version ended it. */
+  failure: JobFailure | undefined
   /** Wall clock; when it ended. */
   endedMs: number | undefined
 }
 
 /** @param spec - as accepted @returns the job before anything ran @public */
 export function createJob (spec: JobSpec): Job {
-  return { spec, times: new Map(), status: 'queued', endedMs: undefined }
+  return { spec, times: new Map(), status: 'queued', isExcess: false, failure: undefined, endedMs: undefined }
 }
 
 /** @param job - any, or what is kept of it @returns whether nothing more is to be run @public */
--- a/packages/policy/src/lib/jobs/rankJobs.ts
+++ b/packages/policy/src/lib/jobs/rankJobs.ts
@@ -15,8 +15,13 @@
 /** Up to this multiple of its objective a job still earns something; from the users' rules page. */
 const LATE_FACTOR = 3
 
-/** Which kind of need a step has; lower goes first: tasks that last, then what can be in time, late but of some use, or neither. @public */
-export const TIERS = { lasting: 0, filler: 1, inTime: 2, late: 3, tooLate: 4 } as const
+/**
+ * Which kind of need a step has; lower goes first: tasks that last, then what can be in time, late but of some use, what its account sends
+ * beyond its share, or what nobody waits for any more.
+ *
+ * @public
+ */
+export const TIERS = { lasting: 0, filler: 1, inTime: 2, late: 3, excess: 4, tooLate: 5 } as const
 /** One of them. @public */
 export type Tier = typeof TIERS[keyof typeof TIERS]
 
@@ -71,7 +76,8 @@
   const leftMs = chainMs(job, times, (index) => steps[index]?.every(({ isDone }) => isDone) !== true)
   const workLeft = workOf(job, steps, times, ({ isDone, runs }) => !isDone && runs.length === 0)
   const begunShare = 1 - workLeft / Math.max(1, workOf(job, steps, times, () => true))
-  return { tier: tierOf(wallMs + leftMs, startMs, objectiveMs), priority, begunShare, workLeft, byMs: startMs + objectiveMs - leftMs }
+  const tier = tierOf(wallMs + leftMs, startMs, objectiveMs)
+  return { tier: job.isExcess && tier < TIERS.excess ? TIERS.excess : tier, priority, begunShare, workLeft, byMs: startMs + objectiveMs - leftMs }
 }
 
 /** @param earliestEndMs - if it had all the room @param startMs - from when it counts @param objectiveMs - in time until then */
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -59,7 +59,7 @@
   readonly toStop: Run[] = []
   /** Tasks that end the workers which start them, found while placing. */
   readonly toGiveUp: Task[] = []
-  /** What accounts' allowances had room for, and what waits for one. */
+  /** What accounts' grants had room for, and what waits for one. */
   readonly quota: QuotaRound
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
--- a/packages/policy/src/lib/quotas/QuotaRound.ts
+++ b/packages/policy/src/lib/quotas/QuotaRound.ts
@@ -1,7 +1,7 @@
 /**
  * What each account may still start in one round of placing, and what had to wait for it.
  *
- * A task that its account's allowance has no room for takes part in nothing else of the round: it neither holds room on workers nor displaces.
+ * A task that its account's grant has no room for takes part in nothing else of the round: it neither holds room on workers nor displaces.
  *
  * @module
  */
@@ -19,7 +19,7 @@
   readonly limit: Resources
 }
 
-/** What waits for an allowance. @public */
+/** What waits for a grant. @public */
 export interface QuotaShortage {
   /** Of all that waits. */
   readonly wanted: Resources
@@ -32,9 +32,9 @@
 
 /** The round. @public */
 export class QuotaRound {
-  /** Accounts of which something waits for an allowance. */
+  /** Accounts of which something waits for a grant. */
   readonly shortages = new Map<AccountName, QuotaShortage>()
-  /** Tasks that wait for an allowance. */
+  /** Tasks that wait for a grant. */
   readonly held = new Set<Task>()
   /** Of {@link held}, the first of each step that can never run as its account's limit is. */
   readonly oversized: Task[] = []
--- a/packages/policy/src/lib/quotas/planAllowance.ts
+++ b/packages/policy/src/lib/quotas/planGrant.ts
@@ -1,8 +1,8 @@
 /**
  * Divides an account's limit among the services that run its jobs.
  *
- * Each service holds an allowance and starts tasks only within it; the allowances together never exceed the limit. So a service needs to hear
- * of nobody to start a task, and none starts more than the account may have, whoever is cut off. An allowance grows with what its service wants
+ * Each service holds a grant and starts tasks only within it; the grants together never exceed the limit. So a service needs to hear
+ * of nobody to start a task, and none starts more than the account may have, whoever is cut off. A grant grows with what its service wants
  * and is given up as soon as another wants more than it has.
  *
  * @module
@@ -10,11 +10,11 @@
 import { fitsWithin, least, mapResources, minus, most, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, times } from './resources.js'
 
 /** What a service has of an account's limit, and wants of it. @public */
-export interface AllowanceClaim {
+export interface QuotaClaim {
   readonly service: string
   /** It starts tasks only as long as all that it runs stays within this. */
   readonly granted: Resources
-  /** What runs, and what waits for want of an allowance. */
+  /** What runs, and what waits for want of a grant. */
   readonly wanted: Resources
   /** Without so much it runs nothing at all; nothing once anything runs. */
   readonly first: Resources
@@ -23,39 +23,39 @@
 }
 
 /** A service's own claim, and all that it runs. @public */
-export interface OwnClaim extends AllowanceClaim {
+export interface OwnClaim extends QuotaClaim {
   readonly used: Resources
 }
 
-/** What a service should do about its allowance. @public */
-export interface AllowancePlan {
-  /** The allowance that it should have from now on. */
+/** What a service should do about its grant. @public */
+export interface GrantPlan {
+  /** The grant that it should have from now on. */
   readonly granted: Resources
   /** Tasks may start until so much runs; less than what runs where others come first. */
   readonly usable: Resources
 }
 
-/** Allowances grow to this multiple of what is wanted: a burst doubles in a moment, and each growth costs a write. */
+/** Grants grow to this multiple of what is wanted: a burst doubles in a moment, and each growth costs a write. */
 const GROWTH = 2
 /** Share of the limit that each service may keep without work: a turn's first jobs start without waiting for the store. */
 const IDLE_SHARE = 1 / 8
 
 /** @param claim - of a service @returns whether it wants more than it has @public */
-export const isLacking = ({ wanted, granted }: AllowanceClaim): boolean => !fitsWithin(wanted, granted)
+export const isLacking = ({ wanted, granted }: QuotaClaim): boolean => !fitsWithin(wanted, granted)
 
 /** @param claims - of all services @returns what is granted altogether @public */
-export const sumGranted = (claims: readonly AllowanceClaim[]): Resources => claims.reduce((sum, { granted }) => plus(sum, granted), NO_RESOURCES)
+export const sumGranted = (claims: readonly QuotaClaim[]): Resources => claims.reduce((sum, { granted }) => plus(sum, granted), NO_RESOURCES)
 
 /**
- * Plans a service's allowance.
+ * Plans a service's grant.
  *
  * @param own - the service's claim
  * @param others - those of all other services, as recorded
  * @param limit - of the account, infinite where there is none
- * @returns the allowance that it should have; the sum with the others' stays within the limit, unless a lowered limit is exceeded already
+ * @returns the grant that it should have; the sum with the others' stays within the limit, unless a lowered limit is exceeded already
  * @public
  */
-export function planAllowance (own: OwnClaim, others: readonly AllowanceClaim[], limit: Resources): AllowancePlan {
+export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): GrantPlan {
   const free = mapResources((kind) => Math.max(0, limit[kind] - sumGranted(others)[kind]))
   const isOver = !fitsWithin(plus(own.granted, sumGranted(others)), limit)
   if (!isOver && !others.some(isLacking)) {
@@ -71,19 +71,19 @@
 }
 
 /** A service that runs nothing gets its first task before those that run something, or began to wait later, start another. */
-function leftByElders (own: OwnClaim, others: readonly AllowanceClaim[], limit: Resources): Resources {
-  const isElder = (other: AllowanceClaim): boolean => isStarving(other) && fitsWithin(other.first, limit) && (!isStarving(own) || byTurn(other, own) < 0)
+function leftByElders (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
+  const isElder = (other: QuotaClaim): boolean => isStarving(other) && fitsWithin(other.first, limit) && (!isStarving(own) || byTurn(other, own) < 0)
   const reserved = others.reduce((sum, other) => plus(sum, isElder(other) ? most(other.first, other.granted) : other.granted), NO_RESOURCES)
   return most(minus(limit, reserved), NO_RESOURCES)
 }
 
-const isStarving = (claim: AllowanceClaim): boolean => isLacking(claim) && !fitsWithin(claim.first, NO_RESOURCES)
+const isStarving = (claim: QuotaClaim): boolean => isLacking(claim) && !fitsWithin(claim.first, NO_RESOURCES)
 
 /**
  * The fair share of one service: those that run nothing get what their first task takes, in the order in which they began to lack it; the
  * rest is divided evenly up to what each wants.
  */
-function shareOf (own: OwnClaim, others: readonly AllowanceClaim[], limit: Resources): Resources {
+function shareOf (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
   const claims = [own, ...others]
   let left = limit
   const shares = new Map<string, Resources>()
@@ -95,12 +95,12 @@
   return mapResources((kind) => evenShare(kind, own, claims, shares, left[kind]))
 }
 
-function byTurn (a: AllowanceClaim, b: AllowanceClaim): number {
+function byTurn (a: QuotaClaim, b: QuotaClaim): number {
   return (a.lackingSinceMs ?? Infinity) - (b.lackingSinceMs ?? Infinity) || (a.service < b.service ? -1 : 1)
 }
 
 function evenShare (
-  kind: typeof RESOURCE_KINDS[number], own: OwnClaim, claims: readonly AllowanceClaim[], firsts: ReadonlyMap<string, Resources>, amount: number
+  kind: typeof RESOURCE_KINDS[number], own: OwnClaim, claims: readonly QuotaClaim[], firsts: ReadonlyMap<string, Resources>, amount: number
 ): number {
   if (amount === Infinity) return Infinity
   const open = claims.map((claim) => {
--- a/packages/policy/src/test/QuotaRound.test.ts
+++ b/packages/policy/src/test/QuotaRound.test.ts
@@ -6,6 +6,7 @@
 import { placeTasks, type WorkerRoom } from '../lib/placement/placeTasks.js'
 import { QuotaRound } from '../lib/quotas/QuotaRound.js'
 import { NO_RESOURCES, type Resources } from '../lib/quotas/resources.js'
+import { ShareMeter } from '../lib/quotas/ShareMeter.js'
 import { testJobId } from './testJobId.js'
 
 const PRESS = 'press' as AccountName
@@ -48,7 +49,7 @@
     readonly first?: number,
     readonly oversized?: number
   }> = [
-    { name: 'all that the allowance holds', usable: 250, groups: [{ account: PRESS }], placed: [2], wanted: 200, first: 100 },
+    { name: 'all that the grant holds', usable: 250, groups: [{ account: PRESS }], placed: [2], wanted: 200, first: 100 },
     { name: 'what runs counts', usable: 250, used: 200, groups: [{ account: PRESS }], placed: [0], wanted: 400, first: 100 },
     { name: 'jobs of nobody are not counted', usable: 0, groups: [{}], placed: [4] },
     { name: 'another account goes on', usable: 100, groups: [{ account: PRESS }, { account: HERALD }], placed: [1, 4], wanted: 300, first: 100 },
@@ -64,7 +65,7 @@
       oversized: 1
     },
     { name: 'a gang that exceeds the limit, too', usable: 300, limit: 300, groups: [{ account: PRESS, step: { isGang: true } }, { account: PRESS }], placed: [0, 3], wanted: 100, first: 100, oversized: 1 },
-    { name: 'one that no worker has room for leaves the allowance to the next', usable: 5000, groups: [{ account: PRESS, step: { taskCount: 1, cpuMillis: 5000 } }, { account: PRESS }], placed: [0, 4] },
+    { name: 'one that no worker has room for leaves the grant to the next', usable: 5000, groups: [{ account: PRESS, step: { taskCount: 1, cpuMillis: 5000 } }, { account: PRESS }], placed: [0, 4] },
     { name: 'a lowered limit: nothing starts', usable: 0, used: 700, limit: 500, groups: [{ account: PRESS }], placed: [0], wanted: 400, first: 100 }
   ]
   for (const { name, usable, used = 0, limit = 10_000, groups, placed, wanted, first, oversized = 0 } of cases) {
@@ -80,7 +81,7 @@
     })
   }
 
-  it('keeps no room on workers for tasks that wait for an allowance', () => {
+  it('keeps no room on workers for tasks that wait for a grant', () => {
     const quota = new QuotaRound((account) => account === PRESS ? { used: NO_RESOURCES, usable: cpu(0), limit: cpu(1000) } : undefined)
     const [held, open] = [tasksFor(1, PRESS, { isLasting: true }), tasksFor(2, HERALD, {})]
     const placements = placeTasks([{ tasks: held, mayReserve: true }, { tasks: open, mayReserve: false }], [roomOf('w0', 400)], quota)
@@ -103,3 +104,27 @@
     })
   }
 })
+
+describe('ShareMeter', () => {
+  const everyMs = (spacingMs: number, count: number): number[] => Array.from({ length: count }, (_, at) => at * spacingMs)
+  const cases = [
+    { name: 'an account that sends its share', weight: 10, arrivalsMs: everyMs(100, 50), excess: 0 },
+    { name: 'one that sends its share of a second at once', weight: 10, arrivalsMs: everyMs(0, 10), excess: 0 },
+    { name: 'a flood of seven times the share', weight: 10, arrivalsMs: everyMs(14, 350), excess: 350 - 10 - 48 },
+    { name: 'a share below one a second', weight: 0.5, arrivalsMs: [0, 100, 2000, 2100], excess: 2 },
+    { name: 'no share at all', weight: 0, arrivalsMs: [0, 100, 5000], excess: 2 },
+    { name: 'clocks that go back', weight: 1, arrivalsMs: [1000, 500, 900], excess: 2 }
+  ]
+  for (const { name, weight, arrivalsMs, excess } of cases) {
+    it(name, () => {
+      const meter = new ShareMeter()
+      expect(arrivalsMs.filter((atMs) => meter.isExcess(PRESS, weight, atMs))).to.have.length(excess)
+    })
+  }
+
+  it('does not count one account against another', () => {
+    const meter = new ShareMeter()
+    for (let job = 0; job < 100; job++) meter.isExcess(PRESS, 1, 0)
+    expect(meter.isExcess(HERALD, 1, 0)).to.equal(false)
+  })
+})
--- a/packages/policy/src/test/planAllowance.test.ts
+++ b/packages/policy/src/test/planGrant.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import * as fc from 'fast-check'
-import { planAllowance, sumGranted, type AllowanceClaim, type OwnClaim } from '../lib/quotas/planAllowance.js'
+import { planGrant, sumGranted, type QuotaClaim, type OwnClaim } from '../lib/quotas/planGrant.js'
 import { fitsWithin, least, NO_RESOURCES, plus, type Resources } from '../lib/quotas/resources.js'
 
 const amounts = (cpuMillis: number, memoryMb = 0): Resources => ({ cpuMillis, memoryMb, gpus: 0 })
@@ -12,7 +12,7 @@
   return { service, granted: amounts(granted), used: amounts(used), wanted: amounts(wanted), first: amounts(first), lackingSinceMs: sinceMs }
 }
 
-describe('planAllowance', () => {
+describe('planGrant', () => {
   const cases: ReadonlyArray<{
     readonly name: string, readonly own: Shape, readonly others?: readonly Shape[], readonly granted: number, readonly usable?: number
   }> = [
@@ -20,7 +20,7 @@
     { name: 'a burst: twice what it wants', own: { granted: 100, used: 100, wanted: 300, first: 0 }, granted: 600 },
     { name: 'a burst beyond the limit: the limit', own: { used: 0, wanted: 3000, first: 10 }, granted: 800 },
     { name: 'the others hold a part: what is free', own: { wanted: 3000, first: 10 }, others: [{ granted: 300, used: 300 }], granted: 500 },
-    { name: 'less work than before: the allowance stays until somebody lacks one', own: { granted: 700, used: 10 }, granted: 700 },
+    { name: 'less work than before: the grant stays until somebody lacks one', own: { granted: 700, used: 10 }, granted: 700 },
     { name: 'another lacks one: what is not used is given up', own: { granted: 700, used: 10 }, others: [{ wanted: 600, first: 10, sinceMs: 1 }], granted: 10 },
     {
       name: 'another lacks one while all of this is used: it keeps it, and starts nothing beyond half',
@@ -72,14 +72,14 @@
   ]
   for (const { name, own, others = [], granted, usable } of cases) {
     it(name, () => {
-      const plan = planAllowance(claimOf('own', own), others.map((shape, at) => claimOf(`other${at}`, shape)), LIMIT)
+      const plan = planGrant(claimOf('own', own), others.map((shape, at) => claimOf(`other${at}`, shape)), LIMIT)
       expect(plan.granted.cpuMillis).to.equal(granted)
       if (usable !== undefined) expect(plan.usable.cpuMillis).to.equal(usable)
     })
   }
 
   it('limits nothing that has no limit', () => {
-    const plan = planAllowance({ ...claimOf('own', { wanted: 100 }), wanted: amounts(100, 5000) }, [], LIMIT)
+    const plan = planGrant({ ...claimOf('own', { wanted: 100 }), wanted: amounts(100, 5000) }, [], LIMIT)
     expect(plan.granted.memoryMb).to.be.at.least(5000)
   })
 
@@ -101,7 +101,7 @@
   it('never grants more than the limit altogether, and starts nothing beyond it, in any order of changes', () => {
     fc.assert(fc.property(fc.array(stepArbitrary, { maxLength: 60 }), (steps) => {
       const holders = new Map<string, Holder>(NAMES.map((name) => [name, { used: NO_RESOURCES, waiting: NO_RESOURCES, first: NO_RESOURCES }]))
-      const claims = new Map<string, AllowanceClaim>()
+      const claims = new Map<string, QuotaClaim>()
       for (const { service, waiting, task, ends, isOvertaken, isUnknown } of steps) {
         const holder = holders.get(service) as Holder
         if (ends) holder.used = NO_RESOURCES
@@ -116,7 +116,7 @@
           lackingSinceMs: known?.lackingSinceMs
         }
         const others = [...claims.values()].filter((claim) => claim.service !== service)
-        const plan = planAllowance(own, others, LIMIT_OF_MODEL)
+        const plan = planGrant(own, others, LIMIT_OF_MODEL)
         const usable = { ...plan.usable, gpus: Infinity }
         const isWritten = !isOvertaken
         if (isWritten) claims.set(service, { ...own, granted: plan.granted, lackingSinceMs: 1 })
@@ -138,7 +138,7 @@
       for (let round = 0; round < 40; round++) {
         for (const [service, claim] of claims) {
           const size = claim.first.cpuMillis === 0 ? claim.used.cpuMillis : claim.first.cpuMillis
-          const { granted, usable } = planAllowance(claim, [...claims.values()].filter((other) => other !== claim), limit)
+          const { granted, usable } = planGrant(claim, [...claims.values()].filter((other) => other !== claim), limit)
           const starts = claim.used.cpuMillis === 0 && size <= usable.cpuMillis
           if (starts) hasRun.add(service)
           // One task runs for a round, then waits again behind the others.
--- a/packages/policy/src/test/rankJobs.test.ts
+++ b/packages/policy/src/test/rankJobs.test.ts
@@ -15,12 +15,14 @@
 interface Waiting {
   readonly ageMs: number
   readonly doneTasks?: number
+  readonly isExcess?: boolean
   readonly step?: Partial<StepSpec>
 }
 
 describe('the order of waiting jobs', () => {
-  function jobOf ({ ageMs, doneTasks = 0, step = {} }: Waiting, number: number): Job {
+  function jobOf ({ ageMs, doneTasks = 0, isExcess = false, step = {} }: Waiting, number: number): Job {
     const job = createJob(jobSpecSchema.parse({ jobId: testJobId(number), queue: 'q', command: '', submittedMs: NOW_MS - ageMs, steps: [{ ...STEP, ...step }] }))
+    job.isExcess = isExcess
     for (const task of (tasksOf(job, 0)[0] ?? []).slice(0, doneTasks)) task.isDone = true
     return job
   }
@@ -33,6 +35,8 @@
     { name: 'a large one that is half done before a small one that has not begun', first: { ageMs: 100, doneTasks: 20, step: { taskCount: 40 } }, second: { ageMs: 300 } },
     { name: 'what can be in time before what is late, however much of that is done', first: { ageMs: 1000 }, second: { ageMs: 3000, doneTasks: 3 } },
     { name: 'what is late before what is past any use', first: { ageMs: 3000 }, second: { ageMs: 9000, doneTasks: 3 } },
+    { name: 'what is late before what is beyond a share', first: { ageMs: 3000 }, second: { ageMs: 100, isExcess: true } },
+    { name: 'what is beyond a share before what is past any use', first: { ageMs: 100, isExcess: true }, second: { ageMs: 9000 } },
     { name: 'of those past any use the one with the least work left', first: { ageMs: 9000, step: { taskCount: 2 } }, second: { ageMs: 20_000, doneTasks: 1 } }
   ]
   for (const { name, first, second } of cases) {
--- a/packages/scheduler/src/lib/accounts/AllowanceLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -1,9 +1,9 @@
 /**
  * Keeps what one service may have running of each client account.
  *
- * The service's allowance of an account stands in the account's record beside those of the other services, and together they stay within the
+ * The service's grant of an account stands in the account's record beside those of the other services, and together they stay within the
  * account's limit: each change is a compare-and-swap on the whole record, under the service's duty. So a next holder has its predecessor's
- * allowance, a deposed one cannot change it, and what a holder starts needs no word of the others.
+ * grant, a deposed one cannot change it, and what a holder starts needs no word of the others.
  *
  * @module
  */
@@ -11,17 +11,17 @@
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import type { AccountName, FleetConfiguration, KeyValue, KeyValueStore } from '@quillscale/ports'
 import {
-  fitsWithin, isLacking, least, mapResources, minus, NO_RESOURCES, planAllowance, plus, RESOURCE_KINDS, resourcesOf, stepOf, times,
-  type AccountRoom, type AllowanceClaim, type AllowancePlan, type OwnClaim, type QuotaShortage, type Resources, type Run, type Task
+  fitsWithin, isLacking, least, mapResources, minus, NO_RESOURCES, planGrant, plus, RESOURCE_KINDS, resourcesOf, stepOf, times,
+  type AccountRoom, type QuotaClaim, type GrantPlan, type OwnClaim, type QuotaShortage, type Resources, type Run, type Task
 } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { createReplica } from '../records/createReplica.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import type { AccountDirectory } from './AccountDirectory.js'
-import { ALLOWANCE_PREFIX, allowanceKey, decodeAllowance, encodeAllowance } from './allowanceRecord.js'
+import { QUOTA_PREFIX, quotaKey, decodeQuota, encodeQuota } from './quotaRecord.js'
 
 /** What the ledger works with. @public */
-export interface AllowanceLedgerOptions {
+export interface QuotaLedgerOptions {
   readonly service: string
   readonly dutyKey: string
   readonly fencingToken: number
@@ -41,7 +41,7 @@
 /** Between two writes of one account's record: what its tasks want changes with each of them. One that brings room to waiting tasks hurries. */
 const WRITE_SPACING_MS = 100
 const HURRIED_SPACING_MS = 20
-/** An allowance grows before it is used up, so that tasks seldom wait for the store. */
+/** A grant grows before it is used up, so that tasks seldom wait for the store. */
 const HEADROOM = 1.25
 /** What is lacking is written again when it has changed by more than this share. */
 const NEWS_SHARE = 0.5
@@ -50,15 +50,15 @@
 /** Records are followed with little delay: tasks wait for it. */
 const FOLLOW_SPACING_MS = 10
 
-interface KnownRecord { readonly modRevision: number, readonly claims: readonly AllowanceClaim[], readonly unreadableSinceMs: number | undefined }
+interface KnownRecord { readonly modRevision: number, readonly claims: readonly QuotaClaim[], readonly unreadableSinceMs: number | undefined }
 interface UnsettledWrite { readonly baseRevision: number, readonly granted: Resources }
-interface OwnState { readonly claim: OwnClaim, readonly plan: AllowancePlan, readonly others: readonly AllowanceClaim[], readonly limit: Resources }
+interface OwnState { readonly claim: OwnClaim, readonly plan: GrantPlan, readonly others: readonly QuotaClaim[], readonly limit: Resources }
 
 const NO_RECORD: KnownRecord = { modRevision: 0, claims: [], unreadableSinceMs: undefined }
 
 /** The ledger. @public */
-export class AllowanceLedger {
-  readonly #options: AllowanceLedgerOptions
+export class QuotaLedger {
+  readonly #options: QuotaLedgerOptions
   readonly #replica: PrefixReplica
   readonly #records = new Map<AccountName, KnownRecord>()
   readonly #used = new Map<AccountName, Resources>()
@@ -75,12 +75,12 @@
   #isFollowing = false
   #signal: AbortSignal | undefined
 
-  /** @param options - whose allowances, and where they are kept */
-  constructor (options: AllowanceLedgerOptions) {
+  /** @param options - whose grants, and where they are kept */
+  constructor (options: QuotaLedgerOptions) {
     this.#options = options
     const { store, clock, log } = options
     this.#replica = createReplica(log, {
-      store, clock, prefix: ALLOWANCE_PREFIX, spacingMs: FOLLOW_SPACING_MS, onChange: (change) => this.#follow(change)
+      store, clock, prefix: QUOTA_PREFIX, spacingMs: FOLLOW_SPACING_MS, onChange: (change) => this.#follow(change)
     })
   }
 
@@ -176,10 +176,10 @@
       lackingSinceMs: recorded?.lackingSinceMs
     }
     const others = record.claims.filter((other) => other.service !== service && !this.#isGone(other.service, nowMs))
-    return { claim, others, limit, plan: planAllowance(claim, others, limit) }
+    return { claim, others, limit, plan: planGrant(claim, others, limit) }
   }
 
-  #recordedClaim (account: AccountName): AllowanceClaim | undefined {
+  #recordedClaim (account: AccountName): QuotaClaim | undefined {
     return this.#records.get(account)?.claims.find(({ service }) => service === this.#options.service)
   }
 
@@ -195,7 +195,7 @@
     return nowMs - sinceMs > this.#options.longestLeaseMs()
   }
 
-  #nextClaim (account: AccountName, { claim, plan }: OwnState): AllowanceClaim {
+  #nextClaim (account: AccountName, { claim, plan }: OwnState): QuotaClaim {
     const { service, wanted, first } = claim
     const next = { service, granted: plan.granted, wanted, first, lackingSinceMs: undefined }
     if (!isLacking(next)) {
@@ -207,14 +207,14 @@
     return { ...next, lackingSinceMs }
   }
 
-  async #write (account: AccountName, { claim, others, limit }: OwnState, next: AllowanceClaim): Promise<void> {
+  async #write (account: AccountName, { claim, others, limit }: OwnState, next: QuotaClaim): Promise<void> {
     const { store, clock, dutyKey, fencingToken, log, service, count, onChange } = this.#options
-    const key = allowanceKey(account)
+    const key = quotaKey(account)
     const baseRevision = this.#records.get(account)?.modRevision ?? 0
     const before = this.#unsettled.get(account)
     this.#unsettled.set(account, { baseRevision, granted: least(before?.granted ?? claim.granted, least(claim.granted, next.granted)) })
     this.#writing.add(account)
-    const value = encodeAllowance({ account, claims: [...others, next] })
+    const value = encodeQuota({ account, claims: [...others, next] })
     const outcome = await store.transact({
       conditions: [{ key: dutyKey, modRevision: fencingToken }, { key, modRevision: baseRevision }], puts: [{ key, value }], removals: []
     })
@@ -222,14 +222,14 @@
     this.#wroteMs.set(account, clock.monotonicMs())
     if (outcome.err) {
       count('unanswered')
-      log.warn({ account, service, error: outcome.val, baseRevision }, 'allowance not written yet')
+      log.warn({ account, service, error: outcome.val, baseRevision }, 'quota grant not written yet')
       if (outcome.val.kind !== 'unknown-effect' && before === undefined) this.#unsettled.delete(account)
       return
     }
     if (outcome.val.committed) {
       count(fitsWithin(next.granted, claim.granted) ? 'kept or lowered' : 'raised')
       this.#learn(account, { modRevision: outcome.val.modRevision, claims: [...others, next], unreadableSinceMs: undefined })
-      log.info({ account, service, revision: outcome.val.modRevision, used: claim.used, before: claim.granted, granted: next.granted, wanted: next.wanted, limit }, 'allowance changed')
+      log.info({ account, service, revision: outcome.val.modRevision, used: claim.used, before: claim.granted, granted: next.granted, wanted: next.wanted, limit }, 'quota grant changed')
     } else {
       count('overtaken')
       for (const item of outcome.val.current) if (item.key === key) this.#read(item)
@@ -250,8 +250,8 @@
 
   #read (item: KeyValue): void {
     const { records, clock } = this.#options
-    const record = records.read(item, decodeAllowance)
-    const isOwnKey = record !== undefined && allowanceKey(record.account) === item.key
+    const record = records.read(item, decodeQuota)
+    const isOwnKey = record !== undefined && quotaKey(record.account) === item.key
     const account = isOwnKey ? record.account : accountOfKey(item.key)
     if (account === undefined) return
     const claims = isOwnKey ? record.claims : []
@@ -268,7 +268,7 @@
 }
 
 /** Growth before it is needed, and news of what is lacking, are worth a write; so is each amount that is given up. */
-function isWorthWriting (claim: OwnClaim, next: AllowanceClaim, recorded: AllowanceClaim | undefined): boolean {
+function isWorthWriting (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined): boolean {
   const isLess = !fitsWithin(claim.granted, next.granted)
   const isMore = !fitsWithin(next.granted, claim.granted)
   const isNeeded = !fitsWithin(times(claim.wanted, HEADROOM), claim.granted)
@@ -284,7 +284,7 @@
 
 function accountOfKey (key: string): AccountName | undefined {
   try {
-    return decodeURIComponent(key.slice(ALLOWANCE_PREFIX.length)) as AccountName
+    return decodeURIComponent(key.slice(QUOTA_PREFIX.length)) as AccountName
   } catch {
     // Not a key of this program: there is no account of that name.
     return undefined
--- a/packages/scheduler/src/lib/accounts/allowanceRecord.ts
+++ b/packages/scheduler/src/lib/accounts/quotaRecord.ts
@@ -5,13 +5,13 @@
  */
 import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import type { AccountName } from '@quillscale/ports'
-import type { AllowanceClaim } from '@quillscale/policy'
+import type { QuotaClaim } from '@quillscale/policy'
 import * as z from 'zod'
 
 /** Below which the records are. @public */
-export const ALLOWANCE_PREFIX = 'allowance/'
+export const QUOTA_PREFIX = 'quotas/'
 /** @param account - any @returns where its record is @public */
-export const allowanceKey = (account: AccountName): string => `${ALLOWANCE_PREFIX}${encodeURIComponent(account)}`
+export const quotaKey = (account: AccountName): string => `${QUOTA_PREFIX}${encodeURIComponent(account)}`
 
 const amount = z.number().nonnegative()
 const resourcesSchema = z.object({ cpuMillis: amount, memoryMb: amount, gpus: amount })
@@ -21,14 +21,14 @@
 const recordSchema = z.object({ account: z.custom<AccountName>((value) => typeof value === 'string'), claims: z.array(claimSchema) })
 
 /** A record. @public */
-export interface AllowanceRecord {
+export interface QuotaRecord {
   readonly account: AccountName
   /** One a service at most. */
-  readonly claims: readonly AllowanceClaim[]
+  readonly claims: readonly QuotaClaim[]
 }
 
 /** @param record - of an account @returns it as text @public */
-export function encodeAllowance ({ account, claims }: AllowanceRecord): string {
+export function encodeQuota ({ account, claims }: QuotaRecord): string {
   return JSON.stringify({
     account,
     claims: claims.map(({ service, granted, wanted, first, lackingSinceMs }) => ({ service, granted, wanted, first, lackingSinceMs }))
@@ -36,7 +36,7 @@
 }
 
 /** @param text - as kept @returns the record, or why it cannot be read @public */
-export function decodeAllowance (text: string): Result<AllowanceRecord, DecodeProblem> {
+export function decodeQuota (text: string): Result<QuotaRecord, DecodeProblem> {
   return decodeJson(recordSchema, text).map(({ account, claims }) =>
     ({ account, claims: claims.map((claim) => ({ ...claim, lackingSinceMs: claim.lackingSinceMs })) }))
 }
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -11,7 +11,7 @@
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import { hasEnded, type Job, PlacementRound, type Run, RunTimes } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
-import { AllowanceLedger } from '../accounts/AllowanceLedger.js'
+import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { AdviceBook } from '../workers/AdviceBook.js'
 import type { CommitLog, RecordSource } from '../records/CommitLog.js'
 import { createReplica } from '../records/createReplica.js'
@@ -51,7 +51,7 @@
   readonly #advice: AdviceBook
   readonly #vacator: MachineVacator
   readonly #silentWorkers: SilentWorkers
-  readonly #ledger: AllowanceLedger
+  readonly #ledger: QuotaLedger
   readonly #workers: WorkerSet
   readonly #tracker: RunTracker
   readonly #crashBook: CrashBook
@@ -115,6 +115,7 @@
       ...options,
       book: this.#book,
       vacator: this.#vacator,
+      weightOf: (account) => accountsOf(configuration()).weightOf(account),
       onPlaced: (run) => this.#adopt(run),
       onGone: (instanceId, machineId) => this.#workers.noteGone(instanceId, machineId)
     })
@@ -123,13 +124,13 @@
     })
   }
 
-  #createLedger (): AllowanceLedger {
+  #createLedger (): QuotaLedger {
     const { configuration, bounds, metrics } = this.#options
-    return new AllowanceLedger({
+    return new QuotaLedger({
       ...this.#options,
       accounts: () => accountsOf(configuration()),
       longestLeaseMs: () => bounds().maxLeaseMs,
-      count: (kind) => metrics.count('allowance_writes', kind),
+      count: (kind) => metrics.count('quota_writes', kind),
       onChange: () => this.#wake()
     })
   }
--- a/packages/scheduler/src/lib/jobs/InboxReader.ts
+++ b/packages/scheduler/src/lib/jobs/InboxReader.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { decodeJson, type Clock } from '@quillscale/utils'
-import type { KeyValue } from '@quillscale/ports'
+import type { AccountName, KeyValue } from '@quillscale/ports'
 import type { PrefixChange } from '@quillscale/leases'
-import { createJob, hasEnded, type JobId, type JobSpec, jobSpecSchema, type Run } from '@quillscale/policy'
+import { createJob, hasEnded, type JobId, type JobSpec, jobSpecSchema, type Run, ShareMeter } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { MachineVacator } from '../machines/MachineVacator.js'
 import type { RecordReader } from '../records/RecordReader.js'
@@ -22,6 +22,8 @@
   readonly records: RecordReader
   readonly book: RunBook
   readonly vacator: Pick<MachineVacator, 'request' | 'withdraw'>
+  /** Jobs a second that are an account's share, `undefined` where that is not known. */
+  readonly weightOf: (account: AccountName) => number | undefined
   /** Called for each run that an earlier holder placed. */
   readonly onPlaced: (run: Run) => void
   /** Called when a worker's lifetime is over, as its machine is down. */
@@ -35,6 +37,7 @@
   readonly #recorded = new Map<JobId, KeyValue>()
   /** Jobs whose progress cannot be read. */
   readonly #setAside = new Map<JobId, JobSpec>()
+  readonly #shares = new ShareMeter()
 
   /** @param options - what it works with */
   constructor (options: InboxReaderOptions) {
@@ -64,8 +67,8 @@
     for (const item of changed) {
       const subject = parseInboxKey(item.key, prefix)
       if (subject.kind === 'vacate') vacator.request(subject.machineId, item.value)
-      else if (subject.kind === 'job') this.#addJob(item, subject.jobId)
     }
+    for (const arrival of this.#arrivalsOf(changed)) this.#addJob(arrival)
     // These last: a list may bring them before the jobs that they are about.
     for (const item of changed) {
       const subject = parseInboxKey(item.key, prefix)
@@ -78,12 +81,27 @@
     }
   }
 
-  #addJob (item: KeyValue, jobId: JobId): void {
+  /** New jobs in the order in which they were accepted; a list of the inbox has them by id. */
+  #arrivalsOf (changed: readonly KeyValue[]): JobSpec[] {
+    const { service, book, records } = this.#options
+    const specs = changed.flatMap((item) => {
+      const subject = parseInboxKey(item.key, inboxPrefix(service))
+      if (subject.kind !== 'job' || book.jobs.has(subject.jobId) || this.#setAside.has(subject.jobId)) return []
+      const spec = records.read(item, (text) => decodeJson(jobSpecSchema, text))
+      // A record under another job's key is nobody's.
+      return spec?.jobId === subject.jobId ? [spec] : []
+    })
+    return specs.sort((a, b) => a.submittedMs - b.submittedMs)
+  }
+
+  #isExcess ({ owner, submittedMs }: JobSpec): boolean {
+    const weight = owner === undefined ? undefined : this.#options.weightOf(owner.account)
+    return owner !== undefined && weight !== undefined && this.#shares.isExcess(owner.account, weight, submittedMs)
+  }
+
+  #addJob (spec: JobSpec): void {
     const { book, clock, log, records, onPlaced } = this.#options
-    if (book.jobs.has(jobId) || this.#setAside.has(jobId)) return
-    const spec = records.read(item, (text) => decodeJson(jobSpecSchema, text))
-    // A record under another job's key is nobody's.
-    if (spec?.jobId !== jobId) return
+    const { jobId } = spec
     const recorded = this.#recorded.get(jobId)
     this.#recorded.delete(jobId)
     const progress = recorded === undefined ? undefined : records.read(recorded, decodeProgress)
@@ -93,6 +111,8 @@
       return
     }
     const job = createJob(spec)
+    job.isExcess = this.#isExcess(spec)
+    if (job.isExcess) log.info({ jobId, account: spec.owner?.account }, 'job is beyond its account\'s share: others go first')
     book.jobs.set(jobId, job)
     if (progress === undefined) return
     for (const run of restoreProgress(job, progress, clock.monotonicMs())) onPlaced(run)
--- a/packages/scheduler/src/test/AllowanceLedger.test.ts
+++ b/packages/scheduler/src/test/QuotaLedger.test.ts
@@ -3,8 +3,8 @@
 import type { AccountName, FleetConfiguration } from '@quillscale/ports'
 import { createJob, jobSpecSchema, QuotaRound, tasksOf, type Run, type Task } from '@quillscale/policy'
 import { accountsOf } from '../lib/accounts/AccountDirectory.js'
-import { AllowanceLedger } from '../lib/accounts/AllowanceLedger.js'
-import { allowanceKey } from '../lib/accounts/allowanceRecord.js'
+import { QuotaLedger } from '../lib/accounts/QuotaLedger.js'
+import { quotaKey } from '../lib/accounts/quotaRecord.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { FaultyStore, testJobId, TestLog } from './TestService.js'
@@ -15,9 +15,9 @@
 /** What the users allow for a job with nothing running, while its account is under half of its limit. */
 const START_BOUND_MS = 3000
 
-/** One service's holder: starts what its allowance has room for, and ends it after a while. */
+/** One service's holder: starts what its grant has room for, and ends it after a while. */
 class Holder {
-  readonly ledger: AllowanceLedger
+  readonly ledger: QuotaLedger
   readonly running = new Set<Run>()
   readonly stop = new AbortController()
   readonly #fleet: Fleet
@@ -29,7 +29,7 @@
     this.#fleet = fleet
     this.waiting = [...tasks]
     const { store, log, metrics, records } = fleet
-    this.ledger = new AllowanceLedger({
+    this.ledger = new QuotaLedger({
       service,
       dutyKey: `duty/${service}`,
       fencingToken,
@@ -40,7 +40,7 @@
       accounts: () => accountsOf(fleet.configuration),
       configuration: () => fleet.configuration,
       longestLeaseMs: () => 100,
-      count: (kind) => metrics.count('allowance_writes', kind),
+      count: (kind) => metrics.count('quota_writes', kind),
       onChange: () => {}
     })
     this.ledger.begin(this.stop.signal)
@@ -153,7 +153,7 @@
   }
 }
 
-describe('AllowanceLedger', () => {
+describe('QuotaLedger', () => {
   let fleet: Fleet
   afterEach(() => fleet.close())
 
@@ -197,7 +197,7 @@
     await fleet.until('the raised limit is used', () => a.running.size === 15, 1000)
   })
 
-  it('hands a predecessor\'s allowance on, and takes it for another service that lacks it', async () => {
+  it('hands a predecessor\'s grant on, and takes it for another service that lacks it', async () => {
     fleet = new Fleet(1000)
     const a = await fleet.takeOver('a', fleet.tasks(10))
     await fleet.until('all has run', () => a.waiting.length === 0 && a.running.size === 0, 2000)
@@ -223,7 +223,7 @@
 
   it('starts nothing by a record that cannot be read, and writes it anew', async () => {
     fleet = new Fleet(1000)
-    await fleet.store.transact({ conditions: [], puts: [{ key: allowanceKey(PRESS), value: '{"account":"press","claims":7}' }], removals: [] })
+    await fleet.store.transact({ conditions: [], puts: [{ key: quotaKey(PRESS), value: '{"account":"press","claims":7}' }], removals: [] })
     const a = await fleet.takeOver('a', fleet.tasks(3))
     await delay(300)
     expect(a.running.size).to.equal(0)
@@ -234,7 +234,7 @@
     fleet = new Fleet(0)
     const a = await fleet.takeOver('a', fleet.tasks(500))
     await fleet.until('all has run', () => a.waiting.length === 0, 1000)
-    expect((await fleet.store.list('allowance/')).unwrap().items).to.deep.equal([])
+    expect((await fleet.store.list('quotas/')).unwrap().items).to.deep.equal([])
   })
 
   for (const seed of [1, 2, 3, 4, 5, 6]) {
--- a/packages/scheduler/src/test/accountLimits.test.ts
+++ b/packages/scheduler/src/test/accountLimits.test.ts
@@ -78,4 +78,17 @@
     const reasons = async (): Promise<readonly string[]> => (await new FleetReport(service.store).explain(jobId, Date.now())).unwrap()?.lines ?? []
     await service.until('it is told', async () => (await reasons()).some((line) => line.startsWith('account press has 1000 mcpu')))
   })
+
+  it('takes what an account sends beyond its share after what others are owed', async () => {
+    limited(1, account('press', 2, 0), account('herald', 100, 0))
+    const blocker = await service.submit(1, { runMs: 300 }, [{ taskCount: 4 }])
+    await service.takeOver()
+    await service.untilStatus(blocker, 'running')
+    const flood = await Promise.all(Array.from({ length: 6 }, (_, at) => service.submit(10 + at, { runMs: 100 }, [{ taskCount: 4 }], 1, undefined, ownerOf('press'))))
+    const owed = await service.submit(30, { runMs: 100 }, [{ taskCount: 4 }], 1, undefined, ownerOf('herald'))
+    await service.untilStatus(owed, 'succeeded')
+    const over = await Promise.all(flood.map((jobId) => service.status(jobId)))
+    expect(over.filter((status) => status === 'succeeded')).to.have.length.at.most(2)
+    for (const jobId of flood) await service.untilStatus(jobId, 'succeeded')
+  })
 })
