Points taken back for a crash come off the record that they went into; explain names why a job has failed

Cause: CrashBook took points back from a task's present record. A task that lasts and was cleared by a long run in between lost points of newer crashes, and could be started once more than the bound. And `explain` did not show the cause of a job that was given up, only the log did. Ruled out: forgetting all charges of a task when it is cleared: the book does not see that. Change: a charge keeps the record that it was made in. A job that failed keeps the task and the reason with its progress.

--- a/packages/scheduler/src/lib/jobs/CrashBook.ts
+++ b/packages/scheduler/src/lib/jobs/CrashBook.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { hasEnded, isSuspect, LOSS_POINTS, SOON_MS, type Job, type LossKind, type Run, type Task } from '@quillscale/policy'
+import { hasEnded, isSuspect, LOSS_POINTS, SOON_MS, type CrashRecord, type Job, type LossKind, type Run, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 
 /** A worker whose runs are lost. @public */
@@ -30,8 +30,8 @@
   readonly onChanged: (job: Job) => void
 }
 
-/** What a task was given for one crash. */
-interface Charge { readonly task: Task, readonly hasOutlived: boolean, points: number }
+/** What a task was given for one crash, in the record that it had then: a long run replaces a record, and newer crashes are not in it. */
+interface Charge { readonly task: Task, readonly record: CrashRecord, readonly hasOutlived: boolean, points: number }
 
 interface Crash {
   readonly atMs: number
@@ -75,13 +75,13 @@
     const suspects = new Set([...soonTasks].filter(isSuspect).map(({ job }) => job))
     const isAlone = new Set(begun.map(({ task }) => task.job)).size === 1
     const charges = begun.map((run): Charge =>
-      ({ task: run.task, hasOutlived: hasOutlived(loss, run), points: LOSS_POINTS[kindOf(loss, run.task, soonTasks, suspects)] }))
-    for (const { task, points } of charges) {
+      ({ task: run.task, record: run.task.crashes, hasOutlived: hasOutlived(loss, run), points: LOSS_POINTS[kindOf(loss, run.task, soonTasks, suspects)] }))
+    for (const { task, record, points } of charges) {
       const isSoon = soonTasks.has(task)
-      task.crashes.points += points
-      task.crashes.lastMs = nowMs
-      task.crashes.hasEndedSoon = !loss.isSilent && isSoon && (suspects.size === 0 || suspects.has(task.job))
-      task.crashes.isLastCertain = !loss.isSilent && isAlone && isSoon
+      record.points += points
+      record.lastMs = nowMs
+      record.hasEndedSoon = !loss.isSilent && isSoon && (suspects.size === 0 || suspects.has(task.job))
+      record.isLastCertain = !loss.isSilent && isAlone && isSoon
     }
     this.#tell(loss, causeOf(loss, soonTasks.size > 0), charges)
     if (loss.isSilent) return
@@ -98,7 +98,7 @@
       if (!soonJobs.has(culprit)) continue
       const innocent = charges.filter(({ task, points }) => task.job !== culprit && points > 0 && !hasEnded(task.job))
       // Two jobs may both do so: one that may have just begun there keeps as much as for any doubtful end.
-      for (const { task } of innocent) task.crashes.hasEndedSoon = false
+      for (const { record } of innocent) record.hasEndedSoon = false
       for (const charge of innocent) this.#reduce(charge, charge.hasOutlived ? LOSS_POINTS.cleared : LOSS_POINTS.beside)
       if (innocent.length > 0) this.#tell(loss, 'cleared', innocent)
     }
@@ -107,7 +107,7 @@
   /** Two workers of a rack may be two crashes; three near each other that no job can have ended are none, and nothing is kept apart for them. */
   #share (crash: Crash, { ofRack, ofZone }: Unrelated): void {
     const isWide = ofZone >= WIDE_LOSSES - 1 || ofRack >= WIDE_LOSSES - 1
-    if (isWide) for (const { task } of crash.charges) task.crashes.hasEndedSoon = false
+    if (isWide) for (const { record } of crash.charges) record.hasEndedSoon = false
     if (crash.isShared || (ofRack === 0 && !isWide)) return
     crash.isShared = true
     for (const charge of crash.charges) this.#reduce(charge, LOSS_POINTS.shared)
@@ -115,12 +115,12 @@
   }
 
   #reduce (charge: Charge, points: number): void {
-    const { crashes, job } = charge.task
+    const { record, task } = charge
     const lessPoints = Math.max(0, charge.points - points)
     charge.points -= lessPoints
-    crashes.points = Math.max(0, crashes.points - lessPoints)
-    crashes.isLastCertain = false
-    this.#options.onChanged(job)
+    record.points = Math.max(0, record.points - lessPoints)
+    record.isLastCertain = false
+    this.#options.onChanged(task.job)
   }
 
   #tell ({ instanceId }: WorkerLoss, kind: LossKind, charges: readonly Charge[]): void {
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -5,8 +5,8 @@
  */
 import { decodeJson, Err, Ok, type DecodeProblem, type Result } from '@quillscale/utils'
 import type { KeyValueStore, PlatformError } from '@quillscale/ports'
-import { hasEnded, isLacking, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, sumGranted, type Resources } from '@quillscale/policy'
-import { allowanceKey, decodeAllowance, type AllowanceRecord } from '../accounts/allowanceRecord.js'
+import { hasEnded, isLacking, type JobFailure, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, sumGranted, type Resources } from '@quillscale/policy'
+import { quotaKey, decodeQuota, type QuotaRecord } from '../accounts/quotaRecord.js'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
 import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
@@ -82,20 +82,20 @@
       if (spec.err) return unreadable(record.val.key, spec.val)
       const known = progress.val === undefined ? Ok(undefined) : decodeProgress(progress.val.value)
       if (known.err) return unreadable(progressKey(row.service, jobId), known.val)
-      const allowance = await this.#allowanceOf(spec.val)
-      if (allowance.err) return allowance
-      return Ok(explainJob(spec.val, row, { progress: known.val, isCancelled: cancel.val !== undefined, duties: duties.val, allowance: allowance.val }, wallMs))
+      const quota = await this.#quotaOf(spec.val)
+      if (quota.err) return quota
+      return Ok(explainJob(spec.val, row, { progress: known.val, isCancelled: cancel.val !== undefined, duties: duties.val, quota: quota.val }, wallMs))
     }
     return Ok(undefined)
   }
 
-  async #allowanceOf ({ owner }: JobSpec): Promise<Result<AllowanceRecord | undefined, PlatformError>> {
+  async #quotaOf ({ owner }: JobSpec): Promise<Result<QuotaRecord | undefined, PlatformError>> {
     if (owner === undefined) return Ok(undefined)
-    const key = allowanceKey(owner.account)
+    const key = quotaKey(owner.account)
     const record = await this.#store.get(key)
     if (record.err) return record
     if (record.val === undefined) return Ok(undefined)
-    const decoded = decodeAllowance(record.val.value)
+    const decoded = decodeQuota(record.val.value)
     return decoded.err ? unreadable(key, decoded.val) : decoded
   }
 }
@@ -105,18 +105,18 @@
   readonly isCancelled: boolean
   readonly duties: readonly DutyRow[]
   /** `undefined` where its account has no limit, or has run nothing yet. */
-  readonly allowance: AllowanceRecord | undefined
+  readonly quota: QuotaRecord | undefined
 }
 
 function unreadable (key: string, { path, detail }: DecodeProblem): Result<never, PlatformError> {
   return Err({ kind: 'unavailable', detail: `${key} cannot be read: ${path === '' ? '' : `${path}: `}${detail}` })
 }
 
-function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, duties, allowance }: JobRecords, wallMs: number): JobExplanation {
+function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, duties, quota }: JobRecords, wallMs: number): JobExplanation {
   const status = progress?.status ?? 'queued'
   const isOver = hasEnded({ status })
-  const reasons = isOver ? [] : [...reasonsToWait(row, isCancelled, duties), ...quotaReasons(row.service, allowance)]
-  const steps = isOver ? [] : spec.steps.map((_, index) => explainStep(spec, index, progress))
+  const reasons = isOver ? [] : [...reasonsToWait(row, isCancelled, duties), ...quotaReasons(row.service, quota)]
+  const steps = isOver ? failureLines(progress?.failure) : spec.steps.map((_, index) => explainStep(spec, index, progress))
   const { jobId, queue, owner, submittedMs } = spec
   return { jobId, service: row.service, queue, account: owner?.account, status, ageMs: wallMs - submittedMs, lines: [...steps, ...reasons] }
 }
@@ -147,11 +147,19 @@
 
 const isHeld = (dutyKey: string, duties: readonly DutyRow[]): boolean => duties.some(({ duty }) => `${DUTY_PREFIX}${duty}` === dutyKey)
 
-function quotaReasons (service: string, allowance: AllowanceRecord | undefined): string[] {
-  const claim = allowance?.claims.find((each) => each.service === service)
-  if (allowance === undefined || claim === undefined || !isLacking(claim)) return []
-  const [has, wants, all] = [claim.granted, claim.wanted, sumGranted(allowance.claims)].map(amountsOf)
-  return [`account ${allowance.account} has ${has} for ${service} and wants ${wants}; all its services have ${all}`]
+function failureLines (failure: JobFailure | undefined): string[] {
+  return failure === undefined ? [] : [`${FAILURES[failure.reason]}: ${failure.taskKey}`]
+}
+
+const FAILURES: Readonly<Record<JobFailure['reason'], string>> = {
+  attempts: 'a task of it failed as often as its queue allows', crashes: 'a task of it ended the workers that started it'
+}
+
+function quotaReasons (service: string, quota: QuotaRecord | undefined): string[] {
+  const claim = quota?.claims.find((each) => each.service === service)
+  if (quota === undefined || claim === undefined || !isLacking(claim)) return []
+  const [has, wants, all] = [claim.granted, claim.wanted, sumGranted(quota.claims)].map(amountsOf)
+  return [`account ${quota.account} has ${has} for ${service} and wants ${wants}; all its services have ${all}`]
 }
 
 const amountsOf = ({ cpuMillis, memoryMb, gpus }: Resources): string => `${cpuMillis} mcpu, ${memoryMb} MB${gpus === 0 ? '' : `, ${gpus} GPUs`}`
--- a/packages/scheduler/src/lib/jobs/RunBook.ts
+++ b/packages/scheduler/src/lib/jobs/RunBook.ts
@@ -92,6 +92,7 @@
   giveUp (task: Task): void {
     const { job, key, crashes, avoid } = task
     this.#options.log.warn({ jobId: job.spec.jobId, taskKey: key, points: crashes.points, starts: task.lastRunNumber, lastOn: [...avoid].at(-1) }, 'task given up: it ends the workers that start it')
+    job.failure = { reason: 'crashes', taskKey: key }
     this.end(job, 'failed')
   }
 
@@ -116,7 +117,10 @@
     if (outcome === 'failed' && !step.isLasting) {
       task.failures++
       const failures = step.isGang ? Math.max(...this.#gangOf(task).map((member) => member.failures)) : task.failures
-      if (failures >= this.#options.attemptsOf(job)) return this.end(job, 'failed')
+      if (failures >= this.#options.attemptsOf(job)) {
+        job.failure = { reason: 'attempts', taskKey: task.key }
+        return this.end(job, 'failed')
+      }
     }
     if (outcome === 'failed' || outcome === 'lost') task.avoid.add(run.instanceId)
   }
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -23,6 +23,8 @@
 const progressSchema = z.object({
   status: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
   endedMs: z.number().optional(),
+  /** Of a job that failed. */
+  failure: z.object({ reason: z.enum(['attempts', 'crashes']), taskKey: z.string() }).optional(),
   /** Who alone may ask for it; `undefined` if everybody may. */
   owner: jobOwnerSchema.optional(),
   tasks: z.array(taskProgressSchema)
@@ -38,6 +40,7 @@
   const progress: JobProgress = {
     status: job.status,
     endedMs: job.endedMs,
+    failure: job.failure,
     owner: job.spec.isPublic ? undefined : job.spec.owner,
     tasks: touched.filter(({ runs }) => !isEnded || runs.length > 0).map((task) => ({
       key: task.key,
@@ -73,6 +76,7 @@
 export function restoreProgress (job: Job, progress: JobProgress, nowMs: number): Run[] {
   job.status = progress.status
   job.endedMs = progress.endedMs
+  job.failure = progress.failure
   const restored: Run[] = []
   for (const kept of progress.tasks) {
     const task = findTask(job, kept.key)
--- a/packages/scheduler/src/test/CrashBook.test.ts
+++ b/packages/scheduler/src/test/CrashBook.test.ts
@@ -138,6 +138,23 @@
     })
   }
 
+  it('takes nothing back of newer crashes for one that a long run has cleared a task of', () => {
+    const tasks = new Tasks()
+    const [lasting, culprit] = [tasks.find('l'), tasks.find('b')]
+    const book = new CrashBook({ log: new TestLog(), count: () => {}, onChanged: () => {} })
+    const note = (atMs: number, begun: readonly Task[]): void => book.note({
+      instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, heardMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
+    }, atMs)
+    note(0, [lasting, culprit])
+    clearIfSurvived(runOf(lasting, 1000), 5000)
+    note(6000, [lasting])
+    note(8000, [lasting])
+    const { points } = lasting.crashes
+    book.clearOthers(culprit.job)
+    expect(lasting.crashes.points).to.equal(points)
+    expect(isSuspect(lasting)).to.equal(true)
+  })
+
   it('holds nothing against a task that lasts and has been at work for long, however often', () => {
     const tasks = new Tasks()
     const task = tasks.find('l')
--- a/packages/scheduler/src/test/FleetReport.test.ts
+++ b/packages/scheduler/src/test/FleetReport.test.ts
@@ -42,6 +42,16 @@
     })
   }
 
+  it('names the task of a job that failed', async () => {
+    service = new TestService(1)
+    await service.takeOver()
+    const jobId = await service.submit(1, { runMs: 5, fails: true }, [{}])
+    await service.untilStatus(jobId, 'failed')
+    await service.until('its need is known', async () => (await new FleetReport(service.store).services()).unwrap().length > 0)
+    const explained = (await new FleetReport(service.store).explain(jobId, Date.now())).unwrap()
+    expect(explained?.lines).to.deep.equal([`a task of it failed as often as its queue allows: ${jobId}.0.0.0`])
+  })
+
   it('lists who holds what, and knows nothing of a job that nobody handed in', async () => {
     service = new TestService(1)
     const { fencingToken } = await service.takeOver()
