A machine that has just left one service is not forgotten as empty by the next

Cause: a service tells that a machine is empty in a record by machine, and removes it when it hears that the machine has left. A machine that arrives from one service and is at once to be emptied in the next (for a wave, or another move) was reported empty by the next one, and the former one removed that report some 15 ms later. The machine then stood still, without work, until its move was given up after 3 s; an upkeep waits for ever, and its wave misses its time. Ruled out: emptying that never ends (the line `machine is empty` is there), busy machines (no order was sent), pauses after a change of holder (none). Change: the record is by service and machine. The soak's callers have accounts, with keys that are replaced and a limit that is lowered and raised.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -104,7 +104,7 @@
     this.#workers = this.#createWorkers()
     this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put, limitOf: (account) => accountsOf(configuration()).limitOf(account) })
     this.#advice = new AdviceBook({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#wake() })
-    this.#vacator = new MachineVacator({ clock, log: options.log, put, stop: (run) => { void this.#starter.takeAway(run) } })
+    this.#vacator = new MachineVacator({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.takeAway(run) } })
     this.#registrations = new WorkerRegistrations({
       ...options, prefix: options.workersPrefix, isServiceNamed: (name) => configuration()?.services.some((named) => named.name === name) === true
     })
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -336,7 +336,7 @@
     const nowMs = this.#options.clock.monotonicMs()
     if (this.#pauses.isPaused(task.machineId, nowMs)) return false
     if (task.state === 'ordered') return nowMs - task.orderedMs > REPEAT_MS
-    return task.state === 'vacating' && (task.from === '' || this.#vacated.items.get(vacatedKey(task.machineId))?.value === task.request)
+    return task.state === 'vacating' && (task.from === '' || this.#vacated.items.get(vacatedKey(task.from, task.machineId))?.value === task.request)
   }
 
   /** Sends what may be sent, once it is written down. */
--- a/packages/scheduler/src/lib/machines/MachineVacator.ts
+++ b/packages/scheduler/src/lib/machines/MachineVacator.ts
@@ -13,6 +13,7 @@
 
 /** What the vacator works with. @public */
 export interface MachineVacatorOptions {
+  readonly service: string
   readonly clock: Clock
   readonly log: EventLog
   readonly put: (key: string, source: RecordSource, isUrgent: boolean) => void
@@ -41,7 +42,7 @@
   /** @param machineId - may take work again */
   withdraw (machineId: string): void {
     if (!this.#requests.delete(machineId)) return
-    this.#options.put(vacatedKey(machineId), () => undefined, true)
+    this.#options.put(vacatedKey(this.#options.service, machineId), () => undefined, true)
     this.#options.log.info({ machineId }, 'machine takes work again')
   }
 
@@ -75,7 +76,7 @@
       for (const run of planVacate(runs, request.sinceMs, nowMs)) this.#options.stop(run)
       if (runs.length > 0 || (links.length === 0 && workers.hasUnmetRuns)) continue
       request.isVacated = true
-      this.#options.put(vacatedKey(machineId), () => request.value, true)
+      this.#options.put(vacatedKey(this.#options.service, machineId), () => request.value, true)
       this.#options.log.info({ machineId, request: request.value, tookMs: nowMs - request.sinceMs }, 'machine is empty')
     }
   }
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -35,8 +35,8 @@
 export const waitingKey = (service: string): string => `waiting/${service}`
 /** Which machines are empty and take no work; written by the schedulers. @public */
 export const VACATED_PREFIX = 'vacated/'
-/** That a machine is empty. @public */
-export const vacatedKey = (machineId: string): string => `${VACATED_PREFIX}${machineId}`
+/** That a machine is empty, for the service that was asked: another that had it before may hear late that it left. @public */
+export const vacatedKey = (service: string, machineId: string): string => `${VACATED_PREFIX}${service}/${machineId}`
 /** Below which it is kept which worker each machine had when last listed, by pool. @public */
 export const SIGHTINGS_PREFIX = 'sightings/'
 /** Which worker each machine of a pool had when last listed; written by the holder of machine upkeep. @public */
--- a/packages/scheduler/src/test/MachineVacator.test.ts
+++ b/packages/scheduler/src/test/MachineVacator.test.ts
@@ -16,10 +16,23 @@
   for (const { name, links, hasUnmetRuns, isReported } of cases) {
     it(`${isReported ? 'reports' : 'does not report'} a machine as empty with ${name}`, () => {
       const written: string[] = []
-      const vacator = new MachineVacator({ clock: systemClock, log: new TestLog(), put: (key) => written.push(key), stop: () => {} })
+      const vacator = new MachineVacator({ service: 'grids', clock: systemClock, log: new TestLog(), put: (key) => written.push(key), stop: () => {} })
       vacator.request('m1', 'upkeep 1.1')
       vacator.step({ links, hasUnmetRuns }, systemClock.monotonicMs())
-      expect(written).to.deep.equal(isReported ? [vacatedKey('m1')] : [])
+      expect(written).to.deep.equal(isReported ? [vacatedKey('grids', 'm1')] : [])
     })
   }
+
+  it('leaves the next service\'s report standing when a former one hears late that its machine has left', () => {
+    const kept = new Map<string, string | undefined>()
+    const put = (key: string, source: () => string | undefined): void => { kept.set(key, source()) }
+    const [former, next] = ['grids', 'checks'].map((service) => new MachineVacator({ service, clock: systemClock, log: new TestLog(), put, stop: () => {} }))
+    const step = (vacator: MachineVacator | undefined): void => vacator?.step({ links: [link], hasUnmetRuns: false }, systemClock.monotonicMs())
+    former?.request('m1', 'move 1.1')
+    step(former)
+    next?.request('m1', 'upkeep 1.2')
+    step(next)
+    former?.withdraw('m1')
+    expect([...kept.values()]).to.include('upkeep 1.2')
+  })
 })
--- a/packages/scheduler/src/test/foreignRecords.test.ts
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -3,7 +3,7 @@
 import type { JobId } from '@quillscale/policy'
 import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { demandKey } from '../lib/records/serviceDemand.js'
-import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, silentWorkersKey, vacateKey, waitingKey } from '../lib/records/storeKeys.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, silentWorkersKey, vacatedKey, vacateKey, waitingKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
 
 const DEADLINE_MS = 2000
@@ -186,6 +186,6 @@
     service = new TestService(1)
     await service.takeOver()
     service.write(vacateKey(SERVICE, 'm0'), '\uFFFD{')
-    await service.until('it is empty', async () => (await service.store.get('vacated/m0')).unwrap()?.value === '\uFFFD{')
+    await service.until('it is empty', async () => (await service.store.get(vacatedKey(SERVICE, 'm0'))).unwrap()?.value === '\uFFFD{')
   })
 })
--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CallerStep, FleetRunRecord, MachineOrderRecord, OverloadRecord } from '@quillscale/platform-fleet'
+import type { LimitChange, SoakAccount } from './SoakAccounts.js'
 
 /** What a client was told of a job it handed in: `accepted` once, `refused` each time, or at least once nothing certain. @public */
 export type SubmitView = 'accepted' | 'refused' | 'unknown'
@@ -12,6 +13,7 @@
 export interface JobView {
   readonly jobId: string
   readonly steps: readonly CallerStep[]
+  readonly account: SoakAccount
   submitted: SubmitView
   acceptedMs: number | undefined
   cancelAcknowledgedMs: number | undefined
@@ -47,6 +49,16 @@
   readonly status: number
 }
 
+/** A call to a host, undisturbed for a while, with a key that is in force, was taken away, or never was. @public */
+export interface KeyProbe {
+  readonly hostName: string
+  readonly sentMs: number
+  /** Whether a configuration that may be in force then has the key, and whether all have. */
+  readonly mayHold: boolean
+  readonly mustHold: boolean
+  readonly status: number
+}
+
 /** A whole run. @public */
 export interface History {
   readonly jobs: readonly JobView[]
@@ -56,6 +68,9 @@
   readonly ends: readonly ProcessEnd[]
   readonly broken: readonly BrokenRequest[]
   readonly probes: readonly ConfigurationProbe[]
+  readonly keyProbes: readonly KeyProbe[]
+  /** Of the limited account, in their order. */
+  readonly limits: readonly LimitChange[]
   /** The most machines of a wave that may be down. */
   readonly maxInUpkeep: number
 }
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -8,7 +8,8 @@
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { callEntryHost, decodeJobState, encodeSubmission, type CallerStep, type CallOutcome } from '@quillscale/platform-fleet'
 import type { EntryProcess } from './EntryProcess.js'
-import type { BrokenRequest, ConfigurationProbe, JobView, SubmitView } from './History.js'
+import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, SubmitView } from './History.js'
+import { ACCOUNTS, APPLY_MS, TASK_CPU_MILLIS, type SoakAccount } from './SoakAccounts.js'
 import { EXTRA_PATH, QUEUE_HOST, SERVICES, type SoakWorld } from './SoakWorld.js'
 
 /** The size and mix of the load: enough that every fault meets jobs in each state, little enough for one machine. */
@@ -17,7 +18,6 @@
 const MEAN_GAP_MS = 150
 const CANCEL_SHARE = 0.12
 const QUESTION_SHARE = 0.5
-const TASK_CPU_MILLIS = 1000
 const LEAST_TASK_MS = 20
 const MOST_TASK_MS = 400
 const MOST_TASKS = 3
@@ -26,9 +26,8 @@
 const ONE_STEP_SHARE = 0.5
 const LASTING_TASKS = 3
 const PROBE_MS = 250
-/** A host counts as undisturbed after this; a configuration is in force everywhere after this. From the users' sites. */
+/** A host counts as undisturbed after this. From the users' sites. */
 const CALM_MS = 3000
-const APPLY_MS = 2000
 const RETRY_BROKEN_MS = 200
 const MS_PER_S = 1000
 const FINAL_STATES: ReadonlySet<string> = new Set(['succeeded', 'failed', 'cancelled'])
@@ -40,6 +39,7 @@
   readonly jobs: JobView[] = []
   readonly broken: BrokenRequest[] = []
   readonly probes: ConfigurationProbe[] = []
+  readonly keyProbes: KeyProbe[] = []
   readonly #world: SoakWorld
   readonly #random: SeededRandom
   /** Connections are kept open until their process is gone. */
@@ -61,7 +61,7 @@
   /** Hands in the lasting jobs, then others, until stopped. */
   async run (): Promise<void> {
     for (const service of SERVICES) this.#begin(service, [{ taskCount: LASTING_TASKS, dependsOn: [], isLasting: true, maxAway: 1 }], 0)
-    this.#under.push(this.#probeForever())
+    this.#under.push(this.#probeForever(), this.#probeKeysForever())
     while (await delay(this.#random.exponentialMs(MEAN_GAP_MS), this.#stop.signal)) this.#begin(this.#random.pick(SERVICES), this.#drawSteps(), this.#drawMs())
   }
 
@@ -103,8 +103,10 @@
     const jobId = (this.#nextJob++).toString(16).padStart(16, '0')
     const crashesWorkers = runMs > 0 && this.#world.crashingJobs > 0
     if (crashesWorkers) this.#world.crashingJobs--
+    // Lasting jobs and those that crash workers would fill the limit for long.
+    const account = runMs > 0 && !crashesWorkers && this.#nextJob % 2 === 0 ? ACCOUNTS[0] : ACCOUNTS[1]
     const job: JobView = {
-      jobId, steps, crashesWorkers, submitted: 'unknown', acceptedMs: undefined, cancelAcknowledgedMs: undefined, isCancelSent: false, unknownAtMs: [], finalState: ''
+      jobId, steps, account, crashesWorkers, submitted: 'unknown', acceptedMs: undefined, cancelAcknowledgedMs: undefined, isCancelSent: false, unknownAtMs: [], finalState: ''
     }
     this.jobs.push(job)
     this.#paths.set(jobId, `/${service}/${jobId}`)
@@ -132,7 +134,7 @@
     for (let tries = 0; tries < TRIES; tries++) {
       const { outcome } = await this.#ask('POST', job, body)
       if (outcome.kind === 'answer' && outcome.status === 200) return 'accepted'
-      const isRefused = outcome.kind === 'not-connected' || (outcome.kind === 'answer' && [404, 429, 503].includes(outcome.status))
+      const isRefused = outcome.kind === 'not-connected' || (outcome.kind === 'answer' && [401, 404, 429, 503].includes(outcome.status))
       if (!isRefused) isUncertain = true
       const pauseMs = outcome.kind === 'answer' ? (outcome.retryAfterS ?? 0) * MS_PER_S : RETRY_BROKEN_MS
       await delay(pauseMs)
@@ -154,13 +156,17 @@
   }
 
   async #ask (method: 'POST' | 'GET' | 'DELETE', job: JobView, body?: unknown): Promise<Asked> {
-    return await this.#call(this.#random.pick(this.#world.hosts), method, this.#paths.get(job.jobId) ?? '', body)
+    return await this.#call(this.#random.pick(this.#world.hosts), method, this.#paths.get(job.jobId) ?? '', this.#keyOf(job.account), body)
   }
 
-  async #call (host: EntryProcess, method: 'POST' | 'GET' | 'DELETE', path: string, body?: unknown): Promise<Asked> {
+  #keyOf (account: SoakAccount): string {
+    return this.#world.accounts.keyOf(account, this.#nowMs())
+  }
+
+  async #call (host: EntryProcess, method: 'POST' | 'GET' | 'DELETE', path: string, key: string, body?: unknown): Promise<Asked> {
     const sentMs = this.#nowMs()
     const wasCalm = this.#world.isCalm(host, CALM_MS)
-    const outcome = await callEntryHost({ address: host.place.ownAddress, agent: this.#agent, method, host: QUEUE_HOST, path, body, waitMs: WAIT_MS })
+    const outcome = await callEntryHost({ address: host.place.ownAddress, agent: this.#agent, method, host: QUEUE_HOST, path, key, body, waitMs: WAIT_MS })
     const isPlanned = host.stoppingSinceMs !== undefined || host.ends.some(({ signal, atMs }) => signal === 'SIGTERM' && atMs > sentMs)
     const isCalm = wasCalm && this.#world.isCalm(host, CALM_MS)
     if (outcome.kind === 'broken' && isPlanned && isCalm) this.broken.push({ hostName: host.place.hostName, sentMs, brokenMs: this.#nowMs() })
@@ -172,7 +178,7 @@
       const host = this.#random.pick(this.#world.hosts)
       const sentMs = this.#nowMs()
       const wasCalm = this.#world.isCalm(host, CALM_MS)
-      const { outcome } = await this.#call(host, 'GET', EXTRA_PATH)
+      const { outcome } = await this.#call(host, 'GET', EXTRA_PATH, this.#keyOf(ACCOUNTS[1]))
       if (!wasCalm || !this.#world.isCalm(host, CALM_MS) || outcome.kind !== 'answer') continue
       const doneMs = this.#nowMs()
       const lately = this.#world.extraChanges.filter(({ atMs }, index, all) => atMs <= doneMs && (all[index + 1]?.atMs ?? Infinity) > sentMs - APPLY_MS)
@@ -181,4 +187,19 @@
       this.probes.push({ hostName: host.place.hostName, sentMs, status: outcome.status, mayExist, mayBeMissing })
     }
   }
+
+  /** By turns with a key in force, with the one that was taken away last, and with one that nobody had. */
+  async #probeKeysForever (): Promise<void> {
+    const { accounts, hosts } = this.#world
+    for (let probe = 0; await delay(PROBE_MS, this.#stop.signal); probe++) {
+      const host = hosts[probe % hosts.length]
+      if (host === undefined) return
+      const sentMs = this.#nowMs()
+      const key = [this.#keyOf(ACCOUNTS[1]), accounts.droppedKey(sentMs), 'nobody-key'][probe % 3] ?? ''
+      const wasCalm = this.#world.isCalm(host, CALM_MS)
+      const { outcome } = await this.#call(host, 'GET', `/${SERVICES[0]}/`, key)
+      if (!wasCalm || !this.#world.isCalm(host, CALM_MS) || outcome.kind !== 'answer') continue
+      this.keyProbes.push({ hostName: host.place.hostName, sentMs, status: outcome.status, ...accounts.standing(key, sentMs, this.#nowMs()) })
+    }
+  }
 }
--- a/packages/soak/src/lib/SoakWorld.ts
+++ b/packages/soak/src/lib/SoakWorld.ts
@@ -8,6 +8,7 @@
 import { encodeConfiguration, encodeWaveRequest, StandInWireFleet, StandInWireStore, type QueuePlace } from '@quillscale/platform-fleet'
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
+import { SoakAccounts } from './SoakAccounts.js'
 
 /** How large a run is. @public */
 export interface SoakSize { readonly hosts: number, readonly machinesPerService: number }
@@ -46,6 +47,7 @@
   /** In front of each machine. */
   readonly machineLinks = new Map<string, FaultProxy>()
   readonly extraChanges: ExtraChange[] = []
+  readonly accounts = new SoakAccounts()
   /** So many of the next jobs end the workers that start them. */
   crashingJobs = 0
   /** When the store was last disturbed. */
@@ -86,7 +88,8 @@
         hostName: `host-${index}`,
         ownAddress: ownAddress(index),
         storePort: await link.listen(),
-        machinesPort
+        machinesPort,
+        hasAccounts: true
       }
       this.hosts.push(new EntryProcess(place, directory, () => this.clock.monotonicMs(), Math.round((random.next() * 2 - 1) * MAX_CLOCK_OFFSET_MS)))
     }
@@ -101,8 +104,14 @@
 
   /** Writes a configuration. @param exists - whether the extra queue is in it */
   async setExtra (exists: boolean): Promise<void> {
-    await this.#write(encodeConfiguration(++this.#version, exists ? [...PERMANENT_QUEUES, EXTRA_QUEUE] : PERMANENT_QUEUES, SERVICES))
     this.extraChanges.push({ atMs: this.clock.monotonicMs(), exists })
+    await this.configure()
+  }
+
+  /** Writes the configuration as it should be now. */
+  async configure (): Promise<void> {
+    const queues = this.extraChanges.at(-1)?.exists === true ? [...PERMANENT_QUEUES, EXTRA_QUEUE] : PERMANENT_QUEUES
+    await this.#write(encodeConfiguration(++this.#version, queues, SERVICES, this.accounts.places))
   }
 
   /** Asks for upkeep. @param machineIds - that are due */
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -5,6 +5,7 @@
  */
 import type { FleetRunRecord } from '@quillscale/platform-fleet'
 import type { History, JobView } from './History.js'
+import { ACCOUNTS, APPLY_MS } from './SoakAccounts.js'
 
 /** A promise that was not kept. @public */
 export interface BrokenPromise { readonly promise: string, readonly detail: string }
@@ -22,6 +23,9 @@
 const MOST_STARTS_MORE = 2
 const SHRUNK_COUNTS_MS = 3000 + 1500
 
+const OK = 200
+const UNAUTHORIZED = 401
+
 const jobIdOf = (taskKey: string): string => taskKey.split('.')[0] ?? ''
 const stepOf = (taskKey: string): number => Number(taskKey.split('.')[2])
 const endOf = (run: FleetRunRecord): number => run.endedMs ?? Infinity
@@ -161,6 +165,22 @@
     .map(({ machineId, atMs, shrunkMs }) => `${machineId} was told to start what did not fit, ${atMs - shrunkMs} ms after it had shrunk`)
 }
 
+function keysHold ({ keyProbes }: History): string[] {
+  return keyProbes.filter(({ status, mayHold, mustHold }) => (status === UNAUTHORIZED && mustHold) || (status === OK && !mayHold))
+    .map(({ hostName, status, sentMs }) => `${hostName} answered ${status} at ${sentMs} against the keys in force`)
+}
+
+function limitsHold ({ jobs, runs, limits }: History): string[] {
+  const limited = new Set(jobs.filter(({ account }) => account === ACCOUNTS[0]).map(({ jobId }) => jobId))
+  const its = runs.filter(({ taskKey }) => limited.has(jobIdOf(taskKey)))
+  return its.flatMap(({ taskKey, startedMs }) => {
+    const running = its.filter((other) => other.startedMs <= startedMs && endOf(other) > startedMs).length
+    const inForce = limits.filter(({ atMs }, index) => atMs <= startedMs && (limits[index + 1]?.atMs ?? Infinity) > startedMs - APPLY_MS)
+    const allowed = Math.max(...inForce.map(({ tasks }) => tasks))
+    return running <= allowed ? [] : [`${taskKey} was started as the ${running}th at once of an account that may have ${allowed}`]
+  })
+}
+
 /** Every promise, and how it is checked. @public */
 export const PROMISES: Readonly<Record<string, (history: History) => string[]>> = {
   'an accepted job is kept': acceptedAreKept,
@@ -177,7 +197,9 @@
   'processes end only when told': processesLive,
   'configuration holds and never goes back': configurationHolds,
   'a task that crashes workers is given up': crashingAreBounded,
-  'no worker is overloaded': roomsHold
+  'no worker is overloaded': roomsHold,
+  'keys hold': keysHold,
+  'limits hold': limitsHold
 }
 
 /** @param history - of a run @returns every broken promise @public */
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -5,6 +5,7 @@
  */
 import type { SeededRandom } from '@quillscale/utils'
 import type { LinkFault } from './FaultProxy.js'
+import { ACCOUNTS, APPLY_MS } from './SoakAccounts.js'
 import type { SoakWorld } from './SoakWorld.js'
 
 /** Begins a fault; what it returns ends it. */
@@ -17,6 +18,8 @@
 const MACHINES_A_WAVE = 4
 const SLOW_STORE_MS = 120
 const UNAVAILABLE = 503
+/** Clients take a new key up after it is in force, and before the old one goes. */
+const SWITCH_MS = 500
 /** A worker that shrinks keeps less than this of its size. */
 const MOST_SHRUNK_SHARE = 0.7
 
@@ -125,6 +128,25 @@
       setTimeout(() => host.thaw(), index * ROLL_GAP_MS + forMs)
     })
     return undefined
+  },
+  'a key is replaced': (world, random) => {
+    const account = random.pick(ACCOUNTS)
+    const { accounts, clock } = world
+    accounts.addKey(account, clock.monotonicMs())
+    void world.configure()
+    setTimeout(() => {
+      accounts.dropOldKeys(account, clock.monotonicMs())
+      void world.configure()
+    }, APPLY_MS + SWITCH_MS)
+    return undefined
+  },
+  'a limit is lowered and raised': (world) => {
+    world.accounts.setLimit(true, world.clock.monotonicMs())
+    void world.configure()
+    return () => {
+      world.accounts.setLimit(false, world.clock.monotonicMs())
+      void world.configure()
+    }
   }
 }
 
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -69,6 +69,8 @@
     ends: world.hosts.flatMap(({ ends }) => ends.slice(0, -1)),
     broken: callers.broken,
     probes: callers.probes,
+    keyProbes: callers.keyProbes,
+    limits: world.accounts.limits,
     maxInUpkeep: MAX_IN_UPKEEP
   }
   const broken = checkPromises(history)
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -4,7 +4,17 @@
 import type { History, JobView } from '../lib/History.js'
 
 const job = (changes: Partial<JobView> = {}): JobView => ({
-  jobId: 'a', steps: [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }], submitted: 'accepted', acceptedMs: 100, cancelAcknowledgedMs: undefined, isCancelSent: false, crashesWorkers: false, unknownAtMs: [], finalState: 'succeeded', ...changes
+  jobId: 'a',
+  steps: [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }],
+  account: 'herald',
+  submitted: 'accepted',
+  acceptedMs: 100,
+  cancelAcknowledgedMs: undefined,
+  isCancelSent: false,
+  crashesWorkers: false,
+  unknownAtMs: [],
+  finalState: 'succeeded',
+  ...changes
 })
 const runOf = (changes: Partial<FleetRunRecord> = {}): FleetRunRecord => ({
   taskKey: 'a.0.0.0', runNumber: 1, instanceId: 'w1', command: '', startedMs: 200, endedMs: 300, end: 'done', isAcknowledged: true, endedByOrder: false, ...changes
@@ -12,7 +22,19 @@
 const order = (changes: Partial<MachineOrderRecord> = {}): MachineOrderRecord =>
   ({ machineId: 'm', holder: 'host-0', fencingToken: 5, kind: 'upkeep', wave: 1, atMs: 1000, inUpkeep: 1, ...changes })
 const history = (changes: Partial<History> = {}): History =>
-  ({ jobs: [job()], runs: [runOf()], orders: [order()], overloads: [], ends: [], broken: [], probes: [], maxInUpkeep: 2, ...changes })
+  ({
+    jobs: [job()],
+    runs: [runOf()],
+    orders: [order()],
+    overloads: [],
+    ends: [],
+    broken: [],
+    probes: [],
+    keyProbes: [],
+    limits: [{ atMs: -Infinity, tasks: 1 }],
+    maxInUpkeep: 2,
+    ...changes
+  })
 
 const twoSteps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }, { taskCount: 1, dependsOn: [0], isLasting: false, maxAway: undefined }]
 const lasting = job({ steps: [{ taskCount: 2, dependsOn: [], isLasting: true, maxAway: 1 }], finalState: 'running' })
@@ -45,6 +67,22 @@
     { promise: 'a planned stop cuts nothing off', how: 'a request breaks after 500 ms', seen: history({ broken: [{ hostName: 'host-0', sentMs: 100, brokenMs: 600 }] }) },
     { promise: 'processes end only when told', how: 'one ends by itself', seen: history({ ends: [{ hostName: 'host-0', signal: '', exitCode: 1, atMs: 100 }] }) },
     { promise: 'processes end only when told', how: 'a stop fails', seen: history({ ends: [{ hostName: 'host-0', signal: 'SIGTERM', exitCode: 1, atMs: 100 }] }) },
+    { promise: 'keys hold', how: 'a key that was taken away is served', seen: history({ keyProbes: [{ hostName: 'host-0', sentMs: 1, mayHold: false, mustHold: false, status: 200 }] }) },
+    { promise: 'keys hold', how: 'a key in force is refused', seen: history({ keyProbes: [{ hostName: 'host-0', sentMs: 1, mayHold: true, mustHold: true, status: 401 }] }) },
+    {
+      promise: 'limits hold',
+      how: 'two tasks run of an account that may have one',
+      seen: history({ jobs: [job({ account: 'press' })], runs: [runOf(), runOf({ taskKey: 'a.0.0.1', startedMs: 250, endedMs: 350 })] })
+    },
+    {
+      promise: 'limits hold',
+      how: 'two tasks run long after the limit was lowered',
+      seen: history({
+        jobs: [job({ account: 'press' })],
+        runs: [runOf({ startedMs: 9000, endedMs: 9300 }), runOf({ taskKey: 'a.0.0.1', startedMs: 9100, endedMs: 9200 })],
+        limits: [{ atMs: -Infinity, tasks: 2 }, { atMs: 6000, tasks: 1 }]
+      })
+    },
     {
       promise: 'configuration holds and never goes back',
       how: 'a removed queue is served',
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -9,7 +9,11 @@
 const EXTRA_MS = 60_000
 
 describe('fault soak', () => {
-  const cases = [{ seed: 20_261_202, seconds: 6, cause: 'a short run of its own', kindCount: undefined }, ...FAILED_SEEDS]
+  const cases = [
+    { seed: 20_261_202, seconds: 6, cause: 'a short run of its own', kindCount: 22 },
+    { seed: 20_261_203, seconds: 10, cause: 'another, with all kinds of faults', kindCount: undefined },
+    ...FAILED_SEEDS
+  ]
   for (const { seed, seconds, cause, kindCount } of cases) {
     it(`keeps all promises with seed ${seed} (${cause})`, async function () {
       this.timeout(seconds * MS_PER_S + EXTRA_MS)
