--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -47,6 +47,11 @@
 const NEWS_SHARE = 0.5
 /** Nobody starts anything by a record that cannot be read; after so long its holders have all seen that, and write it anew. */
 const HEAL_MS = 2000
+/** Steps remembered, so that each is told once; the oldest are forgotten. */
+const MAX_REMEMBERED = 1000
+/** Others may hear of a configuration this much later, and a worker's clock may be slow by this share. */
+const CONFIGURATION_SLACK_MS = 5000
+const CLOCK_DRIFT = 0.02
 /** Records are followed with little delay: tasks wait for it. */
 const FOLLOW_SPACING_MS = 10
 
@@ -71,6 +76,7 @@
   readonly #wroteMs = new Map<AccountName, number>()
   /** Services that the configuration does not name any more, since when. */
   readonly #goneSinceMs = new Map<string, number>()
+  /** Steps that were told to exceed their account's limit, the latest ones. */
   readonly #oversized = new Set<string>()
   #isFollowing = false
   #signal: AbortSignal | undefined
@@ -138,6 +144,8 @@
     for (const task of tasks) {
       if (this.#oversized.has(task.stepKey)) continue
       this.#oversized.add(task.stepKey)
+      const oldest = this.#oversized.keys().next()
+      if (this.#oversized.size > MAX_REMEMBERED && oldest.done !== true) this.#oversized.delete(oldest.value)
       const account = task.job.spec.owner?.account
       this.#options.log.warn({ jobId: task.job.spec.jobId, stepKey: task.stepKey, account, wants: resourcesOf(stepOf(task)) }, 'tasks wait: one of them exceeds what their account may have running')
     }
@@ -192,7 +200,7 @@
     }
     const sinceMs = this.#goneSinceMs.get(service) ?? nowMs
     this.#goneSinceMs.set(service, sinceMs)
-    return nowMs - sinceMs > this.#options.longestLeaseMs()
+    return nowMs - sinceMs > this.#options.longestLeaseMs() * (1 + CLOCK_DRIFT) + CONFIGURATION_SLACK_MS
   }
 
   #nextClaim (account: AccountName, { claim, plan }: OwnState): QuotaClaim {
