Lines that tell why a service's machines are of no use to it

`need of machines` has the usable machines, not how many are registered, taken for over, or silent.

Change: `need of machines` carries these counts; `registered worker not used: its lifetime is over` has the reason, once a lifetime; `service is short of machines` has need, have and usable, by the holder of machines, at most once a second for each service. Choosing moves has a class of its own, `PoolBalancer`.

Decisions are the same.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -18,7 +18,7 @@
 export { RunTimes } from './lib/jobs/RunTimes.js'
 export { dutyWaitMs, type DutyCandidate } from './lib/duties/dutyWaitMs.js'
 export { demandOf, type DemandSources } from './lib/machines/demandOf.js'
-export { machinesNeeded, planPools, LASTING_RUN_WEIGHT, type PoolMove, type PoolView, type ServiceDemand } from './lib/machines/planPools.js'
+export { countPools, machinesNeeded, planPools, LASTING_RUN_WEIGHT, type PoolCount, type PoolMove, type PoolView, type ServiceDemand } from './lib/machines/planPools.js'
 export { isAtWork, mayBeAway, planLeave, planVacate } from './lib/machines/planVacate.js'
 export { planWave, type WaveView } from './lib/machines/planWave.js'
 export { NEED_MEMORY_MS, ServiceNeeds } from './lib/machines/ServiceNeeds.js'
--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -64,7 +64,15 @@
   return Math.ceil(millis / (Math.max(1, machineMillis) * FULL_SHARE))
 }
 
-interface PoolCount { readonly demand: ServiceDemand, readonly need: number, readonly keep: number, have: number }
+/** What a service needs of machines, and what it has. @public */
+export interface PoolCount {
+  readonly demand: ServiceDemand
+  readonly need: number
+  /** Not given back yet, since it was needed lately. */
+  readonly keep: number
+  /** In its pool, or on their way there. */
+  have: number
+}
 
 /**
  * Plans changes of pools.
@@ -74,10 +82,7 @@
  * @public
  */
 export function planPools (view: PoolView): PoolMove[] {
-  const counts = view.demands.map((demand): PoolCount => {
-    const need = Math.max(machinesNeeded(demand), view.comingNeed.get(demand.service) ?? 0)
-    return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0), have: countIn(demand.service, view) }
-  })
+  const counts = countPools(view)
   const taken = new Set<string>()
   const moves: PoolMove[] = []
   for (const wanting of [...counts].sort((a, b) => (b.need - b.have) - (a.need - a.have))) {
@@ -91,7 +96,15 @@
   return moves
 }
 
-function countIn (pool: string, view: PoolView): number {
+/** @param view - what is known @returns the services' needs and machines @public */
+export function countPools (view: Pick<PoolView, 'demands' | 'machines' | 'busy' | 'recentNeed' | 'comingNeed'>): PoolCount[] {
+  return view.demands.map((demand): PoolCount => {
+    const need = Math.max(machinesNeeded(demand), view.comingNeed.get(demand.service) ?? 0)
+    return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0), have: countIn(demand.service, view) }
+  })
+}
+
+function countIn (pool: string, view: Pick<PoolView, 'machines' | 'busy'>): number {
   return [...view.machines.values()].filter((machine) => (view.busy.get(machine.machineId) ?? machine.pool) === pool && machine.state !== 'down').length
 }
 
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -322,7 +322,7 @@
     this.#vacator.step(this.#workers, nowMs)
     this.#vacator.stepLeaving(this.#workers.leaving(this.#registrationItems.steadyForMs(nowMs), nowMs), nowMs)
     this.#place(nowMs)
-    this.#statusWriter.write([...this.#book.jobs.values()], this.#workers.links, nowMs)
+    this.#statusWriter.write([...this.#book.jobs.values()], this.#workers, nowMs)
     this.#forgetEnded()
   }
 
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -10,7 +10,7 @@
 import type { EventLog } from '../duties/EventLog.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
 import { waitingKey } from '../records/storeKeys.js'
-import type { WorkerLink } from '../workers/WorkerLink.js'
+import type { WorkerSet } from '../workers/WorkerSet.js'
 
 /** What the writer works with. @public */
 export interface StatusWriterOptions {
@@ -44,10 +44,10 @@
     this.#options = options
   }
 
-  /** Writes what has changed. @param jobs - of the service @param links - its workers @param nowMs - monotonic */
-  write (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
+  /** Writes what has changed. @param jobs - of the service @param workers - of the service @param nowMs - monotonic */
+  write (jobs: readonly Job[], workers: WorkerSet, nowMs: number): void {
     if (nowMs - this.#waitingWrittenMs >= WAITING_COUNT_MS) this.#writeWaiting(jobs, nowMs)
-    if (nowMs - this.#demandMadeMs >= DEMAND_MS) this.#writeDemand(jobs, links, nowMs)
+    if (nowMs - this.#demandMadeMs >= DEMAND_MS) this.#writeDemand(jobs, workers, nowMs)
   }
 
   #writeWaiting (jobs: readonly Job[], nowMs: number): void {
@@ -65,16 +65,19 @@
   }
 
   /** More need is told at once, anything else now and then. */
-  #writeDemand (jobs: readonly Job[], links: readonly WorkerLink[], nowMs: number): void {
+  #writeDemand (jobs: readonly Job[], workers: WorkerSet, nowMs: number): void {
     this.#demandMadeMs = nowMs
     const { service, clock, log, limitOf, put } = this.#options
-    const demand = demandOf({ service, jobs, links, limitOf, nowMs, wallMs: clock.wallMs() })
+    const demand = demandOf({ service, jobs, links: workers.links, limitOf, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#demandNeed
     const ageMs = nowMs - this.#demandWrittenMs
     if (!isMore && ageMs < (text === this.#demandText ? DEMAND_REPEAT_MS : DEMAND_CHANGE_MS)) return
-    if (need !== this.#demandNeed) log.info({ service, need, machines: demand.runsByMachine.size, wantedMillis: demand.wantedMillis }, 'need of machines')
+    if (need !== this.#demandNeed) {
+      const { wantedMillis, runsByMachine } = demand
+      log.info({ service, need, machines: runsByMachine.size, wantedMillis, workers: workers.counts(nowMs) }, 'need of machines')
+    }
     this.#demandWrittenMs = nowMs
     this.#demandText = text
     this.#demandNeed = need
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -9,7 +9,7 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, WaveRequest } from '@quillscale/ports'
 import type { PrefixReplica } from '@quillscale/leases'
-import { NEED_MEMORY_MS, planPools, planWave, ServiceNeeds } from '@quillscale/policy'
+import { planWave } from '@quillscale/policy'
 import type { CommitLog } from '../records/CommitLog.js'
 import { createReplica } from '../records/createReplica.js'
 import type { DutyGrant, DutyTask } from '../duties/DutyRoster.js'
@@ -21,6 +21,7 @@
 import { OrderPauses } from './OrderPauses.js'
 import { DEMAND_PREFIX } from '../records/serviceDemand.js'
 import { MachineWatch, type GoneWorker } from './MachineWatch.js'
+import { PoolBalancer } from './PoolBalancer.js'
 import { SightingRecord } from './SightingRecord.js'
 import { untilAnswered } from '../records/untilAnswered.js'
 import { chainKey, goneKey, SIGHTINGS_PREFIX, vacateKey, vacatedKey, vacatePrefix, VACATED_PREFIX } from '../records/storeKeys.js'
@@ -61,17 +62,11 @@
 const PAUSES_RENEWED_MS = 500
 /** An order that got no answer, or came at a bad moment, is repeated after this. */
 const REPEAT_MS = 1000
-/** Share of the platform's rate that is used for moves: upkeep and repeated orders need the rest. */
-const MOVES_SHARE = 0.8
-/** What was not used for so long is not caught up with: the rate counts each second. */
-const MOST_PAUSE_MS = 250
 /** The list may lag behind an order. */
 const SETTLE_MS = 400
 /** A machine whose move waits so long for its tasks to leave is left where it is. */
 const MOVE_PATIENCE_MS = 3000
 
-const MS_PER_S = 1000
-
 /** The task. @public */
 export class MachineDuty implements DutyTask {
   readonly #options: MachineDutyOptions
@@ -81,17 +76,15 @@
   readonly #tasks = new Map<string, MachineTask>()
   readonly #waves = new Map<number, WaveProgress>()
   readonly #requests = new Map<number, WaveRequest>()
-  readonly #refused = new Set<string>()
   readonly #demands: DemandBook
-  readonly #needs = new ServiceNeeds()
   readonly #pauses: OrderPauses
   readonly #watch = new MachineWatch()
   readonly #sightings = new SightingRecord()
+  readonly #balancer: PoolBalancer
   #commits!: CommitLog
   #machines = new Map<string, ListedMachine>()
   #listedMs = -Infinity
   #tookOverMs = 0
-  #movesPlannedMs = -Infinity
   #recordedMs = -Infinity
 
   /** @param options - what it works with */
@@ -99,6 +92,7 @@
     this.#options = options
     const { store, clock, log } = options
     this.#demands = new DemandBook(options.records)
+    this.#balancer = new PoolBalancer({ log, ordersPerS: options.ordersPerS })
     this.#pauses = new OrderPauses(() => options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS)
     const ignored = (): void => {}
     this.#vacated = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignored })
@@ -306,32 +300,14 @@
   }
 
   #balance (): void {
-    const headroomPools = this.#options.headroomPools()
-    const nowMs = this.#options.clock.monotonicMs()
+    const { headroomPools, clock } = this.#options
+    const nowMs = clock.monotonicMs()
     const demands = this.#demands.current(this.#demandItems.items, nowMs)
     const busy = new Map([...this.#tasks.values()].map(({ machineId, kind, to }) => [machineId, kind === 'move' ? to : this.#machines.get(machineId)?.pool ?? '']))
-    const moves = planPools({
-      demands,
-      headroomPools,
-      machines: this.#machines,
-      busy,
-      isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
-      recentNeed: this.#needs.recent(demands, nowMs),
-      comingNeed: this.#needs.coming(demands, nowMs),
-      mostMoves: this.#mostMoves(),
-      mayPark: nowMs - this.#tookOverMs > NEED_MEMORY_MS
-    })
+    const moves = this.#balancer.plan({ demands, headroomPools: headroomPools(), machines: this.#machines, busy }, nowMs)
     for (const { machineId, from, to } of moves) this.#begin({ machineId, kind: 'move', wave: 0, from, to })
   }
 
-  /** As many as the platform takes in the time since they were planned last. */
-  #mostMoves (): number {
-    const nowMs = this.#options.clock.monotonicMs()
-    const sinceMs = Math.min(MOST_PAUSE_MS, nowMs - this.#movesPlannedMs)
-    this.#movesPlannedMs = nowMs
-    return Math.max(1, Math.floor(this.#options.ordersPerS() * MOVES_SHARE * sinceMs / MS_PER_S))
-  }
-
   #isReady (task: MachineTask): boolean {
     const nowMs = this.#options.clock.monotonicMs()
     if (this.#pauses.isPaused(task.machineId, nowMs)) return false
@@ -371,7 +347,7 @@
       task.state = 'begun'
       return this.#record()
     }
-    if (outcome === 'unknown-machine' && task.kind === 'move') this.#refused.add(`${task.machineId} ${task.to}`)
+    if (outcome === 'unknown-machine' && task.kind === 'move') this.#balancer.noteRefused(task.machineId, task.to)
     if (outcome === 'busy' && task.kind === 'upkeep') return
     this.#finish(task, outcome)
   }
--- /dev/null
+++ b/packages/scheduler/src/lib/machines/PoolBalancer.ts
@@ -0,0 +1,68 @@
+/**
+ * Chooses machines to move between pools, as fast as the platform takes such orders.
+ *
+ * @module
+ */
+import { countPools, NEED_MEMORY_MS, planPools, type PoolMove, type PoolView, ServiceNeeds } from '@quillscale/policy'
+import type { EventLog } from '../duties/EventLog.js'
+import { ShortageLog } from './ShortageLog.js'
+
+/** What the balancer works with. @public */
+export interface PoolBalancerOptions {
+  readonly log: EventLog
+  /** How many orders the platform takes in a second, from all hosts together. */
+  readonly ordersPerS: () => number
+}
+
+/** What is known of pools and machines at the moment. @public */
+export type PoolSituation = Pick<PoolView, 'demands' | 'headroomPools' | 'machines' | 'busy'>
+
+/** Share of the platform's rate that is used for moves: upkeep and repeated orders need the rest. */
+const MOVES_SHARE = 0.8
+/** What was not used for so long is not caught up with: the rate counts each second. */
+const MOST_PAUSE_MS = 250
+const MS_PER_S = 1000
+
+/** The balancer, for one tenure of the holder of machines. @public */
+export class PoolBalancer {
+  readonly #options: PoolBalancerOptions
+  readonly #needs = new ServiceNeeds()
+  readonly #shortages: ShortageLog
+  readonly #refused = new Set<string>()
+  #beganMs: number | undefined
+  #plannedMs = -Infinity
+
+  /** @param options - what it works with */
+  constructor (options: PoolBalancerOptions) {
+    this.#options = options
+    this.#shortages = new ShortageLog(options.log)
+  }
+
+  /** @param machineId - that cannot go to a pool @param pool - which */
+  noteRefused (machineId: string, pool: string): void {
+    this.#refused.add(`${machineId} ${pool}`)
+  }
+
+  /** @param situation - at the moment @param nowMs - monotonic @returns the moves that should begin now */
+  plan (situation: PoolSituation, nowMs: number): PoolMove[] {
+    this.#beganMs ??= nowMs
+    const { demands } = situation
+    const view: PoolView = {
+      ...situation,
+      isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
+      recentNeed: this.#needs.recent(demands, nowMs),
+      comingNeed: this.#needs.coming(demands, nowMs),
+      mostMoves: this.#mostMoves(nowMs),
+      mayPark: nowMs - this.#beganMs > NEED_MEMORY_MS
+    }
+    this.#shortages.note(countPools(view), nowMs)
+    return planPools(view)
+  }
+
+  /** As many as the platform takes in the time since they were planned last. */
+  #mostMoves (nowMs: number): number {
+    const sinceMs = Math.min(MOST_PAUSE_MS, nowMs - this.#plannedMs)
+    this.#plannedMs = nowMs
+    return Math.max(1, Math.floor(this.#options.ordersPerS() * MOVES_SHARE * sinceMs / MS_PER_S))
+  }
+}
--- a/packages/scheduler/src/lib/workers/WorkerSet.ts
+++ b/packages/scheduler/src/lib/workers/WorkerSet.ts
@@ -36,6 +36,17 @@
   readonly onChange: () => void
 }
 
+/** Workers of a service by what can be done with them. @public */
+export interface WorkerCounts {
+  readonly registered: number
+  /** Registered, and taken for a lifetime that is over. */
+  readonly over: number
+  /** Registered, and not answering. */
+  readonly silent: number
+  /** Answering and ready for work. */
+  readonly usable: number
+}
+
 /** Share of the longest lease that is used at most. */
 const LEASE_SHARE = 0.8
 /** Enough to outlast a take-over or a cut of the usual 5.5 s; each further second delays the work of workers that are lost. */
@@ -55,6 +66,7 @@
 const RUNS_IN_LINE = 20
 
 const MACHINE_GONE = 'its machine is down or gone'
+const OTHER_LIFETIME = 'it answered as another lifetime'
 const LEASES_OVER = 'its leases are over'
 const FORMER_LEASES_OVER = 'leases of former holders are over'
 
@@ -70,6 +82,9 @@
   readonly #answeredAsOthers = new Set<string>()
   readonly #tookOverMs: number
   #listedIds: ReadonlySet<string> = new Set()
+  #registered: readonly WorkerInstance[] = []
+  /** Registered lifetimes of which it was logged that they are taken for over. */
+  readonly #toldOver = new Set<string>()
   #hasToldOfWaits = false
   /** The longest lease of this holder's links: settings may have named another meanwhile. */
   #ownLeaseMs = 0
@@ -87,6 +102,17 @@
     return [...this.#links.values()]
   }
 
+  /** @param nowMs - monotonic @returns how many of the service's workers are registered, and what hinders work on the others */
+  counts (nowMs: number): WorkerCounts {
+    const { links } = this
+    return {
+      registered: this.#registered.length,
+      over: this.#registered.filter(({ instanceId }) => this.#reasonOver(instanceId) !== undefined).length,
+      silent: links.filter((link) => link.isListed && !link.isAnswering(nowMs)).length,
+      usable: links.filter((link) => link.takesWork && link.isAnswering(nowMs)).length
+    }
+  }
+
   /** Whether runs of earlier holders may be going on on workers that are not registered. */
   get hasUnmetRuns (): boolean {
     return this.#orphans.size > 0
@@ -119,6 +145,7 @@
 
   /** @param registered - who is registered now */
   follow ({ workers: listed, registeredIds }: RegisteredWorkers): void {
+    this.#registered = listed
     for (const instance of listed) this.#meet(instance)
     if (this.#firstListedMs === Infinity) this.#firstListedMs = this.#options.clock.monotonicMs()
     const ids = new Set(listed.map(({ instanceId }) => instanceId))
@@ -280,6 +307,7 @@
   }
 
   #forgetGone (): void {
+    for (const instanceId of this.#toldOver) if (!this.#listedIds.has(instanceId)) this.#toldOver.delete(instanceId)
     for (const instanceId of this.#answeredAsOthers) if (!this.#listedIds.has(instanceId)) this.#answeredAsOthers.delete(instanceId)
     for (const instanceId of this.#gone) {
       if (this.#listedIds.has(instanceId)) continue
@@ -291,7 +319,8 @@
   #meet (instance: WorkerInstance): void {
     const { clock, log, linkOptions } = this.#options
     const { instanceId, state, address, labels, capacity } = instance
-    if (this.#gone.has(instanceId) || this.#answeredAsOthers.has(instanceId)) return
+    const reasonOver = this.#reasonOver(instanceId)
+    if (reasonOver !== undefined) return this.#tellOver(instance, reasonOver)
     const known = this.#links.get(instanceId)
     if (known !== undefined) {
       if (known.instance.state !== state) log.info({ instanceId, state }, 'worker changed its state')
@@ -306,7 +335,7 @@
       leaseMs,
       onInstanceOver: (of) => {
         this.#answeredAsOthers.add(instanceId)
-        this.#instanceOver(of, 'it answered as another lifetime')
+        this.#instanceOver(of, OTHER_LIFETIME)
       },
       onContact: (of, error) => log.warn({ instanceId: of.instance.instanceId, error }, error === undefined ? 'worker answers again' : 'worker does not answer'),
       holdWaitMs: () => this.#holdWaitMs(link),
@@ -323,6 +352,17 @@
     void link.run()
   }
 
+  #reasonOver (instanceId: string): string | undefined {
+    if (this.#gone.has(instanceId)) return MACHINE_GONE
+    return this.#answeredAsOthers.has(instanceId) ? OTHER_LIFETIME : undefined
+  }
+
+  #tellOver ({ instanceId, machineId, address }: WorkerInstance, reason: string): void {
+    if (this.#toldOver.has(instanceId)) return
+    this.#toldOver.add(instanceId)
+    this.#options.log.info({ instanceId, machineId, address, reason }, 'registered worker not used: its lifetime is over')
+  }
+
   #leaseMs (): number {
     return Math.min(LEASE_MS, this.#options.bounds().maxLeaseMs * LEASE_SHARE)
   }
