--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -27,6 +27,8 @@
 /** As {@link TestService.list} writes it. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const POLL_MS = 5
+/** The clock of a worker that has started again shows an earlier time than it did before. */
+const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
 /** Asks for all jobs of a test, whichever account handed them in. */
 const TEST_CALLER: JobOwner = { account: 'test' as AccountName, keyTag: 'test' }
 
@@ -155,6 +157,22 @@
     return this.runs.workers.get(instance.instanceId) ?? this.runs.add(instance)
   }
 
+  /**
+   * Ends a lifetime, and begins another one under its id that knows nothing of it.
+   *
+   * @param worker - that starts again
+   * @param isRegistered - whether it says so in its entry already
+   * @returns the new lifetime
+   */
+  restartWorker (worker: StandInWorker, isRegistered = true): StandInWorker {
+    worker.crash()
+    const instance: WorkerInstance = { ...worker.instance, state: 'ready' }
+    const next = this.runs.add(instance)
+    next.clockShiftMs = worker.clockShiftMs - RESTARTED_CLOCK_SHIFT_MS
+    if (isRegistered) this.list(instance)
+    return next
+  }
+
   /** @param instance - as it registers itself */
   list (instance: WorkerInstance): void {
     this.#set(`${WORKERS_PREFIX}${instance.instanceId}`, JSON.stringify(instance))
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -72,6 +72,8 @@
   capacity: WorkerCapacity
   /** Whether it refuses what does not fit, rather than starting it. */
   guardsCapacity = true
+  /** How far its steady clock is ahead of the others'. */
+  clockShiftMs = 0
   /** When it was told to start what did not fit. */
   readonly overloadedMs: number[] = []
   /** Called each time that happens. */
@@ -97,6 +99,12 @@
     this.#isOver = true
     for (const run of this.active.values()) run.record.endedMs = this.clock.monotonicMs()
     this.active.clear()
+    for (const wake of this.#waiters) wake()
+  }
+
+  /** Whether it has ended. */
+  get isOver (): boolean {
+    return this.#isOver
   }
 
   /** @param expectedInstanceId - whom the caller means @param act - what is asked @returns its result, or what became of the call */
@@ -109,6 +117,7 @@
     }
     this.step()
     const result = await act()
+    if (this.#isOver) return Err({ kind: 'unknown-effect', detail: 'connection reset' })
     if (!this.faults.losesAnswers) return result
     await delay(LOST_AFTER_MS)
     return Err(LOST)
@@ -127,11 +136,12 @@
   /** @param order - a start @returns the clock */
   start (order: RunStart): Result<number, RunOrderError> {
     if (!this.#obeys(order.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
-    if (this.active.has(nameOf(order))) return Ok(this.clock.monotonicMs())
-    this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, order.leaseEndsAtMs)
+    if (this.active.has(nameOf(order))) return Ok(this.#clockMs())
+    const leaseEndsAtMs = order.leaseEndsAtMs - this.clockShiftMs
+    this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, leaseEndsAtMs)
     if (order.runNumber <= (this.#closed.get(order.taskKey) ?? 0)) return Err({ kind: 'run-closed', detail: 'old' })
     const nowMs = this.clock.monotonicMs()
-    if (order.leaseEndsAtMs <= nowMs) return Err({ kind: 'lease-past', detail: 'late' })
+    if (leaseEndsAtMs <= nowMs) return Err({ kind: 'lease-past', detail: 'late' })
     const capacity = this.sizeOf(order.taskKey)
     const hasRoom = this.#hasRoom(capacity)
     if (!hasRoom) {
@@ -159,7 +169,7 @@
     if (runMs > 0) setTimeout(() => this.#wake(), runMs + 1).unref()
     const isCrashing = crashingIndex === undefined || order.taskKey.endsWith(`.${crashingIndex}`)
     if (crashesAfterMs !== undefined && isCrashing) setTimeout(() => this.#crashUnder(order), crashesAfterMs).unref()
-    return Ok(nowMs)
+    return Ok(this.#clockMs())
   }
 
   /** @param run - to be stopped @param fencingToken - of the caller @returns the clock */
@@ -170,14 +180,14 @@
     if (active !== undefined && this.stopTakesMs === 0) this.#end(active, 'stopped')
     else if (active !== undefined) setTimeout(() => { if (this.active.has(nameOf(run))) this.#end(active, 'stopped') }, this.stopTakesMs).unref()
     this.#closed.set(run.taskKey, Math.max(run.runNumber, this.#closed.get(run.taskKey) ?? 0))
-    return Ok(this.clock.monotonicMs())
+    return Ok(this.#clockMs())
   }
 
   /** @param request - a hold @returns both lists */
   async hold (request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
     if (!this.#obeys(request.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
     if (this.holdDelayMs > 0) await delay(this.holdDelayMs)
-    if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs)
+    if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs - this.clockShiftMs)
     for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence && !this.#lapsedEnds.has(end)) end.record.isAcknowledged = true
     this.#ends = this.#ends.filter(({ sequence }) => sequence > request.acknowledgedSequence)
     if (this.#ends.length === 0 && request.waitMs > 0) await this.#waitForEnd(Math.min(MAX_WAIT_MS, request.waitMs))
@@ -185,7 +195,11 @@
     const nowMs = this.clock.monotonicMs()
     const running = [...this.active.values()].map(({ record, percentOf }): RunReport =>
       ({ taskKey: record.taskKey, runNumber: record.runNumber, checkpoint: '', percent: percentOf(nowMs), load: 0 }))
-    return Ok({ clockMs: nowMs, running, ended: this.#ends.slice(0, MAX_ENDS_LISTED), hasMoreEnds: this.#ends.length > MAX_ENDS_LISTED })
+    return Ok({ clockMs: this.#clockMs(), running, ended: this.#ends.slice(0, MAX_ENDS_LISTED), hasMoreEnds: this.#ends.length > MAX_ENDS_LISTED })
+  }
+
+  #clockMs (): number {
+    return this.clock.monotonicMs() + this.clockShiftMs
   }
 
   #crashUnder (run: RunRef): void {
@@ -242,6 +256,8 @@
   readonly workers = new Map<string, StandInWorker>()
   /** Called when a run has ended its worker's lifetime. */
   onCrash: (worker: StandInWorker) => void = () => {}
+  /** Lifetimes that were followed by another one under the same id. */
+  readonly #former: StandInWorker[] = []
   /** Workers by address: a new lifetime takes the place of the former. */
   readonly #atAddress = new Map<string, StandInWorker>()
   readonly #clock: Clock
@@ -255,6 +271,8 @@
 
   /** @param instance - of a new lifetime @returns the worker */
   add (instance: WorkerInstance): StandInWorker {
+    const former = this.workers.get(instance.instanceId)
+    if (former !== undefined) this.#former.push(former)
     const worker = new StandInWorker(instance, this.#clock, this.#sizeOf)
     worker.onCrash = (crashed) => this.onCrash(crashed)
     this.workers.set(instance.instanceId, worker)
@@ -264,7 +282,7 @@
 
   /** Everything that ever ran. */
   get records (): RunRecord[] {
-    return [...this.workers.values()].flatMap(({ records }) => records)
+    return [...this.#former, ...this.workers.values()].flatMap(({ records }) => records)
   }
 
   async start (worker: WorkerInstance, order: RunStart): Promise<Result<number, RunOrderError>> {
