Machines that have been of no use to their service for 4 s do not count as its room

Cause: the holder of machines counts every machine that is up in a service's pool, whether or not the service has a usable worker there. 39 of no use covered a need of 27. Class: two views of one thing, and the decision trusts the one that knows less.

Change: a machine that is up in a pool and not among the usable ones of its service for 4 s is not counted. That is longer than a worker takes to register, and than registrations take to be back after the store was away.

Why it works: whatever keeps a worker from being used, its service gets another machine within 6 s, as long as any is parked or to spare.

--- a/packages/bench/src/lib/policy/SimulatedPools.ts
+++ b/packages/bench/src/lib/policy/SimulatedPools.ts
@@ -92,6 +92,7 @@
       machines: this.#listed(nowMs),
       busy: this.#moving,
       isRefused: () => false,
+      unusable: new Set(),
       mayPark: nowMs - this.#tookOverMs > NEED_MEMORY_MS,
       recentNeed,
       comingNeed: this.#needs.coming(demands, nowMs),
--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -34,6 +34,8 @@
   readonly machines: ReadonlyMap<string, ListedMachine>
   /** Machines that are being emptied, moved or kept up; they count for the pool where they will be. */
   readonly busy: ReadonlyMap<string, string>
+  /** Machines that are up in a service's pool and have been of no use to it for so long that they are not counted on. */
+  readonly unusable: ReadonlySet<string>
   /** Pairs of machine and pool that the platform refused. */
   readonly isRefused: (machineId: string, pool: string) => boolean
   /** Whether needs were watched for long enough to give room back. */
@@ -70,7 +72,7 @@
   readonly need: number
   /** Not given back yet, since it was needed lately. */
   readonly keep: number
-  /** In its pool, or on their way there. */
+  /** In its pool and not {@link PoolView.unusable}, or on their way there. */
   have: number
 }
 
@@ -97,15 +99,19 @@
 }
 
 /** @param view - what is known @returns the services' needs and machines @public */
-export function countPools (view: Pick<PoolView, 'demands' | 'machines' | 'busy' | 'recentNeed' | 'comingNeed'>): PoolCount[] {
+export function countPools (view: Pick<PoolView, 'demands' | 'machines' | 'busy' | 'unusable' | 'recentNeed' | 'comingNeed'>): PoolCount[] {
   return view.demands.map((demand): PoolCount => {
     const need = Math.max(machinesNeeded(demand), view.comingNeed.get(demand.service) ?? 0)
     return { demand, need, keep: Math.max(need, view.recentNeed.get(demand.service) ?? 0), have: countIn(demand.service, view) }
   })
 }
 
-function countIn (pool: string, view: Pick<PoolView, 'machines' | 'busy'>): number {
-  return [...view.machines.values()].filter((machine) => (view.busy.get(machine.machineId) ?? machine.pool) === pool && machine.state !== 'down').length
+function countIn (pool: string, { machines, busy, unusable }: Pick<PoolView, 'machines' | 'busy' | 'unusable'>): number {
+  return [...machines.values()].filter(({ machineId, pool: present, state }) => {
+    const next = busy.get(machineId)
+    if (next !== undefined) return next === pool && state !== 'down'
+    return present === pool && state !== 'down' && !unusable.has(machineId)
+  }).length
 }
 
 function apply (move: PoolMove, counts: readonly PoolCount[], taken: Set<string>, moves: PoolMove[]): void {
--- a/packages/policy/src/test/planPools.test.ts
+++ b/packages/policy/src/test/planPools.test.ts
@@ -35,6 +35,7 @@
     mostMoves: 6,
     comingNeed: new Map(),
     busy: new Map(),
+    unusable: new Set(),
     isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
     recentNeed: new Map(pools.flatMap(({ name, recent }) => recent === undefined ? [] : [[name, recent] as const]))
   }
--- a/packages/scheduler/src/lib/machines/PoolBalancer.ts
+++ b/packages/scheduler/src/lib/machines/PoolBalancer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ListedMachine } from '@quillscale/ports'
 import { countPools, NEED_MEMORY_MS, planPools, type PoolMove, type PoolView, ServiceNeeds } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { ShortageLog } from './ShortageLog.js'
@@ -21,6 +22,8 @@
 const MOVES_SHARE = 0.8
 /** What was not used for so long is not caught up with: the rate counts each second. */
 const MOST_PAUSE_MS = 250
+/** Longer than a worker takes to register after a start, or to be back after the store was away. */
+const USELESS_MS = 4000
 const MS_PER_S = 1000
 
 /** The balancer, for one tenure of the holder of machines. @public */
@@ -29,6 +32,7 @@
   readonly #needs = new ServiceNeeds()
   readonly #shortages: ShortageLog
   readonly #refused = new Set<string>()
+  readonly #uselessSinceMs = new Map<string, number>()
   #beganMs: number | undefined
   #plannedMs = -Infinity
 
@@ -49,6 +53,7 @@
     const { demands } = situation
     const view: PoolView = {
       ...situation,
+      unusable: this.#unusable(situation, nowMs),
       isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
       recentNeed: this.#needs.recent(demands, nowMs),
       comingNeed: this.#needs.coming(demands, nowMs),
@@ -59,6 +64,17 @@
     return planPools(view)
   }
 
+  /** Machines that are up while no worker of theirs is ready for work: it cannot be reached, ends, or is not known. */
+  #unusable ({ demands, machines, busy }: PoolSituation, nowMs: number): Set<string> {
+    const usableBy = new Map(demands.map(({ service, runsByMachine }) => [service, runsByMachine]))
+    const isUseless = ({ machineId, pool, state }: ListedMachine): boolean =>
+      state === 'up' && !busy.has(machineId) && usableBy.get(pool)?.has(machineId) === false
+    const useless = new Set([...machines.values()].filter(isUseless).map(({ machineId }) => machineId))
+    for (const machineId of this.#uselessSinceMs.keys()) if (!useless.has(machineId)) this.#uselessSinceMs.delete(machineId)
+    for (const machineId of useless) if (!this.#uselessSinceMs.has(machineId)) this.#uselessSinceMs.set(machineId, nowMs)
+    return new Set([...useless].filter((machineId) => nowMs - (this.#uselessSinceMs.get(machineId) ?? nowMs) >= USELESS_MS))
+  }
+
   /** As many as the platform takes in the time since they were planned last. */
   #mostMoves (nowMs: number): number {
     const sinceMs = Math.min(MOST_PAUSE_MS, nowMs - this.#plannedMs)
