Services give up what exceeds a lowered limit by the record alone

Cause: each service divided the limit by its own present claim and by what the others had written. One that runs nothing any more counts its first task, and the record did not say so: 1,000 and 750 of 1,500 were kept, nothing was usable, and neither had a reason to write. Class: planners that agree only on the same input, and an input that is written only when one of them deems it worth it.

Evidence: planGrant with the two claims of the issue keeps 1,750 of 1,500; three services with other first tasks than recorded keep 1,579 of 1,000. Both tests failed before, and a ledger over that record never started a task.

Ruled out: lost writes and stale views: the test has neither.

Change: while grants exceed the limit, each divides by its recorded claim, and ties between equal wishes are broken by name, so that all divide the same sum. A service that runs nothing writes its first task whenever that has changed.

Why it works: shares are a function of the record, and add up to the limit at most; what is kept is a share or what runs, so that the sum fits as soon as enough has ended.

Conclusion: the standstill is gone.

--- a/packages/policy/src/lib/quotas/planGrant.ts
+++ b/packages/policy/src/lib/quotas/planGrant.ts
@@ -52,10 +52,11 @@
  * @param own - the service's claim
  * @param others - those of all other services, as recorded
  * @param limit - of the account, infinite where there is none
+ * @param recorded - the service's claim as it stands in the record
  * @returns the grant that it should have; the sum with the others' stays within the limit, unless a lowered limit is exceeded already
  * @public
  */
-export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): GrantPlan {
+export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources, recorded: QuotaClaim = own): GrantPlan {
   const free = mapResources((kind) => Math.max(0, limit[kind] - sumGranted(others)[kind]))
   const isOver = !fitsWithin(plus(own.granted, sumGranted(others)), limit)
   if (!isOver && !others.some(isLacking)) {
@@ -63,7 +64,8 @@
     const granted = most(own.granted, least(wished, free))
     return { granted, usable: granted }
   }
-  const share = shareOf(own, others, limit)
+  // What exceeds the limit is given up by the record alone: services that divide different claims could keep more than there is, for good.
+  const share = shareOf(isOver ? recorded : own, others, limit)
   const target = most(own.used, least(share, own.wanted))
   if (isOver) return { granted: least(own.granted, target), usable: NO_RESOURCES }
   const granted = mapResources((kind) => target[kind] <= own.granted[kind] ? target[kind] : Math.max(own.granted[kind], Math.min(target[kind], free[kind])))
@@ -83,7 +85,7 @@
  * The fair share of one service: those that run nothing get what their first task takes, in the order in which they began to lack it; the
  * rest is divided evenly up to what each wants.
  */
-function shareOf (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
+function shareOf (own: QuotaClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
   const claims = [own, ...others]
   let left = limit
   const shares = new Map<string, Resources>()
@@ -100,14 +102,14 @@
 }
 
 function evenShare (
-  kind: typeof RESOURCE_KINDS[number], own: OwnClaim, claims: readonly QuotaClaim[], firsts: ReadonlyMap<string, Resources>, amount: number
+  kind: typeof RESOURCE_KINDS[number], own: QuotaClaim, claims: readonly QuotaClaim[], firsts: ReadonlyMap<string, Resources>, amount: number
 ): number {
   if (amount === Infinity) return Infinity
   const open = claims.map((claim) => {
     const first = firsts.get(claim.service)?.[kind] ?? 0
     // One that has enough gives up what it does not use by itself.
     return { service: claim.service, first, more: Math.max(0, (isLacking(claim) ? claim.wanted[kind] : claim.granted[kind]) - first) }
-  }).sort((a, b) => a.more - b.more)
+  }).sort((a, b) => a.more - b.more || (a.service < b.service ? -1 : 1))
   let left = amount
   let share = 0
   open.forEach(({ service, first, more }, at) => {
--- a/packages/policy/src/test/planGrant.test.ts
+++ b/packages/policy/src/test/planGrant.test.ts
@@ -130,6 +130,69 @@
     }))
   })
 
+  interface DividedCase {
+    readonly name: string
+    readonly limitMillis: number
+    readonly services: ReadonlyArray<{ readonly recorded: Shape, readonly present: Shape }>
+  }
+
+  /** Each service plans by the same record, and knows only of itself what is not written there yet. @returns what they are granted together */
+  function dividedMillis ({ services, limitMillis }: DividedCase): number {
+    const recorded = services.map((service, at) => claimOf(`s${at}`, service.recorded))
+    return services.reduce((sum, { present }, at) => {
+      const { granted = 0, sinceMs } = services[at]?.recorded ?? {}
+      const own = claimOf(`s${at}`, { granted, sinceMs, ...present })
+      const others = recorded.filter((_, other) => other !== at)
+      return sum + planGrant(own, others, { ...LIMIT, cpuMillis: limitMillis }, recorded[at]).granted.cpuMillis
+    }, 0)
+  }
+
+  const waiting = { wanted: 100_000, sinceMs: 1 }
+  const divided: readonly DividedCase[] = [
+    {
+      name: 'one of two services has no task running any more, and the record does not say so',
+      limitMillis: 1500,
+      services: [
+        { recorded: { granted: 750, ...waiting }, present: { wanted: 100_000 } },
+        { recorded: { granted: 1000, ...waiting }, present: { wanted: 100_000, first: 500 } }
+      ]
+    },
+    {
+      name: 'three services, all with other tasks in line than the record says',
+      limitMillis: 1000,
+      services: [400, 300, 200].map((first) => ({ recorded: { granted: 700, first: 10, ...waiting }, present: { wanted: 100_000, first } }))
+    },
+    {
+      name: 'an amount that cannot be divided evenly',
+      limitMillis: 1001,
+      services: ['a', 'b'].map(() => ({ recorded: { granted: 800, ...waiting }, present: { wanted: 100_000 } }))
+    }
+  ]
+  for (const { name, ...claims } of divided) {
+    it(`a lowered limit is kept by what each gives up on its own: ${name}`, () => {
+      expect(dividedMillis({ name, ...claims })).to.be.at.most(claims.limitMillis)
+    })
+  }
+
+  it('a lowered limit is kept by what each gives up on its own, whatever the record does not say yet', () => {
+    const amount = fc.integer({ min: 0, max: 100 })
+    const shape = fc.record({ granted: amount, wanted: amount, first: amount, isLacking: fc.boolean() })
+    const service = fc.record({ recorded: shape, present: fc.record({ wanted: amount, first: amount, used: amount }) })
+    fc.assert(fc.property(fc.array(service, { minLength: 2, maxLength: 5 }), amount, (drawn, limitMillis) => {
+      const services = drawn.map(({ recorded: { isLacking, ...recorded }, present }) => {
+        const used = Math.min(present.used, recorded.granted)
+        return {
+          recorded: isLacking ? { ...recorded, sinceMs: 1 } : { granted: recorded.granted },
+          present: { used, wanted: used + present.wanted, first: used > 0 ? 0 : present.first }
+        }
+      })
+      const grantedMillis = services.reduce((sum, { recorded }) => sum + recorded.granted, 0)
+      const usedMillis = services.reduce((sum, { present }) => sum + present.used, 0)
+      fc.pre(grantedMillis > limitMillis)
+      expect(dividedMillis({ name: 'drawn', services, limitMillis })).to.be.at.most(limitMillis + usedMillis)
+    }))
+  })
+
   it('gives each service its first task in the end, whatever the others want', () => {
     fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 100 }), { minLength: 2, maxLength: 4 }), (sizes) => {
       const limit = amounts(100)
--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -184,7 +184,7 @@
       lackingSinceMs: recorded?.lackingSinceMs
     }
     const others = record.claims.filter((other) => other.service !== service && !this.#isGone(other.service, nowMs))
-    return { claim, others, limit, plan: planGrant(claim, others, limit) }
+    return { claim, others, limit, plan: planGrant(claim, others, limit, recorded ?? noClaim(service)) }
   }
 
   #recordedClaim (account: AccountName): QuotaClaim | undefined {
@@ -275,6 +275,9 @@
   }
 }
 
+const noClaim = (service: string): QuotaClaim =>
+  ({ service, granted: NO_RESOURCES, wanted: NO_RESOURCES, first: NO_RESOURCES, lackingSinceMs: undefined })
+
 /** Growth before it is needed, and news of what is lacking, are worth a write; so is each amount that is given up. */
 function isWorthWriting (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined): boolean {
   const isLess = !fitsWithin(claim.granted, next.granted)
@@ -283,7 +286,8 @@
   if (isLess || (isMore && isNeeded)) return true
   const isStillLacking = next.lackingSinceMs !== undefined
   if (isStillLacking !== (recorded?.lackingSinceMs !== undefined)) return true
-  return isStillLacking && recorded !== undefined && isNews(recorded.wanted, next.wanted)
+  if (!isStillLacking || recorded === undefined) return false
+  return isNews(recorded.wanted, next.wanted) || RESOURCE_KINDS.some((kind) => recorded.first[kind] !== next.first[kind])
 }
 
 function isNews (before: Resources, now: Resources): boolean {
--- a/packages/scheduler/src/test/QuotaLedger.test.ts
+++ b/packages/scheduler/src/test/QuotaLedger.test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 import { delay, SeededRandom, systemClock } from '@quillscale/utils'
 import type { AccountName, FleetConfiguration } from '@quillscale/ports'
-import { createJob, jobSpecSchema, QuotaRound, tasksOf, type Run, type Task } from '@quillscale/policy'
+import { createJob, jobSpecSchema, QuotaRound, tasksOf, type QuotaClaim, type Resources, type Run, type Task } from '@quillscale/policy'
 import { accountsOf } from '../lib/accounts/AccountDirectory.js'
 import { QuotaLedger } from '../lib/accounts/QuotaLedger.js'
-import { quotaKey } from '../lib/accounts/quotaRecord.js'
+import { encodeQuota, quotaKey } from '../lib/accounts/quotaRecord.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { FaultyStore, testJobId, TestLog } from './TestService.js'
@@ -190,6 +190,18 @@
     expect(fleet.mostMillis).to.be.at.most(300)
   })
 
+  it('goes on where two services divide different sums', async () => {
+    fleet = new Fleet(1500)
+    const amounts = (cpuMillis: number): Resources => ({ cpuMillis, memoryMb: 0, gpus: 0 })
+    const claimOf = (service: string, granted: number): QuotaClaim =>
+      ({ service, granted: amounts(granted), wanted: amounts(100_000), first: amounts(0), lackingSinceMs: 1 })
+    const value = encodeQuota({ account: PRESS, claims: [claimOf('a', 750), claimOf('b', 1000)] })
+    await fleet.store.transact({ conditions: [], puts: [{ key: quotaKey(PRESS), value }], removals: [] })
+    const holders = await Promise.all(['a', 'b'].map((service) => fleet.takeOver(service, fleet.tasks(200, 500))))
+    await fleet.until('both start tasks', () => holders.every(({ startedMs }) => startedMs !== undefined), START_BOUND_MS)
+    expect(fleet.mostMillis).to.be.at.most(1500)
+  })
+
   it('uses a raised limit', async () => {
     fleet = new Fleet(200)
     const a = await fleet.takeOver('a', fleet.tasks(30))
