A service's turn for an account's limit begins anew with each task that it runs

What callers saw: with a limit that holds one task, jobs of one service of the account ran one after the other, and those of its other services never began.

Cause: who lacks a grant longest comes first, and a service counted as lacking since it first did, whatever it had run meanwhile: it lacks all the time while its jobs wait.

Change: the time since when it lacks is that since when it has run nothing.

Why it works: the one that waits is the elder as soon as the other's task has ended, and is given what its first task takes before the other starts another.

--- a/packages/policy/src/lib/quotas/planGrant.ts
+++ b/packages/policy/src/lib/quotas/planGrant.ts
@@ -18,7 +18,7 @@
   readonly wanted: Resources
   /** Without so much it runs nothing at all; nothing once anything runs. */
   readonly first: Resources
-  /** Time of day since when it has wanted more than it has; `undefined` while it has enough. */
+  /** Time of day since when it has wanted more than it has, and run nothing; `undefined` while it has enough. */
   readonly lackingSinceMs: number | undefined
 }
 
--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -181,7 +181,7 @@
       granted: recorded?.granted ?? NO_RESOURCES,
       wanted: limited(plus(used, shortage?.wanted ?? NO_RESOURCES)),
       first: isIdle ? limited(shortage?.first ?? NO_RESOURCES) : NO_RESOURCES,
-      lackingSinceMs: recorded?.lackingSinceMs
+      lackingSinceMs: this.#lackingSinceMs.get(account) ?? recorded?.lackingSinceMs
     }
     const others = record.claims.filter((other) => other.service !== service && !this.#isGone(other.service, nowMs))
     return { claim, others, limit, plan: planGrant(claim, others, limit, recorded ?? noClaim(service)) }
@@ -210,7 +210,9 @@
       this.#lackingSinceMs.delete(account)
       return { ...next, wanted: NO_RESOURCES, first: NO_RESOURCES }
     }
-    const lackingSinceMs = this.#lackingSinceMs.get(account) ?? claim.lackingSinceMs ?? this.#options.clock.wallMs()
+    const nowMs = this.#options.clock.wallMs()
+    // Its turn begins anew with each task that it runs.
+    const lackingSinceMs = fitsWithin(claim.used, NO_RESOURCES) ? claim.lackingSinceMs ?? nowMs : nowMs
     this.#lackingSinceMs.set(account, lackingSinceMs)
     return { ...next, lackingSinceMs }
   }
--- a/packages/scheduler/src/test/QuotaLedger.test.ts
+++ b/packages/scheduler/src/test/QuotaLedger.test.ts
@@ -12,6 +12,9 @@
 const PRESS = 'press' as AccountName
 const TASK_MILLIS = 100
 const ROUND_MS = 5
+/** What the users allow until a changed limit is kept and used. */
+const SETTLE_MS = 2000
+const WATCH_MS = 1500
 /** What the users allow for a job with nothing running, while its account is under half of its limit. */
 const START_BOUND_MS = 3000
 /** The last leases, and the time until all have heard of a configuration. */
@@ -190,6 +193,36 @@
     expect(fleet.mostMillis).to.be.at.most(300)
   })
 
+  const lowered: ReadonlyArray<{ readonly services: readonly string[], readonly limits: readonly number[], readonly taskMillis: number }> = [
+    { services: ['a', 'b'], limits: [4000, 1500], taskMillis: 500 },
+    { services: ['a', 'b'], limits: [4000, 700], taskMillis: 500 },
+    { services: ['a', 'b', 'c'], limits: [4000, 1500, 3000, 1100], taskMillis: 500 },
+    { services: ['a', 'b', 'c', 'd', 'e'], limits: [6000, 2100, 900], taskMillis: 300 }
+  ]
+  for (const { services, limits, taskMillis } of lowered) {
+    for (const seed of [1, 2, 3]) {
+      it(`goes on by each limit of ${limits.join(', ')} in ${services.length} services whose holders change, seed ${seed}`, async () => {
+        const random = new SeededRandom(seed)
+        const [firstLimit = 0, ...later] = limits
+        fleet = new Fleet(firstLimit)
+        for (const service of services) (await fleet.takeOver(service, fleet.tasks(2000, taskMillis))).runMs = 40
+        for (const limitMillis of later) {
+          await delay(100 + random.integer(100))
+          const taken = await fleet.takeOver(random.pick(services))
+          taken.runMs = 40
+          fleet.limit(limitMillis, [...services])
+          await delay(SETTLE_MS)
+          const before = [...fleet.holders.values()].map(({ waiting }) => waiting.length)
+          fleet.mostMillis = 0
+          await delay(WATCH_MS)
+          const started = [...fleet.holders.values()].map(({ waiting }, at) => (before[at] ?? 0) - waiting.length)
+          expect(Math.min(...started), `least started of ${started.join(', ')} by ${limitMillis}`).to.be.above(0)
+          expect(fleet.mostMillis).to.be.at.most(limitMillis)
+        }
+      }).timeout(30_000)
+    }
+  }
+
   it('goes on where two services divide different sums', async () => {
     fleet = new Fleet(1500)
     const amounts = (cpuMillis: number): Resources => ({ cpuMillis, memoryMb: 0, gpus: 0 })
