--- /dev/null
+++ b/packages/scheduler/src/lib/workers/RunLosses.ts
@@ -0,0 +1,157 @@
+/**
+ * Gives up the runs of workers' lifetimes that are over, at once or as soon as it is known that they go on nowhere.
+ *
+ * @module
+ */
+import type { Clock } from '@quillscale/utils'
+import { bornMsOf, type HoldReport } from '@quillscale/ports'
+import type { Run } from '@quillscale/policy'
+import type { WorkerLoss } from '../jobs/CrashBook.js'
+import type { LossEvidence } from '../jobs/RunBook.js'
+import { DoubtfulRuns, type Doubt, type SettledRuns } from './DoubtfulRuns.js'
+import type { LeaseBounds } from './LeaseBounds.js'
+import { MACHINE_GONE } from './OverLifetimes.js'
+import { runKey, type WorkerLink } from './WorkerLink.js'
+
+/** Why runs are given up. @public */
+export const STARTED_AGAIN = 'its worker has started again'
+/** The same. @public */
+export const LEASES_OVER = 'its leases are over'
+/** The same. @public */
+export const FORMER_LEASES_OVER = 'leases of former holders are over'
+
+/** What it works with. @public */
+export interface RunLossesOptions {
+  readonly clock: Clock
+  readonly leases: LeaseBounds
+  /** Monotonic; since when the duty is held. */
+  readonly tookOverMs: number
+  /** Whether a machine is being emptied. */
+  readonly isVacating: (machineId: string) => boolean
+  /** Called for each worker whose runs are lost, before its runs are. */
+  readonly onWorkerLost: (loss: WorkerLoss) => void
+  /** Called for each run that is lost with its worker. */
+  readonly onLost: (run: Run, evidence: LossEvidence) => void
+  /** Called for each run that turned out to be on the next lifetime of its worker. */
+  readonly onMoved: (run: Run) => void
+}
+
+/** An order under way when its worker's machine went down has reached the next lifetime within this, and is listed there, or never will. */
+const ORDERS_SETTLED_MS = 1500
+
+/** The losses. @public */
+export class RunLosses {
+  readonly #options: RunLossesOptions
+  readonly #doubtful = new DoubtfulRuns()
+
+  /** @param options - what it works with */
+  constructor (options: RunLossesOptions) {
+    this.#options = options
+  }
+
+  /** @param instanceId - any @returns whether runs of that lifetime are in doubt */
+  hasDoubtful (instanceId: string): boolean {
+    return this.#doubtful.has(instanceId)
+  }
+
+  /** Takes note of a run of a lifetime that is over: a former holder's order for it may have reached the present one. @param run - as recorded */
+  doubt (run: Run): void {
+    this.#doubtful.add(run, this.#doubtOf(STARTED_AGAIN, { mayArrive: false, isCharged: false }))
+  }
+
+  /** Gives up the runs of a lifetime, but for those that may be on the next one. @param link - to that lifetime @param reason - why it is over */
+  loseLink (link: WorkerLink, reason: string): void {
+    const runs = [...link.runs.values()]
+    const inDoubt = runs.filter((run) => mayBeOnNext(run, link, reason))
+    for (const run of inDoubt) this.#doubtful.add(run, this.#doubtOf(reason, { mayArrive: run.phase === 'starting', isCharged: true }))
+    this.lose(link.instance.instanceId, link, runs, reason, inDoubt)
+  }
+
+  /**
+   * @param instanceId - of a lifetime
+   * @param link - to it, `undefined` if it was never met
+   * @param runs - of it
+   * @param reason - why they are lost
+   * @param kept - those among them that are not given up yet
+   */
+  lose (instanceId: string, link: WorkerLink | undefined, runs: readonly Run[], reason: string, kept: readonly Run[] = []): void {
+    if (runs.length === 0) return
+    const nowMs = this.#options.clock.monotonicMs()
+    const silentMs = link?.silentForMs(nowMs)
+    this.#options.onWorkerLost({
+      instanceId,
+      heardMs: silentMs === undefined ? undefined : nowMs - silentMs,
+      rack: link?.instance.labels.at(-1),
+      availabilityZone: link?.instance.availabilityZone,
+      runs,
+      isPlanned: link !== undefined && this.#isEndPlanned(link, nowMs),
+      isSilent: reason === LEASES_OVER || reason === FORMER_LEASES_OVER
+    })
+    for (const run of runs) {
+      if (!kept.includes(run)) this.#loseRun(run, silentMs, reason, runs.filter(({ task }) => task.job !== run.task.job).length)
+    }
+  }
+
+  /**
+   * Settles what was in doubt by the report of a worker's present lifetime. What may still arrive there is stopped, which keeps it from
+   * starting.
+   *
+   * @param link - to that lifetime
+   * @param report - its answer
+   * @param askedMs - monotonic, when it was asked
+   */
+  settle (link: WorkerLink, report: HoldReport, askedMs: number): void {
+    const { there, arriving, lost } = this.#doubtful.settle(link, report, askedMs)
+    for (const run of [...there, ...arriving]) {
+      run.instanceId = link.instance.instanceId
+      run.seenMs = -Infinity
+      link.runs.set(runKey(run), run)
+      if (run.phase !== 'stopping') run.phase = 'unconfirmed'
+      this.#options.onMoved(run)
+    }
+    for (const run of arriving) void link.stop(run)
+    this.#loseDoubtful(lost)
+  }
+
+  /** Gives up runs in doubt that no lease allows any more. @param nowMs - monotonic */
+  loseOverdue (nowMs: number): void {
+    this.#loseDoubtful(this.#doubtful.takeOverdue(nowMs))
+  }
+
+  #loseDoubtful (lost: SettledRuns['lost']): void {
+    for (const { run } of lost.filter(({ doubt }) => doubt.isCharged)) this.#loseRun(run, undefined, STARTED_AGAIN)
+    const uncharged = lost.filter(({ doubt }) => !doubt.isCharged).map(({ run }) => run)
+    for (const instanceId of new Set(uncharged.map((run) => run.instanceId))) {
+      this.lose(instanceId, undefined, uncharged.filter((run) => run.instanceId === instanceId), STARTED_AGAIN)
+    }
+  }
+
+  #doubtOf (reason: string, known: Pick<Doubt, 'mayArrive' | 'isCharged'>): Doubt {
+    const { clock, leases } = this.#options
+    const sinceMs = clock.monotonicMs()
+    // By the former lifetime's clock, a start may name a longer lease than the next one grants.
+    const lastsMs = reason === MACHINE_GONE ? ORDERS_SETTLED_MS : leases.longestGrantedMs
+    return { ...known, sinceMs, untilMs: sinceMs + lastsMs }
+  }
+
+  /** Whether it was to end: it drained, its machine was being emptied, or it went on answering without a registration. */
+  #isEndPlanned (link: WorkerLink, nowMs: number): boolean {
+    const isLeaving = !link.isListed && link.isAnswering(nowMs)
+    return isLeaving || link.instance.state === 'draining' || this.#options.isVacating(link.instance.machineId)
+  }
+
+  #loseRun (run: Run, silentMs: number | undefined, reason: string, runsOfOtherJobs = 0): void {
+    const { clock, tookOverMs, onLost } = this.#options
+    const nowMs = clock.monotonicMs()
+    const placedAgoMs = run.placedMs === undefined ? undefined : Math.round(nowMs - run.placedMs)
+    onLost(run, { reason, silentMs: Math.round(silentMs ?? nowMs - tookOverMs), placedAgoMs, runsOfOtherJobs })
+  }
+}
+
+/** Whether an order to start a run may have reached the next lifetime of its worker. */
+function mayBeOnNext (run: Run, link: WorkerLink, reason: string): boolean {
+  if (run.phase === 'recording' || link.hasReached(run)) return false
+  if (reason === STARTED_AGAIN) return true
+  // While its machine was down there was no next lifetime for the orders of former holders.
+  return reason === MACHINE_GONE && run.phase !== 'unconfirmed' && bornMsOf(run.instanceId) !== undefined
+}
--- a/packages/scheduler/src/lib/workers/WorkerSet.ts
+++ b/packages/scheduler/src/lib/workers/WorkerSet.ts
@@ -4,15 +4,15 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import { bornMsOf, workerIdOf, type HoldReport, type WorkerId, type WorkerInstance } from '@quillscale/ports'
+import { bornMsOf, workerIdOf, type WorkerId, type WorkerInstance } from '@quillscale/ports'
 import { type Run, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { WorkerLoss } from '../jobs/CrashBook.js'
 import type { LossEvidence } from '../jobs/RunBook.js'
 import type { GoneReport } from '../machines/goneReport.js'
-import { DoubtfulRuns, type Doubt, type SettledRuns } from './DoubtfulRuns.js'
 import { LeaseBounds } from './LeaseBounds.js'
 import { isOverByList, MACHINE_GONE, OTHER_LIFETIME, OverLifetimes } from './OverLifetimes.js'
+import { FORMER_LEASES_OVER, LEASES_OVER, RunLosses, STARTED_AGAIN } from './RunLosses.js'
 import type { SilentWorkers } from './SilentWorkers.js'
 import type { RegisteredWorkers } from './WorkerRegistrations.js'
 import { runKey, SILENT_AFTER_MS, WorkerLink, type WorkerLinkOptions } from './WorkerLink.js'
@@ -63,12 +63,6 @@
 const LATE_ANSWER_MS = 200
 /** Runs named in a line of the log at most. */
 const RUNS_IN_LINE = 20
-/** An order under way when its worker's machine went down has reached the next lifetime within this, and is listed there, or never will. */
-const ORDERS_SETTLED_MS = 1500
-
-const STARTED_AGAIN = 'its worker has started again'
-const LEASES_OVER = 'its leases are over'
-const FORMER_LEASES_OVER = 'leases of former holders are over'
 
 /** The set. @public */
 export class WorkerSet {
@@ -78,7 +72,7 @@
   readonly #orphans = new Set<Run>()
   readonly #over: OverLifetimes
   readonly #leases: LeaseBounds
-  readonly #doubtful = new DoubtfulRuns()
+  readonly #losses: RunLosses
   readonly #tookOverMs: number
   #registered: RegisteredWorkers = { workers: [], registeredIds: new Set() }
   #hasToldOfWaits = false
@@ -91,6 +85,7 @@
     this.#tookOverMs = options.clock.monotonicMs()
     this.#over = new OverLifetimes(options.log)
     this.#leases = new LeaseBounds({ ...options, tookOverMs: this.#tookOverMs })
+    this.#losses = new RunLosses({ ...options, leases: this.#leases, tookOverMs: this.#tookOverMs })
   }
 
   /** All workers that are dealt with. */
@@ -137,15 +132,10 @@
   adopt (run: Run): void {
     const link = this.linkOf(run)
     if (link !== undefined) link.runs.set(runKey(run), run)
-    else if (this.links.some(({ instance }) => isNextLifetime(instance.instanceId, run.instanceId))) this.#doubt(run)
+    else if (this.links.some(({ instance }) => isNextLifetime(instance.instanceId, run.instanceId))) this.#losses.doubt(run)
     else this.#orphans.add(run)
   }
 
-  /** A former holder's order for a lifetime that is over may have reached the present one. */
-  #doubt (run: Run): void {
-    this.#doubtful.add(run, this.#doubtOf({ mayArrive: false, isCharged: false }))
-  }
-
   /** @param registered - who is registered now */
   follow (registered: RegisteredWorkers): void {
     const { workers: listed, registeredIds } = registered
@@ -209,12 +199,12 @@
       if (this.leasesLeftMs(link.instance.instanceId, nowMs) > 0) continue
       const reason = link.clock.hasGiven ? LEASES_OVER : FORMER_LEASES_OVER
       if (!link.isListed) this.#drop(link, reason)
-      else this.#loseAll(link.instance.instanceId, [...link.runs.values()].filter(({ phase }) => phase !== 'recording'), reason)
+      else this.#losses.lose(link.instance.instanceId, link, [...link.runs.values()].filter(({ phase }) => phase !== 'recording'), reason)
     }
     for (const instanceId of this.#unmetLifetimes()) {
       if (this.leasesLeftMs(instanceId, nowMs) === 0) this.#loseOrphans(instanceId, FORMER_LEASES_OVER)
     }
-    this.#loseDoubtful(this.#doubtful.takeOverdue(nowMs))
+    this.#losses.loseOverdue(nowMs)
   }
 
   /** Writes down for a next holder which workers do not answer; for a planned hand-over. @param nowMs - monotonic */
@@ -225,7 +215,7 @@
 
   /** @param instanceId - any @returns whether runs may be there that this holder knows of */
   isKnown (instanceId: string): boolean {
-    return this.#links.has(instanceId) || this.#doubtful.has(instanceId) || [...this.#orphans].some((run) => run.instanceId === instanceId)
+    return this.#links.has(instanceId) || this.#losses.hasDoubtful(instanceId) || [...this.#orphans].some((run) => run.instanceId === instanceId)
   }
 
   /** Lifetimes that were never met, with runs of earlier holders. */
@@ -281,67 +271,7 @@
   #loseOrphans (instanceId: string, reason: string): void {
     const runs = [...this.#orphans].filter((run) => run.instanceId === instanceId)
     for (const run of runs) this.#orphans.delete(run)
-    this.#loseAll(instanceId, runs, reason)
-  }
-
-  #doubtOf (known: Pick<Doubt, 'mayArrive' | 'isCharged'>, reason = STARTED_AGAIN): Doubt {
-    const sinceMs = this.#options.clock.monotonicMs()
-    // By the former lifetime's clock, a start may name a longer lease than the next one grants.
-    const lastsMs = reason === MACHINE_GONE ? ORDERS_SETTLED_MS : this.#leases.longestGrantedMs
-    return { ...known, sinceMs, untilMs: sinceMs + lastsMs }
-  }
-
-  /** The new lifetime says what it runs. What may still arrive there is stopped, which keeps it from starting. */
-  #settleDoubts (link: WorkerLink, report: HoldReport, askedMs: number): void {
-    const { there, arriving, lost } = this.#doubtful.settle(link, report, askedMs)
-    for (const run of [...there, ...arriving]) {
-      run.instanceId = link.instance.instanceId
-      run.seenMs = -Infinity
-      link.runs.set(runKey(run), run)
-      if (run.phase !== 'stopping') run.phase = 'unconfirmed'
-      this.#options.onMoved(run)
-    }
-    for (const run of arriving) void link.stop(run)
-    this.#loseDoubtful(lost)
-  }
-
-  #loseDoubtful (lost: SettledRuns['lost']): void {
-    for (const { run, doubt } of lost) {
-      if (doubt.isCharged) this.#lose(run, STARTED_AGAIN)
-      else this.#loseAll(run.instanceId, [run], STARTED_AGAIN)
-    }
-  }
-
-  /** @param runs - of one worker @param kept - those among them that are not given up yet */
-  #loseAll (instanceId: string, runs: readonly Run[], reason: string, kept: readonly Run[] = []): void {
-    if (runs.length === 0) return
-    const link = this.#links.get(instanceId)
-    const nowMs = this.#options.clock.monotonicMs()
-    const silentMs = link?.silentForMs(nowMs)
-    this.#options.onWorkerLost({
-      instanceId,
-      heardMs: silentMs === undefined ? undefined : nowMs - silentMs,
-      rack: link?.instance.labels.at(-1),
-      availabilityZone: link?.instance.availabilityZone,
-      runs,
-      isPlanned: link !== undefined && this.#isEndPlanned(link),
-      isSilent: reason === LEASES_OVER || reason === FORMER_LEASES_OVER
-    })
-    for (const run of runs) {
-      if (!kept.includes(run)) this.#lose(run, reason, runs.filter(({ task }) => task.job !== run.task.job).length)
-    }
-  }
-
-  /** Whether it was to end: it drained, its machine was being emptied, or it went on answering without a registration. */
-  #isEndPlanned (link: WorkerLink): boolean {
-    const isLeaving = !link.isListed && link.isAnswering(this.#options.clock.monotonicMs())
-    return isLeaving || link.instance.state === 'draining' || this.#options.isVacating(link.instance.machineId)
-  }
-
-  #lose (run: Run, reason: string, runsOfOtherJobs = 0): void {
-    const nowMs = this.#options.clock.monotonicMs()
-    const silentMs = this.linkOf(run)?.silentForMs(nowMs) ?? nowMs - this.#tookOverMs
-    this.#options.onLost(run, { reason, silentMs: Math.round(silentMs), placedAgoMs: placedAgoMs(run, nowMs), runsOfOtherJobs })
+    this.#losses.lose(instanceId, undefined, runs, reason)
   }
 
   #forgetGone (): void {
@@ -379,7 +309,7 @@
         this.#instanceOver(of, by === 'next-lifetime' ? STARTED_AGAIN : OTHER_LIFETIME)
       },
       onReport: (of, report, askedMs) => {
-        this.#settleDoubts(of, report, askedMs)
+        this.#losses.settle(of, report, askedMs)
         linkOptions.onReport(of, report, askedMs)
       },
       onContact: (of, error) => log.warn({ instanceId: of.instance.instanceId, error }, error === undefined ? 'worker answers again' : 'worker does not answer'),
@@ -392,7 +322,7 @@
       if (workerIdOf(run.instanceId) !== workerIdOf(instanceId)) continue
       this.#orphans.delete(run)
       if (run.instanceId === instanceId) link.runs.set(runKey(run), run)
-      else this.#doubt(run)
+      else this.#losses.doubt(run)
     }
     log.info({ instanceId, machineId: instance.machineId, address, labels, capacity }, 'worker met')
     void link.run()
@@ -408,36 +338,19 @@
   #instanceOver (link: WorkerLink, reason: string): void {
     const { instanceId } = link.instance
     if (this.#links.get(instanceId) !== link) return
-    const inDoubt = [...link.runs.values()].filter((run) => mayBeOnNext(run, link, reason))
-    this.#options.log.info({ instanceId, runs: link.runs.size, inDoubt: inDoubt.length, reason }, 'worker lifetime is over')
-    this.#drop(link, reason, inDoubt)
+    this.#options.log.info({ instanceId, runs: link.runs.size, reason }, 'worker lifetime is over')
+    this.#drop(link, reason)
   }
 
-  /** @param inDoubt - runs that may be on the worker's next lifetime */
-  #drop (link: WorkerLink, reason: string, inDoubt: readonly Run[] = []): void {
-    for (const run of inDoubt) {
-      this.#doubtful.add(run, this.#doubtOf({ mayArrive: run.phase === 'starting', isCharged: true }, reason))
-    }
-    this.#loseAll(link.instance.instanceId, [...link.runs.values()], reason, inDoubt)
+  #drop (link: WorkerLink, reason: string): void {
+    this.#losses.loseLink(link, reason)
     link.close()
     this.#links.delete(link.instance.instanceId)
     this.#options.onChange()
   }
 }
 
-/** Whether an order to start a run may have reached the next lifetime of its worker. */
-function mayBeOnNext (run: Run, link: WorkerLink, reason: string): boolean {
-  if (run.phase === 'recording' || link.hasReached(run)) return false
-  if (reason === STARTED_AGAIN) return true
-  // While its machine was down there was no next lifetime for the orders of former holders.
-  return reason === MACHINE_GONE && run.phase !== 'unconfirmed' && bornMsOf(run.instanceId) !== undefined
-}
-
 /** Whether a lifetime is a later one of the same worker. */
 function isNextLifetime (instanceId: string, former: string): boolean {
   return workerIdOf(instanceId) === workerIdOf(former) && (bornMsOf(instanceId) ?? -Infinity) > (bornMsOf(former) ?? -Infinity)
 }
-
-function placedAgoMs ({ placedMs }: Run, nowMs: number): number | undefined {
-  return placedMs === undefined ? undefined : Math.round(nowMs - placedMs)
-}
