Reports are looked through for runs in doubt only while there are any

Cause: each report of a worker was turned into a set of names, for a list of doubts that is empty but after a restart.

Ruled out: any change of behaviour: without doubts nothing was settled.

Change: no look without doubts.

--- a/packages/scheduler/src/lib/workers/DoubtfulRuns.ts
+++ b/packages/scheduler/src/lib/workers/DoubtfulRuns.ts
@@ -36,6 +36,11 @@
 export class DoubtfulRuns {
   readonly #doubts = new Map<Run, Doubt>()
 
+  /** Whether nothing is in doubt, as mostly. */
+  get isEmpty (): boolean {
+    return this.#doubts.size === 0
+  }
+
   /** @param run - of a lifetime that is over @param doubt - what is known of it */
   add (run: Run, doubt: Doubt): void {
     this.#doubts.set(run, doubt)
--- a/packages/scheduler/src/lib/workers/RunLosses.ts
+++ b/packages/scheduler/src/lib/workers/RunLosses.ts
@@ -101,6 +101,7 @@
    * @param askedMs - monotonic, when it was asked
    */
   settle (link: WorkerLink, report: HoldReport, askedMs: number): void {
+    if (this.#doubtful.isEmpty) return
     const { there, arriving, lost } = this.#doubtful.settle(link, report, askedMs)
     for (const run of [...there, ...arriving]) {
       run.instanceId = link.instance.instanceId
