A task is given up at its second crash only if it had just begun on both workers

Cause: a task that had run for 13 s counted the end of its worker as a crash; 1.4 s later the next worker started again 0.34 s after the task's start there, alone. The second crash gave it up, since only the second was asked to come soon after the start.

Evidence: the lines of its holder: `worker ended under tasks` with 2 and 4 points, then `task given up`. The case "two, the first late in the run" failed before.

Ruled out: restarts of workers as the cause by themselves: any two ends of that kind do.

Change: the early verdict asks that each end that is held against the task came soon after a start. Ends that a former holder recorded do not count as soon.

Why it works: a task that ends its workers does so within milliseconds each time; one that ran for long has shown that it does not. The third crash gives up as before, so that no more than two starts follow a third.

--- a/packages/policy/src/lib/jobs/CrashRecord.ts
+++ b/packages/policy/src/lib/jobs/CrashRecord.ts
@@ -14,7 +14,11 @@
   hasEndedSoon: boolean
   /** Whether nothing but the task's own job can have ended that one. */
   isLastCertain: boolean
+  /** Whether the task had just begun on all of them. */
+  hasOnlySoon: boolean
 }
 
 /** @param points - as recorded by former holders @returns the record @public */
-export const createCrashRecord = (points = 0): CrashRecord => ({ points, lastMs: undefined, hasEndedSoon: false, isLastCertain: false })
+export const createCrashRecord = (points = 0): CrashRecord => ({
+  points, lastMs: undefined, hasEndedSoon: false, isLastCertain: false, hasOnlySoon: points === 0
+})
--- a/packages/policy/src/lib/jobs/crashes.ts
+++ b/packages/policy/src/lib/jobs/crashes.ts
@@ -28,7 +28,7 @@
 
 /** The third crash, or the fifth end of a doubtful cause: the users allow two more starts after three crashes. */
 const GIVE_UP_POINTS = 5
-/** The second crash is enough where the task's job was alone on the worker, and the worker ended soon after the start. */
+/** The second crash is enough where both workers ended soon after the start, and the task's job was alone on the second. */
 const CERTAIN_POINTS = 4
 /** From the first crash on a task is placed apart from other jobs, and gets no copies; so is one whose worker ended soon after its start. */
 const SUSPECT_POINTS = 2
@@ -49,8 +49,8 @@
 export type Verdict = 'place' | 'wait' | 'give-up'
 
 /** @param task - that is not running @param nowMs - monotonic @returns what to do with it @public */
-export function judgeTask ({ crashes: { points, isLastCertain, lastMs } }: Task, nowMs: number): Verdict {
-  if (points < (isLastCertain ? CERTAIN_POINTS : GIVE_UP_POINTS)) return 'place'
+export function judgeTask ({ crashes: { points, isLastCertain, hasOnlySoon, lastMs } }: Task, nowMs: number): Verdict {
+  if (points < (isLastCertain && hasOnlySoon ? CERTAIN_POINTS : GIVE_UP_POINTS)) return 'place'
   return lastMs !== undefined && nowMs - lastMs < VERDICT_MS ? 'wait' : 'give-up'
 }
 
--- a/packages/scheduler/src/lib/jobs/CrashBook.ts
+++ b/packages/scheduler/src/lib/jobs/CrashBook.ts
@@ -82,6 +82,7 @@
       record.lastMs = nowMs
       record.hasEndedSoon = !loss.isSilent && isSoon && (suspects.size === 0 || suspects.has(task.job))
       record.isLastCertain = !loss.isSilent && isAlone && isSoon
+      record.hasOnlySoon &&= isSoon
     }
     this.#tell(loss, causeOf(loss, soonTasks.size > 0), charges)
     if (loss.isSilent) return
--- a/packages/scheduler/src/test/CrashBook.test.ts
+++ b/packages/scheduler/src/test/CrashBook.test.ts
@@ -32,6 +32,12 @@
 const cases: readonly Case[] = [
   { name: 'one crash', steps: [crash(0, 'a')], expected: { task: 'a', points: 2, isSuspect: true, verdict: 'place' } },
   { name: 'two, alone and soon after its start', steps: [crash(0, 'a', 'b'), crash(2000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, verdict: 'give-up' } },
+  { name: 'two, the first late in the run', steps: [lateCrash(0, 'a'), crash(9000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, verdict: 'place' } },
+  {
+    name: 'three, the first late in the run',
+    steps: [lateCrash(0, 'a'), crash(9000, 'a'), crash(11_000, 'a')],
+    expected: { task: 'a', points: 6, isSuspect: true, verdict: 'give-up' }
+  },
   { name: 'two, late in the run', steps: [lateCrash(0, 'a'), lateCrash(9000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, verdict: 'place' } },
   { name: 'two, with others', steps: [crash(0, 'a', 'b'), crash(2000, 'a', 'c')], expected: { task: 'a', points: 4, isSuspect: true, verdict: 'place' } },
   { name: 'three, whatever ran there', steps: [crash(0, 'a', 'b'), crash(2000, 'a', 'c'), crash(4000, 'a', 'd')], expected: { task: 'a', points: 6, isSuspect: true, verdict: 'give-up' } },
