Services' machines are counted once a round of moves

Cause: the log of shortages and the plan of moves each counted all machines of all services, ten times a second.

Ruled out: any change of what is planned: the counts are those of the same view, and the shortages are noted before the plan adds its moves.

Change: planPools takes the counts that were made.

--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -80,11 +80,11 @@
  * Plans changes of pools.
  *
  * @param view - what is known
+ * @param counts - by {@link countPools}; those of planned moves are added
  * @returns the changes, those for want of room first
  * @public
  */
-export function planPools (view: PoolView): PoolMove[] {
-  const counts = countPools(view)
+export function planPools (view: PoolView, counts = countPools(view)): PoolMove[] {
   const taken = new Set<string>()
   const moves: PoolMove[] = []
   for (const wanting of [...counts].sort((a, b) => (b.need - b.have) - (a.need - a.have))) {
--- a/packages/scheduler/src/lib/machines/PoolBalancer.ts
+++ b/packages/scheduler/src/lib/machines/PoolBalancer.ts
@@ -60,8 +60,9 @@
       mostMoves: this.#mostMoves(nowMs),
       mayPark: nowMs - this.#beganMs > NEED_MEMORY_MS
     }
-    this.#shortages.note(countPools(view), nowMs)
-    return planPools(view)
+    const counts = countPools(view)
+    this.#shortages.note(counts, nowMs)
+    return planPools(view, counts)
   }
 
   /** Machines that are up while no worker of theirs is ready for work: it cannot be reached, ends, or is not known. */
