--- a/packages/bench/src/lib/policy/SimulatedPools.ts
+++ b/packages/bench/src/lib/policy/SimulatedPools.ts
@@ -92,6 +92,7 @@
       machines: this.#listed(nowMs),
       busy: this.#moving,
       isRefused: () => false,
+      evacuatedMachines: new Set(),
       unusableMachines: new Set(),
       mayReleaseMachines: nowMs - this.#tookOverMs > NEED_WINDOW_MS,
       recentPeakNeed: recentNeed,
--- a/packages/bench/src/lib/policy/SimulatedService.ts
+++ b/packages/bench/src/lib/policy/SimulatedService.ts
@@ -111,7 +111,7 @@
       runTimes: this.#times,
       advice: NO_TICKETS,
       accountQuotaOf: () => undefined,
-      vacating: { isDraining: (machineId) => this.vacating.has(machineId) },
+      availability: { isMachineDraining: (machineId) => this.vacating.has(machineId), isEvacuated: () => false },
       nowMs,
       wallMs: nowMs
     })
@@ -130,6 +130,7 @@
   /** @param nowMs - the present @returns what it needs of machines */
   demand (nowMs: number): ServiceDemand {
     const jobs = this.#jobs()
-    return computeServiceDemand({ service: this.#name, jobs, workerViews: [...this.workers.values()], limitOf: () => undefined, nowMs, wallMs: nowMs })
+    const workerViews = [...this.workers.values()]
+    return computeServiceDemand({ service: this.#name, jobs, workerViews, limitOf: () => undefined, isEvacuated: () => false, nowMs, wallMs: nowMs })
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,11 +21,13 @@
 export {
   countPools, machinesNeeded, planPools, LASTING_RUN_WEIGHT, type PoolCount, type PoolMove, type PoolPlanningInput, type ServiceDemand
 } from './lib/machines/planPools.js'
-export { isReportedReady, isDisruptionAllowed, planLeavingWorkerDrain, planDrain } from './lib/machines/planDrain.js'
+export { EVACUATION_STATES, planEvacuation, type EvacuationState } from './lib/machines/planEvacuation.js'
+export { countOthersAway, isReportedReady, isDisruptionAllowed, planLeavingWorkerDrain, planDrain } from './lib/machines/planDrain.js'
 export { planWave, type WavePlanningInput } from './lib/machines/planWave.js'
 export { NEED_WINDOW_MS, MachineNeedTracker } from './lib/machines/MachineNeedTracker.js'
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
-export { cpuDemandOf, occupy, placeTasks, type Placement } from './lib/placement/placeTasks.js'
+export { createWorkerRoom } from './lib/placement/createWorkerRoom.js'
+export { cpuDemandOf, findRoomFor, occupy, placeTasks, type Placement } from './lib/placement/placeTasks.js'
 export type { PlacementGroup, WorkerRoom } from './lib/placement/WorkerRoom.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
 export { isLacking, planGrant, sumGranted, type QuotaClaim, type GrantPlan, type OwnClaim } from './lib/quotas/planGrant.js'
@@ -34,6 +36,7 @@
 export {
   fitsWithin, least, mapResources, minus, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, unlimitedWhereZero, type Resources
 } from './lib/quotas/resources.js'
+export { countsAsCapacity, findUnavailability, type AvailabilityContext, type UnavailabilityReason } from './lib/placement/unavailability.js'
 export { stillFits } from './lib/placement/stillFits.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
 export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/policy/src/lib/machines/computeServiceDemand.ts
+++ b/packages/policy/src/lib/machines/computeServiceDemand.ts
@@ -8,6 +8,7 @@
 import { cpuDemandOf } from '../placement/placeTasks.js'
 import { NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, type Resources } from '../quotas/resources.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
+import { type AvailabilityContext, countsAsCapacity } from '../placement/unavailability.js'
 import type { WorkerView } from '../placement/WorkerView.js'
 
 /** State from which the demand of a service is computed. @public */
@@ -17,6 +18,7 @@
   readonly workerViews: readonly WorkerView[]
   /** Limit of an account, `undefined` if it has none; work beyond it needs no machines. */
   readonly limitOf: (account: AccountName) => Resources | undefined
+  readonly isEvacuated: AvailabilityContext['isEvacuated']
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -28,7 +30,7 @@
 const DEFAULT_MACHINE_MILLIS = 16_000
 
 /** @param sources - jobs and workers of a service @returns the demand of the service @public */
-export function computeServiceDemand ({ service, jobs, workerViews, limitOf, nowMs, wallMs }: DemandSources): ServiceDemand {
+export function computeServiceDemand ({ service, jobs, workerViews, limitOf, isEvacuated, nowMs, wallMs }: DemandSources): ServiceDemand {
   const wanted = new DemandByAccount(limitOf)
   let leastMachines = MIN_MACHINES
   for (const job of jobs) {
@@ -41,7 +43,7 @@
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
-  const availableWorkers = workerViews.filter((workerView) => workerView.acceptsRuns && workerView.isAnswering(nowMs))
+  const availableWorkers = workerViews.filter((workerView) => countsAsCapacity(workerView, { nowMs, isEvacuated, isMachineDraining: () => false }))
   const sizes = availableWorkers.map(({ instance }) => instance.capacity.cpuMillis)
   return {
     service,
--- a/packages/policy/src/lib/machines/planDrain.ts
+++ b/packages/policy/src/lib/machines/planDrain.ts
@@ -28,9 +28,18 @@
  */
 export function isDisruptionAllowed (task: Task, step: readonly Task[], nowMs: number): boolean {
   const { maxAway } = stepOf(task)
-  if (maxAway === undefined) return true
-  const othersAway = step.filter((other) => other !== task && !isReportedReady(other, nowMs)).length
-  return othersAway < maxAway
+  return maxAway === undefined || countOthersAway(task, step, nowMs) < maxAway
+}
+
+/**
+ * @param task - a lasting task
+ * @param step - all tasks of its step
+ * @param nowMs - monotonic
+ * @returns how many of the other tasks are not known to be ready
+ * @public
+ */
+export function countOthersAway (task: Task, step: readonly Task[], nowMs: number): number {
+  return step.filter((other) => other !== task && !isReportedReady(other, nowMs)).length
 }
 
 /**
--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -36,6 +36,8 @@
   readonly busy: ReadonlyMap<string, string>
   /** Machines that are up in a service's pool, but have not been usable for so long that they do not count. */
   readonly unusableMachines: ReadonlySet<string>
+  /** Machines in evacuated availability zones. They provide no capacity, and moving one within its zone would not change that. */
+  readonly evacuatedMachines: ReadonlySet<string>
   /** Whether the platform refused to move the machine to the pool. */
   readonly isRefused: (machineId: string, pool: string) => boolean
   /** Whether needs were tracked for long enough to release machines. */
@@ -99,15 +101,18 @@
 }
 
 /** @param input - current state @returns needed and available machines of each service @public */
-export function countPools (input: Pick<PoolPlanningInput, 'demands' | 'machines' | 'busy' | 'unusableMachines' | 'recentPeakNeed' | 'predictedNeed'>): PoolCount[] {
+export function countPools (input: Pick<PoolPlanningInput, 'demands' | 'machines' | 'busy' | 'unusableMachines' | 'evacuatedMachines' | 'recentPeakNeed' | 'predictedNeed'>): PoolCount[] {
   return input.demands.map((demand): PoolCount => {
     const need = Math.max(machinesNeeded(demand), input.predictedNeed.get(demand.service) ?? 0)
     return { demand, need, retained: Math.max(need, input.recentPeakNeed.get(demand.service) ?? 0), have: countMachinesIn(demand.service, input) }
   })
 }
 
-function countMachinesIn (pool: string, { machines, busy, unusableMachines }: Pick<PoolPlanningInput, 'machines' | 'busy' | 'unusableMachines'>): number {
+function countMachinesIn (
+  pool: string, { machines, busy, unusableMachines, evacuatedMachines }: Pick<PoolPlanningInput, 'machines' | 'busy' | 'unusableMachines' | 'evacuatedMachines'>
+): number {
   return [...machines.values()].filter(({ machineId, pool: currentPool, state }) => {
+    if (evacuatedMachines.has(machineId)) return false
     const next = busy.get(machineId)
     if (next !== undefined) return next === pool && state !== 'down'
     return currentPool === pool && state !== 'down' && !unusableMachines.has(machineId)
@@ -126,8 +131,7 @@
 /** Prefers a headroom machine, then the least busy machine of the service with the largest surplus. */
 function findMachineFor (receiver: PoolCount, counts: readonly PoolCount[], input: PoolPlanningInput, taken: ReadonlySet<string>): PoolMove | undefined {
   const to = receiver.demand.service
-  const isFree = (machine: ListedMachine): boolean =>
-    machine.state === 'up' && !input.busy.has(machine.machineId) && !taken.has(machine.machineId) && !input.isRefused(machine.machineId, to)
+  const isFree = (machine: ListedMachine): boolean => isMovable(machine, to, input) && !taken.has(machine.machineId)
   const parked = findHeadroomMachine(to, input, isFree)
   if (parked !== undefined) return parked
   // Recently needed machines are kept from being switched off, but not from a service that needs them now.
@@ -139,6 +143,10 @@
   return undefined
 }
 
+function isMovable ({ machineId, state }: ListedMachine, to: string, input: PoolPlanningInput): boolean {
+  return state === 'up' && !input.busy.has(machineId) && !input.evacuatedMachines.has(machineId) && !input.isRefused(machineId, to)
+}
+
 function findHeadroomMachine (to: string, input: PoolPlanningInput, isFree: (machine: ListedMachine) => boolean): PoolMove | undefined {
   const parked = [...input.machines.values()].find((machine) => input.headroomPools.includes(machine.pool) && isFree(machine))
   return parked === undefined ? undefined : { machineId: parked.machineId, from: parked.pool, to }
@@ -164,8 +172,7 @@
   const chosen = new Set(taken)
   const moves: PoolMove[] = []
   for (const count of counts) {
-    const isFree = (machine: ListedMachine): boolean =>
-      machine.state === 'up' && !input.busy.has(machine.machineId) && !chosen.has(machine.machineId) && !input.isRefused(machine.machineId, pool)
+    const isFree = (machine: ListedMachine): boolean => isMovable(machine, pool, input) && !chosen.has(machine.machineId)
     while (count.have > count.retained && moves.length < most) {
       const machineId = findLeastBusyMachine(count.demand, input, isFree, 0)
       if (machineId === undefined) break
--- a/packages/policy/src/lib/machines/planWave.ts
+++ b/packages/policy/src/lib/machines/planWave.ts
@@ -18,9 +18,11 @@
   readonly maxAtOnce: number
   /** Whether nothing runs in a pool. */
   readonly isHeadroomPool: (pool: string) => boolean
+  /** Whether a machine is in an evacuated availability zone, so that it takes no work. */
+  readonly isEvacuated: (machineId: string) => boolean
   /** Number of runs on a machine, used to disturb few of them. */
   readonly countRuns: (machineId: string) => number
-  /** Number of machines of a pool, for the share that may be unavailable. */
+  /** Number of machines of a pool that may take work, for the share that may be unavailable. */
   readonly poolSize: (pool: string) => number
   /** Remaining share of the wave's time; negative after its deadline. */
   readonly remainingTimeShare: number
@@ -44,7 +46,9 @@
   const remainingMachineShare = (input.pendingMachineIds.length + input.inProgressMachineIds.length) / Math.max(1, waveSize)
   const isLate = input.remainingTimeShare - LATE_MARGIN < remainingMachineShare
   const unavailable = new Map<string, number>()
-  for (const machineId of input.inProgressMachineIds) incrementUnavailable(unavailable, input.machines.get(machineId)?.pool)
+  for (const machineId of input.inProgressMachineIds) {
+    if (!input.isEvacuated(machineId)) incrementUnavailable(unavailable, input.machines.get(machineId)?.pool)
+  }
   const chosen: string[] = []
   const candidates = input.pendingMachineIds.filter((machineId) => input.machines.get(machineId)?.state === 'up' && !input.isBusy(machineId))
   for (const machineId of [...candidates].sort((a, b) => weight(a, input) - weight(b, input))) {
@@ -52,8 +56,9 @@
     if (input.inProgressMachineIds.length + chosen.length >= input.maxAtOnce) break
     const pool = input.machines.get(machineId)?.pool ?? ''
     const limit = Math.max(1, Math.floor(input.poolSize(pool) * (isLate ? MAX_UNAVAILABLE_SHARE_WHEN_LATE : MAX_UNAVAILABLE_SHARE)))
-    if (!input.isHeadroomPool(pool) && (unavailable.get(pool) ?? 0) >= limit) continue
-    incrementUnavailable(unavailable, pool)
+    const isIdle = isWithoutWork(machineId, input)
+    if (!isIdle && (unavailable.get(pool) ?? 0) >= limit) continue
+    if (!isIdle) incrementUnavailable(unavailable, pool)
     chosen.push(machineId)
   }
   return chosen
@@ -63,7 +68,12 @@
   if (pool !== undefined) unavailable.set(pool, (unavailable.get(pool) ?? 0) + 1)
 }
 
-/** Sort key of a machine: headroom pools first, then the fewest runs. */
+/** Whether the maintenance of a machine takes no capacity away: nothing runs there, and nothing would be placed there. */
+function isWithoutWork (machineId: string, input: WavePlanningInput): boolean {
+  return input.isHeadroomPool(input.machines.get(machineId)?.pool ?? '') || input.isEvacuated(machineId)
+}
+
+/** Sort key of a machine: those without work first, then the fewest runs. */
 function weight (machineId: string, input: WavePlanningInput): number {
-  return input.isHeadroomPool(input.machines.get(machineId)?.pool ?? '') ? -1 : input.countRuns(machineId)
+  return isWithoutWork(machineId, input) ? -1 : input.countRuns(machineId)
 }
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
-import { isCrashSuspect, decidePlacement, mayCrashWorker } from '../jobs/crashes.js'
+import { isCrashSuspect, decidePlacement } from '../jobs/crashes.js'
 import { hasEnded, listReadySteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
-import { cpuDemandOf, occupy, placeTasks, type Placement } from './placeTasks.js'
+import { type AvailabilityContext, findUnavailability } from './unavailability.js'
+import { createWorkerRoom } from './createWorkerRoom.js'
+import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { compareRanks, rankStep, RANK_TIERS, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
@@ -36,8 +38,8 @@
   readonly advice: TicketSource
   /** Looks up the quota of an account in this service. */
   readonly accountQuotaOf: AccountQuotaLookup
-  /** Tells which machines are being drained. */
-  readonly vacating: { isDraining (machineId: string): boolean }
+  /** Tells which machines are being drained and which availability zones are evacuated. */
+  readonly availability: Omit<AvailabilityContext, 'nowMs'>
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -141,13 +143,13 @@
   }
 
   #availableRooms (): WorkerRoom[] {
-    return this.#options.workerViews.filter((workerView) => this.#isAvailable(workerView)).map((workerView) => roomOf(workerView, this.#options.nowMs))
+    const { nowMs, workerViews } = this.#options
+    return workerViews.filter((workerView) => this.#isAvailable(workerView)).map((workerView) => createWorkerRoom(workerView, nowMs))
   }
 
   #isAvailable (workerView: WorkerView): boolean {
-    const { nowMs, vacating } = this.#options
-    return workerView.acceptsRuns && workerView.clock.isKnown && workerView.isAnswering(nowMs) && !workerView.isRecordedSilent &&
-      nowMs >= workerView.refusingUntilMs && !workerView.health.isQuarantined(nowMs) && !vacating.isDraining(workerView.instance.machineId)
+    const { nowMs, availability } = this.#options
+    return findUnavailability(workerView, { ...availability, nowMs }) === undefined
   }
 
   /** Stops runs of other than lasting tasks, those with the least progress first, until a waiting lasting task fits. */
@@ -167,7 +169,7 @@
   #preemptFor (task: Task): void {
     const step = stepOf(task)
     const choices = this.#options.workerViews.filter((workerView) => this.#isAvailable(workerView)).map((workerView) => {
-      const room = roomOf(workerView, this.#options.nowMs)
+      const room = createWorkerRoom(workerView, this.#options.nowMs)
       const victims: Run[] = []
       const movable = [...workerView.runs.values()].filter((run) => run.phase === 'running' && !stepOf(run.task).isLasting).sort((a, b) => a.percent - b.percent)
       for (const run of movable) {
@@ -228,23 +230,3 @@
     })
   }
 }
-
-function roomOf (workerView: WorkerView, nowMs: number): WorkerRoom {
-  const { instanceId, labels, capacity } = workerView.instance
-  const room: WorkerRoom = {
-    instanceId,
-    labels,
-    capacity,
-    cpuMillis: capacity.cpuMillis,
-    memoryMb: capacity.memoryMb,
-    gpus: capacity.gpus,
-    latencySensitiveTasks: 0,
-    fillers: 0,
-    runsByStep: new Map(),
-    runsByJob: new Map(),
-    lastingRuns: 0,
-    reservedFor: [...workerView.runs.values()].find((run) => mayCrashWorker(run, nowMs))?.task.job
-  }
-  for (const run of workerView.runs.values()) occupy(room, run.task)
-  return room
-}
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -132,6 +132,18 @@
   return best
 }
 
+/**
+ * Finds the best worker with room for a task.
+ *
+ * @param task - the task
+ * @param rooms - available workers
+ * @returns the worker, `undefined` if none is suitable
+ * @public
+ */
+export function findRoomFor (task: Task, rooms: readonly WorkerRoom[]): WorkerRoom | undefined {
+  return findBestRoom(task, { tasks: [task], mayReserve: false }, rooms)
+}
+
 /** Reserves capacity on the suitable worker that has the most left, so that less important tasks do not use it up piecemeal. */
 function reserveLargestRoom (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): void {
   const step = stepOf(task)
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -44,7 +44,7 @@
     runTimes: new RunTimeEstimator(),
     advice: { ticketsFor: () => undefined },
     accountQuotaOf: () => undefined,
-    vacating: { isDraining: () => false },
+    availability: { isMachineDraining: () => false, isEvacuated: () => false },
     nowMs: NOW_MS,
     wallMs: NOW_MS
   })
--- a/packages/policy/src/test/QuotaAdmission.test.ts
+++ b/packages/policy/src/test/QuotaAdmission.test.ts
@@ -100,7 +100,7 @@
   for (const { name, limit, wantedMillis } of cases) {
     it(name, () => {
       const job = tasksFor(1, PRESS, { memoryMb: 100 })[0]?.job
-      const demand = computeServiceDemand({ service: 's', jobs: job === undefined ? [] : [job], workerViews: [], limitOf: () => limit, nowMs: 0, wallMs: 0 })
+      const demand = computeServiceDemand({ service: 's', jobs: job === undefined ? [] : [job], workerViews: [], limitOf: () => limit, isEvacuated: () => false, nowMs: 0, wallMs: 0 })
       expect(demand.wantedMillis).to.equal(wantedMillis)
     })
   }
--- a/packages/policy/src/test/planPools.test.ts
+++ b/packages/policy/src/test/planPools.test.ts
@@ -35,6 +35,7 @@
     maxMoves: 6,
     predictedNeed: new Map(),
     busy: new Map(),
+    evacuatedMachines: new Set(),
     unusableMachines: new Set(),
     isRefused: (machineId, pool) => refused.includes(`${machineId} ${pool}`),
     recentPeakNeed: new Map(pools.flatMap(({ name, recent }) => recent === undefined ? [] : [[name, recent] as const]))
--- a/packages/policy/src/test/planWave.test.ts
+++ b/packages/policy/src/test/planWave.test.ts
@@ -26,6 +26,7 @@
         remainingTimeShare: leftShare,
         machines: MACHINES,
         isBusy: (machineId) => machineId === 'a7',
+        isEvacuated: () => false,
         isHeadroomPool: (pool) => pool === 'off',
         countRuns: (machineId) => Number(machineId.slice(-1)),
         poolSize: (pool) => [...MACHINES.values()].filter((machine) => machine.pool === pool).length
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -6,6 +6,7 @@
 export { MAX_TRANSACTION_ENTRIES } from './lib/KeyValueStore.js'
 export type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from './lib/KeyValueStore.js'
 export type { AccountName, PlacementAdviceSettings, ClientAccount, FleetConfiguration, KeyHash, QueueConfiguration, ServiceConfiguration, WaveRequest } from './lib/FleetConfiguration.js'
+export type { EvacuationRequest } from './lib/EvacuationRequest.js'
 export type { PlacementAdvice, AdvisedWorker, StepAdvice } from './lib/PlacementAdvice.js'
 export type { ListedMachine, MachineControl, MachineOrder, MachineOrderOutcome, MachineState } from './lib/MachineControl.js'
 export type {
--- a/packages/ports/src/lib/RunOrders.ts
+++ b/packages/ports/src/lib/RunOrders.ts
@@ -24,6 +24,8 @@
   readonly port: number
   readonly availabilityZone: string
   readonly state: 'ready' | 'draining'
+  /** How much longer the worker is slow after its start, as of its registration; `undefined` if it does not report that. */
+  readonly warmupLeftMs?: number | undefined
   readonly capacity: WorkerCapacity
   /** The worker's kind and its rack. */
   readonly labels: readonly string[]
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -23,6 +23,7 @@
 import { MachineDrainer } from '../machines/MachineDrainer.js'
 import { openFencedBatchWriter } from '../records/openFencedBatchWriter.js'
 import { JobRegistry } from '../jobs/JobRegistry.js'
+import { RoundPacer } from './RoundPacer.js'
 import { RunStarter } from '../jobs/RunStarter.js'
 import { RunTracker } from '../jobs/RunTracker.js'
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
@@ -32,13 +33,8 @@
 import { retryUntilAnswered } from '../records/retryUntilAnswered.js'
 import { WorkerRegistrations } from '../workers/WorkerRegistrations.js'
 import { WorkerTracker, type WorkerTrackerOptions } from '../workers/WorkerTracker.js'
+import { ZoneEvacuator } from '../workers/ZoneEvacuator.js'
 
-/** Minimum time between two placement rounds, so that tasks that end together are replaced together. */
-const MIN_ROUND_INTERVAL_MS = 20
-/** Pause after a round as a multiple of the time that the round took. It leaves the host of a large service time to poll workers and serve requests. */
-const PAUSE_PER_ROUND_TIME = 2
-/** Maximum time between two rounds, for events that request none: retries, expired waits and scheduled start times. */
-const MAX_ROUND_WAIT_MS = 200
 /** Minimum time between two updates of the registrations, which may wait longer than new jobs. */
 const REGISTRATIONS_INTERVAL_MS = 150
 const INBOX_INTERVAL_MS = 20
@@ -63,11 +59,11 @@
   readonly #inboxReader: InboxReader
   readonly #inboxReplica: PrefixReplica
   readonly #stop = new AbortController()
-  #endRoundWait: () => void = () => {}
+  readonly #pacer: RoundPacer
+  readonly #evacuator: ZoneEvacuator
   /** Set once the store has answered in {@link ServiceScheduler.run}. */
   #writer!: FencedBatchWriter
   #startedMs = 0
-  #isRoundDue = false
   /** Whether the first list of jobs was read; workers are connected only after it. */
   #hasListedInbox = false
 
@@ -77,7 +73,8 @@
     this.#log = options.log
     // Many pending waits listen to this signal.
     setMaxListeners(0, this.#stop.signal)
-    const { clock, store, service, configuration } = options
+    const { clock, store, service, configuration, evacuations } = options
+    this.#pacer = new RoundPacer(clock)
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
@@ -90,8 +87,10 @@
     })
     this.#ledger = this.#createLedger()
     this.#tracker = this.#createTracker()
+    this.#evacuator = this.#createEvacuator()
     this.#starter = new RunStarter({
       registry: this.#registry,
+      withoutWithdrawn: (runs) => this.#evacuator.withoutWithdrawn(runs),
       whenFlushed: () => this.#writer.flushed(),
       linkOf: (run) => this.#workers.linkOf(run),
       stopRun: (run) => this.#tracker.stopRun(run),
@@ -103,8 +102,15 @@
     const put = (key: string, source: RecordEncoder, isUrgent: boolean): void => this.#writer.put(key, source, isUrgent)
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
-    this.#statusWriter = new StatusWriter({ service, clock, log: options.log, put, limitOf: (account) => accountsOf(configuration()).limitOf(account) })
-    this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#requestRound() })
+    this.#statusWriter = new StatusWriter({
+      service,
+      clock,
+      log: options.log,
+      put,
+      limitOf: (account) => accountsOf(configuration()).limitOf(account),
+      isEvacuated: (zone) => evacuations.isEvacuated(zone)
+    })
+    this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#pacer.request() })
     this.#drainer = new MachineDrainer({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.evict(run) } })
     this.#registrations = new WorkerRegistrations({
       ...options, prefix: options.workersPrefix, isServiceConfigured: (name) => configuration()?.services.some((named) => named.name === name) === true
@@ -132,7 +138,18 @@
       accounts: () => accountsOf(configuration()),
       longestLeaseMs: () => bounds().maxLeaseMs,
       count: (kind) => metrics.count('quota_writes', kind),
-      onChange: () => this.#requestRound()
+      onChange: () => this.#pacer.request()
+    })
+  }
+
+  #createEvacuator (): ZoneEvacuator {
+    return new ZoneEvacuator({
+      ...this.#options,
+      links: () => this.#workers.links,
+      linkOf: (run) => this.#workers.linkOf(run),
+      isMachineDraining: (machineId) => this.#drainer.isDraining(machineId),
+      withdraw: (run) => this.#registry.closeRun(run, 'not-started'),
+      evict: (run) => { void this.#starter.evict(run) }
     })
   }
 
@@ -161,7 +178,7 @@
       longestLeaseMs: () => this.#workers.longestLeaseMs(this.#options.clock.monotonicMs()),
       leasesLeftMs: (instanceId, nowMs) => this.#workers.leasesLeftMs(instanceId, nowMs),
       isTracked: (instanceId) => !this.#inboxReplica.isListed || this.#workers.isTracked(instanceId),
-      onTimerExpired: () => this.#requestRound()
+      onTimerExpired: () => this.#pacer.request()
     })
   }
 
@@ -173,12 +190,13 @@
       holdsDuty,
       onReport: (link, report, askedMs) => {
         this.#tracker.applyReport(link, report, askedMs)
-        this.#requestRound()
+        this.#pacer.request()
       },
+      mayRepeatStart: (run) => this.#evacuator.mayRepeatStart(run),
       onStarted: (run) => this.#tracker.started(run),
       onNotStarted: (link, run, error) => {
         this.#tracker.handleStartFailure(link, run, error)
-        this.#requestRound()
+        this.#pacer.request()
       },
       ensureDurable: () => this.#writer.flushed(),
       onFencedOff: () => this.#handleDeposed('a worker follows a newer holder')
@@ -197,7 +215,7 @@
       },
       onMachineDownForgotten: (workerId) => this.#writer.put(goneKey(service, workerId), () => undefined),
       onMoved: (run) => this.#saveProgress(run.task.job, true),
-      onChange: () => this.#requestRound()
+      onChange: () => this.#pacer.request()
     })
   }
 
@@ -215,8 +233,9 @@
     const registrationsDone = this.#registrationReplica.run(this.#stop.signal)
     if (!await this.#recover()) return
     this.#log.info({ service, fencingToken, jobs: this.#registry.jobs.size, tookMs: clock.monotonicMs() - this.#startedMs }, 'scheduling begins')
+    const roundsDone = this.#pacer.run(() => this.#runRound(), this.#stop.signal)
     await Promise.all([
-      this.#writer.run(), this.#inboxReplica.run(this.#stop.signal), registrationsDone, this.#silentWorkers.watchTimers(this.#stop.signal), this.#runRounds()
+      this.#writer.run(), this.#inboxReplica.run(this.#stop.signal), registrationsDone, this.#silentWorkers.watchTimers(this.#stop.signal), roundsDone
     ])
   }
 
@@ -224,10 +243,10 @@
   close (): void {
     if (this.#stop.signal.aborted) return
     this.#stop.abort()
-    this.#endRoundWait()
     this.#writer?.close()
     this.#adviceCache.close()
     this.#workers.close()
+    this.#evacuator.close()
     this.#log.info({ service: this.#options.service, fencingToken: this.#options.fencingToken }, 'scheduling ends')
   }
 
@@ -258,6 +277,7 @@
         dutyRevision: fencingToken,
         chainKey: chainKey(service),
         onDeposed: () => this.#handleDeposed('the duty has another holder'),
+        guard: this.#evacuator.guard,
         onStoreError: (error, transactionNumber) => this.#log.warn({ service, error, transactionNumber }, 'records not written, will retry'),
         onCommit: (entries, latencyMs) => {
           metrics.count('records_written', service, entries)
@@ -287,7 +307,7 @@
       this.#hasListedInbox = true
       this.#updateWorkers()
     }
-    this.#requestRound()
+    this.#pacer.request()
   }
 
   /**
@@ -296,38 +316,7 @@
    */
   #saveProgress (job: Job, isUrgent = hasEnded(job)): void {
     this.#writer.put(progressKey(this.#options.service, job.spec.jobId), () => encodeProgress(job), isUrgent)
-    this.#requestRound()
-  }
-
-  /** Requests a placement round; requests that come before it share it. */
-  #requestRound (): void {
-    this.#isRoundDue = true
-    this.#endRoundWait()
-  }
-
-  async #runRounds (): Promise<void> {
-    const { clock } = this.#options
-    let spacingMs = MIN_ROUND_INTERVAL_MS
-    while (!this.#stop.signal.aborted) {
-      if (!this.#isRoundDue) await this.#waitForRequest()
-      await delay(spacingMs, this.#stop.signal)
-      this.#isRoundDue = false
-      if (this.#stop.signal.aborted) return
-      const startedMs = clock.monotonicMs()
-      this.#runRound()
-      spacingMs = Math.max(MIN_ROUND_INTERVAL_MS, (clock.monotonicMs() - startedMs) * PAUSE_PER_ROUND_TIME)
-    }
-  }
-
-  /** Waits until a round is requested, or until one is due without a request. */
-  #waitForRequest (): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, MAX_ROUND_WAIT_MS)
-      this.#endRoundWait = () => {
-        clearTimeout(timer)
-        resolve()
-      }
-    })
+    this.#pacer.request()
   }
 
   #runRound (): void {
@@ -336,6 +325,7 @@
     if (!this.#inboxReplica.isListed || !this.#registrationReplica.isListed) return
     this.#drainer.reconcile(this.#workers, nowMs)
     this.#drainer.drainLeavingWorkers(this.#workers.leaving(this.#registrationReplica.reachableForMs(nowMs), nowMs), nowMs)
+    this.#evacuator.reconcile(nowMs)
     this.#placeTasks(nowMs)
     this.#statusWriter.write([...this.#registry.jobs.values()], this.#workers, nowMs)
     this.#removeEndedJobs()
@@ -352,7 +342,10 @@
       runTimes: this.#runTimes,
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
-      vacating: this.#drainer,
+      availability: {
+        isMachineDraining: (machineId) => this.#drainer.isDraining(machineId),
+        isEvacuated: (zone) => this.#options.evacuations.isEvacuated(zone)
+      },
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
@@ -367,6 +360,7 @@
       this.#crashTracker.clearOtherJobs(task.job)
     }
     if (runs.length === 0) return
+    this.#evacuator.addPlacements(runs)
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const jobRuns = runs.filter(({ task }) => task.job === job)
       this.#log.info({ jobId: job.spec.jobId, runs: jobRuns.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -6,6 +6,7 @@
 import type { Clock, Result } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, KeyValueStore, PlacementAdvice, RunOrders, WorkerInstance } from '@quillscale/ports'
 import type { RecordProblem, RecordReader } from '../records/RecordReader.js'
+import type { EvacuationSource } from '../workers/ZoneEvacuator.js'
 import type { EventLog } from './EventLog.js'
 import type { SchedulerMetrics } from './SchedulerMetrics.js'
 
@@ -38,6 +39,9 @@
   readonly records: RecordReader
   readonly configuration: () => FleetConfiguration | undefined
   readonly bounds: () => SchedulerBounds
+  readonly evacuations: EvacuationSource
+  /** Key of the request to evacuate an availability zone; `undefined` where operators do not evacuate zones. */
+  readonly evacuationKey: ((availabilityZone: string) => string) | undefined
   /** Prefix under which workers register themselves. */
   readonly workersPrefix: string
   /** Decodes the registration of a worker. */
--- a/packages/scheduler/src/lib/jobs/RunStarter.ts
+++ b/packages/scheduler/src/lib/jobs/RunStarter.ts
@@ -13,6 +13,8 @@
   /** Resolves with `true` once all decisions made so far are durable, with `false` if they never will be. */
   readonly whenFlushed: () => Promise<boolean>
   readonly linkOf: (run: Run) => WorkerLink | undefined
+  /** Withdraws runs that may no longer start, and returns the others. */
+  readonly withoutWithdrawn: (runs: readonly Run[]) => readonly Run[]
   /** Stops a run without recording the stop first. */
   readonly stopRun: (run: Run) => void
   /** Called for each job whose progress record has to be written at once. */
@@ -34,9 +36,9 @@
    * @param runs - runs in phase `recording`
    */
   async start (runs: readonly Run[]): Promise<void> {
-    const { registry, whenFlushed, linkOf } = this.#options
+    const { registry, whenFlushed, linkOf, withoutWithdrawn } = this.#options
     if (!await whenFlushed()) return
-    for (const run of runs) {
+    for (const run of withoutWithdrawn(runs)) {
       const link = linkOf(run)
       const isWanted = run.phase === 'recording' && run.task.runs.includes(run)
       if (!isWanted) continue
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -19,6 +19,7 @@
   readonly log: EventLog
   /** Returns the resources that the running tasks of an account may use; `undefined` without a limit. */
   readonly limitOf: (account: AccountName) => Resources | undefined
+  readonly isEvacuated: (availabilityZone: string) => boolean
   /** Writes a record to the store, without delay if it is urgent. */
   readonly put: (key: string, source: RecordEncoder, isUrgent: boolean) => void
 }
@@ -76,8 +77,8 @@
   /** Writes the demand: at once if more machines are needed, otherwise no more often than its intervals allow. */
   #writeDemand (jobs: readonly Job[], workers: WorkerTracker, nowMs: number): void {
     this.#demandComputedMs = nowMs
-    const { service, clock, log, limitOf, put } = this.#options
-    const demand = computeServiceDemand({ service, jobs, workerViews: workers.links, limitOf, nowMs, wallMs: clock.wallMs() })
+    const { service, clock, log, limitOf, isEvacuated, put } = this.#options
+    const demand = computeServiceDemand({ service, jobs, workerViews: workers.links, limitOf, isEvacuated, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#writtenNeed
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -10,11 +10,11 @@
 import { delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, WaveRequest } from '@quillscale/ports'
 import type { PrefixReplica } from '@quillscale/leases'
-import { planWave } from '@quillscale/policy'
 import type { FencedBatchWriter } from '../records/FencedBatchWriter.js'
 import { createReplica } from '../records/createReplica.js'
 import type { DutyGrant, DutyTask } from '../duties/DutyElector.js'
 import type { EventLog } from '../duties/EventLog.js'
+import { chooseWaveMachines } from './chooseWaveMachines.js'
 import { decodeMachineDutyRecord, encodeMachineDutyRecord, MACHINE_DUTY_RECORD_KEY, FALLBACK_MACHINE_DUTY_RECORD, type MachineDutyRecord, type MachineTask, type WaveProgress } from './machineDutyRecord.js'
 import { DemandTracker } from '../records/DemandTracker.js'
 import type { RecordReader } from '../records/RecordReader.js'
@@ -42,6 +42,7 @@
   readonly services: () => readonly string[]
   /** Pools whose machines are switched off. */
   readonly headroomPools: () => readonly string[]
+  readonly isEvacuated: (availabilityZone: string) => boolean
   /** Encodes the status of a wave that operators read. */
   readonly waveStatus: (wave: number, isDone: boolean) => { readonly key: string, readonly value: string }
   /** Orders per second that the platform accepts from all hosts together. */
@@ -96,7 +97,7 @@
     this.#options = options
     const { store, clock, log } = options
     this.#demands = new DemandTracker(options.records)
-    this.#balancer = new PoolBalancer({ log, ordersPerS: options.ordersPerS })
+    this.#balancer = new PoolBalancer({ ...options })
     this.#cooldowns = new OrderCooldowns(() => options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS)
     const ignoreChange = (): void => {}
     this.#drainedReplica = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignoreChange })
@@ -265,7 +266,7 @@
   }
 
   #advanceWave (progress: WaveProgress): void {
-    const { clock, headroomPools, log, waveStatus } = this.#options
+    const { clock, headroomPools, isEvacuated, log, waveStatus } = this.#options
     const request = this.#requests.get(progress.wave)
     if (request === undefined) return
     const settled = new Set(progress.settled)
@@ -277,20 +278,16 @@
       log.info({ wave: progress.wave, tookMs: clock.wallMs() - progress.startedWallMs }, 'wave done')
       return
     }
-    const inProgress = [...this.#tasks.values()].filter(({ kind, wave }) => kind === 'upkeep' && wave === progress.wave).map(({ machineId }) => machineId)
-    const headroom = new Set(headroomPools())
-    const demands = this.#demands.current(this.#demandReplica.items, clock.monotonicMs())
-    const machineIdsToStart = planWave({
-      pendingMachineIds: request.machineIds.filter((machineId) => !settled.has(machineId) && !inProgress.includes(machineId)),
+    const machineIdsToStart = chooseWaveMachines({
+      request,
+      progress,
+      settled,
+      tasks: this.#tasks,
       machines: this.#machines,
-      isBusy: (machineId) => this.#tasks.has(machineId),
-      inProgressMachineIds: inProgress,
-      maxAtOnce: request.maxAtOnce,
-      isHeadroomPool: (pool) => headroom.has(pool),
-      countRuns: (machineId) => demands.find(({ runsByMachine }) => runsByMachine.has(machineId))?.runsByMachine.get(machineId) ?? 0,
-      poolSize: (pool) => [...this.#machines.values()].filter((machine) => machine.pool === pool).length,
-      remainingTimeShare: 1 - (clock.wallMs() - progress.startedWallMs) / Math.max(1, request.deadlineMs)
-    }, request.machineIds.length)
+      demands: this.#demands.current(this.#demandReplica.items, clock.monotonicMs()),
+      headroomPools: headroomPools(),
+      isEvacuated
+    }, clock.wallMs())
     for (const machineId of machineIdsToStart) this.#startTask({ machineId, kind: 'upkeep', wave: progress.wave, from: this.#machines.get(machineId)?.pool ?? '', to: '' })
   }
 
--- a/packages/scheduler/src/lib/machines/PoolBalancer.ts
+++ b/packages/scheduler/src/lib/machines/PoolBalancer.ts
@@ -13,6 +13,8 @@
   readonly log: EventLog
   /** Orders per second that the platform accepts from all hosts together. */
   readonly ordersPerS: () => number
+  /** Whether machines of an availability zone provide no capacity, and are not moved, because the zone is evacuated. */
+  readonly isEvacuated: (availabilityZone: string) => boolean
 }
 
 /** Current demands, pools and machines. @public */
@@ -53,6 +55,7 @@
     const { demands } = snapshot
     const input: PoolPlanningInput = {
       ...snapshot,
+      evacuatedMachines: this.#findEvacuated(snapshot),
       unusableMachines: this.#findUnusable(snapshot, nowMs),
       isRefused: (machineId, pool) => this.#refused.has(`${machineId} ${pool}`),
       recentPeakNeed: this.#needs.trackRecentPeak(demands, nowMs),
@@ -65,6 +68,11 @@
     return planPools(input, counts)
   }
 
+  #findEvacuated ({ machines }: PoolSnapshot): Set<string> {
+    const evacuated = [...machines.values()].filter(({ availabilityZone }) => this.#options.isEvacuated(availabilityZone))
+    return new Set(evacuated.map(({ machineId }) => machineId))
+  }
+
   /** Finds machines that have been up for {@link UNUSABLE_AFTER_MS} without a usable worker: it is unreachable, about to end or unknown. */
   #findUnusable ({ demands, machines, busy }: PoolSnapshot, nowMs: number): Set<string> {
     const usableMachinesByService = new Map(demands.map(({ service, runsByMachine }) => [service, runsByMachine]))
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -1,29 +1,24 @@
 /**
- * Watches the operators' configuration and wave requests in the store. A configuration is never replaced by an older version.
+ * Watches the operators' configuration and their other requests in the store. A configuration is never replaced by an older version.
  *
  * @module
  */
-import type { Clock, Result } from '@quillscale/utils'
-import type { FleetConfiguration, KeyValue, WaveRequest } from '@quillscale/ports'
+import type { Result } from '@quillscale/utils'
+import type { FleetConfiguration, KeyValue } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
-import type { EventLog } from '../duties/EventLog.js'
 import type { MonitoredStore } from './MonitoredStore.js'
-import type { RecordProblem, RecordReader } from './RecordReader.js'
+import { OperatorRequests, type OperatorRequestsOptions } from './OperatorRequests.js'
+import type { RecordProblem } from './RecordReader.js'
 
 /** Options of {@link ConfigurationWatcher}. @public */
-export interface ConfigurationWatcherOptions {
+export interface ConfigurationWatcherOptions extends Omit<OperatorRequestsOptions, 'ageMs'> {
   readonly store: MonitoredStore
-  readonly clock: Clock
-  readonly log: EventLog
   /** Prefix of the records that operators write. */
   readonly prefix: string
   /** The key of the configuration. */
   readonly configurationKey: string
-  readonly records: RecordReader
   readonly decodeConfiguration: (text: string) => Result<FleetConfiguration, RecordProblem>
-  /** Decodes a wave request; returns `undefined` for a key that does not belong to one. */
-  readonly decodeWave: (item: KeyValue) => Result<WaveRequest, RecordProblem> | undefined
-  /** Called when the configuration or the wave requests may have changed. */
+  /** Called when the configuration or the other requests may have changed. */
   readonly onChange: () => void
 }
 
@@ -32,9 +27,10 @@
 /** Events that a watch missed are found within this time. */
 const RELIST_INTERVAL_MS = 5000
 
-/** Holds the current configuration and the open wave requests. @public */
+/** Holds the current configuration and the other open requests of operators. @public */
 export class ConfigurationWatcher {
-  readonly waves = new Map<string, WaveRequest>()
+  /** Requests besides the configuration. */
+  readonly requests: OperatorRequests
   #configuration: FleetConfiguration | undefined
   readonly #options: ConfigurationWatcherOptions
   readonly #replica: PrefixReplica
@@ -47,15 +43,16 @@
   constructor (options: ConfigurationWatcherOptions) {
     this.#options = options
     const { store, clock, log, prefix } = options
+    this.requests = new OperatorRequests({ ...options, ageMs: (nowMs) => this.#replica.ageMs(nowMs) })
     this.#replica = new PrefixReplica({
       store,
       clock,
       prefix,
       watchMs: WATCH_TIMEOUT_MS,
       relistMs: RELIST_INTERVAL_MS,
-      onChange: ({ changed, removed }) => {
-        for (const item of changed) this.#applyRecord(item)
-        for (const key of removed) this.waves.delete(key)
+      onChange: (change) => {
+        for (const item of change.changed) if (item.key === options.configurationKey) this.#applyConfiguration(item)
+        this.requests.applyChange(change)
         options.onChange()
       },
       onContactChange: (error) => log.warn({ prefix, error }, error === undefined ? 'store answers again' : 'store does not answer')
@@ -110,24 +107,13 @@
   refresh (): Promise<boolean> {
     this.#pendingRefresh ??= this.#options.store.get(this.#options.configurationKey).then((read) => {
       this.#pendingRefresh = undefined
-      if (read.ok && read.val !== undefined) this.#applyRecord(read.val)
+      if (read.ok && read.val !== undefined) this.#applyConfiguration(read.val)
       else if (read.err) this.#options.log.warn({ error: read.val }, 'configuration refresh failed')
       return read.ok
     })
     return this.#pendingRefresh
   }
 
-  #applyRecord (item: KeyValue): void {
-    if (item.key === this.#options.configurationKey) return this.#applyConfiguration(item)
-    const { decodeWave, records, log } = this.#options
-    const decoded = decodeWave(item)
-    if (decoded === undefined) return
-    const wave = records.read(item, () => decoded)
-    if (wave === undefined) return
-    this.waves.set(item.key, wave)
-    log.info({ wave: wave.wave, machines: wave.machineIds.length, deadlineMs: wave.deadlineMs, maxAtOnce: wave.maxAtOnce, revision: item.modRevision }, 'wave requested')
-  }
-
   /** Puts a configuration into force if it is valid and newer than the current one. */
   #applyConfiguration (item: KeyValue): void {
     const { decodeConfiguration, records, log } = this.#options
--- a/packages/scheduler/src/lib/records/FencedBatchWriter.ts
+++ b/packages/scheduler/src/lib/records/FencedBatchWriter.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import { delay, type Clock } from '@quillscale/utils'
-import { MAX_TRANSACTION_ENTRIES, type KeyValueStore, type PlatformError, type Transaction } from '@quillscale/ports'
+import { MAX_TRANSACTION_ENTRIES, type KeyValue, type KeyValueStore, type PlatformError, type Transaction } from '@quillscale/ports'
 
 /** Options of {@link FencedBatchWriter}. @public */
 export interface FencedBatchWriterOptions {
@@ -27,10 +27,20 @@
   readonly onDeposed: () => void
   /** Called for each failed attempt. */
   readonly onStoreError: (error: PlatformError, transactionNumber: number) => void
+  /** Keeps records out of the store that another party's record forbids; without it, a transaction depends on the duty alone. */
+  readonly guard?: WriteGuard
   /** Called for each transaction that took effect, with its number of records and its latency. */
   readonly onCommit?: (entries: number, latencyMs: number) => void
 }
 
+/** Keys that forbid what a transaction records. @public */
+export interface WriteGuard {
+  /** Returns the keys that must not exist when the next transaction takes effect; called when it is built. */
+  readonly forbiddingKeys: () => readonly string[]
+  /** Called with those that exist. What they forbid must be withdrawn before this returns, because the records are then encoded again. */
+  readonly onForbidden: (items: readonly KeyValue[]) => void
+}
+
 /** Encodes the value of a key when its transaction is built; `undefined` removes the key. @public */
 export type RecordEncoder = () => string | undefined
 
@@ -59,7 +69,7 @@
 /** A caller of {@link FencedBatchWriter.flushed}, and the sequence number up to which it waits. */
 interface FlushWaiter { readonly sequence: number, readonly resolve: (isDurable: boolean) => void }
 /** A record of the transaction that is being sent. */
-interface EncodedRecord { readonly key: string, readonly value: string | undefined, readonly sequence: number }
+interface EncodedRecord extends PendingRecord { readonly key: string, readonly value: string | undefined }
 /** A record that is not yet part of a transaction. */
 interface PendingRecord { readonly sequence: number, readonly source: RecordEncoder }
 
@@ -159,35 +169,48 @@
   }
 
   async #commitBatch (): Promise<void> {
-    const batch = this.#nextBatch()
+    const forbiddingKeys = this.#options.guard?.forbiddingKeys() ?? []
+    const batch = this.#nextBatch(forbiddingKeys.length)
     this.#inFlightSequence = Math.min(...batch.map(({ sequence }) => sequence))
-    const transaction = this.#buildTransaction(batch, ++this.#transactionNumber)
+    const transaction = this.#buildTransaction(batch, forbiddingKeys, ++this.#transactionNumber)
     const startedMs = this.#options.clock.monotonicMs()
-    const isDurable = await this.#send(transaction)
+    const outcome = await this.#send(transaction, forbiddingKeys)
+    if (outcome === 'forbidden') this.#restore(batch)
     this.#inFlightSequence = Infinity
-    if (!isDurable) return
+    if (outcome !== 'durable') return
     this.#options.onCommit?.(batch.length, this.#options.clock.monotonicMs() - startedMs)
     this.#resolveWaiters()
   }
 
+  /** Makes the records of a rejected transaction pending again, before all others, so that they are encoded anew. */
+  #restore (batch: readonly EncodedRecord[]): void {
+    const newer = [...this.#pending]
+    this.#pending.clear()
+    for (const { key, source, sequence } of batch) this.#pending.set(key, { source, sequence })
+    for (const [key, { source, sequence }] of newer) this.#pending.set(key, { source, sequence: this.#pending.get(key)?.sequence ?? sequence })
+  }
+
   /** Takes the oldest records, up to the limits of a transaction in entries and bytes; at least one. */
-  #nextBatch (): EncodedRecord[] {
+  #nextBatch (additionalConditions: number): EncodedRecord[] {
     const batch: EncodedRecord[] = []
     let bytes = 0
     for (const [key, { sequence, source }] of this.#pending) {
       const value = source()
       bytes += value?.length ?? 0
-      if (batch.length > 0 && (bytes > MAX_BATCH_BYTES || batch.length >= MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES)) break
-      batch.push({ key, value, sequence })
+      if (batch.length > 0 && (bytes > MAX_BATCH_BYTES || batch.length >= MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES - additionalConditions)) break
+      batch.push({ key, value, sequence, source })
     }
     for (const { key } of batch) this.#pending.delete(key)
     return batch
   }
 
-  #buildTransaction (batch: readonly EncodedRecord[], number: number): Transaction {
+  #buildTransaction (batch: readonly EncodedRecord[], forbiddingKeys: readonly string[], number: number): Transaction {
     const { dutyKey, dutyRevision, chainKey } = this.#options
     return {
-      conditions: [{ key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision }],
+      conditions: [
+        { key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision },
+        ...forbiddingKeys.map((key) => ({ key, modRevision: 0 }))
+      ],
       puts: [{ key: chainKey, value: this.#chainValue(number) }, ...batch.flatMap(({ key, value }) => value === undefined ? [] : [{ key, value }])],
       removals: batch.flatMap(({ key, value }) => value === undefined ? [key] : [])
     }
@@ -198,13 +221,15 @@
   }
 
   /**
-   * Sends a transaction until its outcome is known. A conflict is a success if the chain key shows that an earlier attempt took effect;
-   * any other conflict means that another holder has taken over.
+   * Sends a transaction until its outcome is known. A conflict is a success if the chain key shows that an earlier attempt took effect. If
+   * only the guard's keys conflict, nothing was written: a late attempt with the same condition fails too, or else on the chain key, which
+   * the next transaction changes. Any other conflict means that another holder has taken over.
    *
    * @param transaction - the transaction
-   * @returns whether it took effect
+   * @param forbiddingKeys - keys of its conditions that must not exist
+   * @returns `durable` if it took effect, `forbidden` if the guard prevented that, `deposed` if nothing more may be written
    */
-  async #send (transaction: Transaction): Promise<boolean> {
+  async #send (transaction: Transaction, forbiddingKeys: readonly string[]): Promise<'durable' | 'forbidden' | 'deposed'> {
     const { store, chainKey, dutyKey, dutyRevision, onStoreError, onDeposed } = this.#options
     for (let backoffMs = INITIAL_BACKOFF_MS; !this.#isClosed; backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2)) {
       const outcome = await store.transact(transaction)
@@ -215,18 +240,23 @@
       }
       if (outcome.val.committed) {
         this.#chainRevision = outcome.val.modRevision
-        return true
+        return 'durable'
       }
       const isHolder = outcome.val.current.some(({ key, modRevision }) => key === dutyKey && modRevision === dutyRevision)
       const chain = outcome.val.current.find(({ key }) => key === chainKey)
       if (isHolder && chain?.value === this.#chainValue(this.#transactionNumber)) {
         this.#chainRevision = chain.modRevision
-        return true
+        return 'durable'
+      }
+      const forbidding = outcome.val.current.filter(({ key }) => forbiddingKeys.includes(key))
+      if (isHolder && forbidding.length > 0 && (chain?.modRevision ?? 0) === this.#chainRevision) {
+        this.#options.guard?.onForbidden(forbidding)
+        return 'forbidden'
       }
       this.close()
       onDeposed()
     }
-    return false
+    return 'deposed'
   }
 
   #oldestPending (): number {
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -24,6 +24,8 @@
   readonly removeSilentRecord: (link: WorkerLink) => Promise<void>
   /** Called with each report. @param askedMs - monotonic time when the request was sent */
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
+  /** Whether a start whose outcome is unknown is sent again; otherwise the run is stopped. */
+  readonly mayRepeatStart: (run: Run) => boolean
   /** Called when a start is confirmed. */
   readonly onStarted: (run: Run) => void
   /** Called when a start has failed, or its outcome stayed unknown for too long. */
@@ -215,13 +217,13 @@
    * @param checkpoint - the checkpoint to start from, if there is one
    */
   async startRun (run: Run, command: string, checkpoint: string | undefined): Promise<void> {
-    const { orders, clock, fencingToken } = this.#options
+    const { orders, clock, fencingToken, mayRepeatStart } = this.#options
     const beganMs = clock.monotonicMs()
     while (run.phase === 'starting' && !this.#stop.signal.aborted) {
       const nowMs = clock.monotonicMs()
       const leaseEndsAtMs = this.#extendLease(nowMs)
       if (leaseEndsAtMs === undefined) {
-        if (nowMs - beganMs > START_RETRY_PERIOD_MS) return this.#giveUpStart(run)
+        if (nowMs - beganMs > START_RETRY_PERIOD_MS || !mayRepeatStart(run)) return this.#giveUpStart(run)
         await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
         continue
       }
@@ -238,6 +240,7 @@
       run.isUncertain = true
       if (clock.monotonicMs() - beganMs > START_RETRY_PERIOD_MS) return this.#giveUpStart(run)
       await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
+      if (!mayRepeatStart(run)) return this.#giveUpStart(run)
     }
   }
 
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -46,6 +46,7 @@
         return { key: `status/${wave}`, value: String(isDone) }
       },
       ordersPerS: () => 64,
+      isEvacuated: () => false,
       holderChangeMs: () => holderChangeMs
     })
     duties.push(duty)
--- a/packages/scheduler/src/test/PoolBalancer.test.ts
+++ b/packages/scheduler/src/test/PoolBalancer.test.ts
@@ -35,7 +35,7 @@
   ]
   for (const { name, machines: count, usableAt, need, moves } of cases) {
     it(`moves ${moves} machines to the service if ${name}`, () => {
-      const balancer = new PoolBalancer({ log: new TestLog(), ordersPerS: () => ORDERS_PER_S })
+      const balancer = new PoolBalancer({ log: new TestLog(), isEvacuated: () => false, ordersPerS: () => ORDERS_PER_S })
       const machines = new Map<string, ListedMachine>()
       const add = (machineId: string, pool: string): void => {
         machines.set(machineId, { machineId, pool, state: 'up', availabilityZone: 'z', workerId: workerIdOf(machineId) })
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -15,6 +15,7 @@
 import { JobApi } from '../lib/jobs/JobApi.js'
 import type { EventLog } from '../lib/duties/EventLog.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
+import { OperatorRequests } from '../lib/records/OperatorRequests.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { ServiceScheduler } from '../lib/duties/ServiceScheduler.js'
@@ -30,6 +31,7 @@
 const DEADLINE_MS = 2000
 /** Decodes a registration that {@link TestService.list} wrote. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
+const EVACUATION_PREFIX = 'op/evacuate/'
 const POLL_INTERVAL_MS = 5
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
@@ -127,6 +129,17 @@
   readonly jobApiStore: MonitoredStore
   readonly jobApi: JobApi
   readonly tenures: Tenure[] = []
+  /** Evacuations as this host's watch knows them; {@link TestService.evacuate} keeps it up to date unless the watch is cut off. */
+  readonly requests = new OperatorRequests({
+    clock: systemClock,
+    log: this.log,
+    records: this.records,
+    decodeWave: () => undefined,
+    decodeEvacuation: ({ key, modRevision }) => Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
+    ageMs: () => this.isWatchCutOff ? Infinity : 0
+  })
+
+  isWatchCutOff = false
   maxLeaseMs = 1000
   configuration: FleetConfiguration = {
     version: 1,
@@ -139,8 +152,9 @@
    * @param workers - number of workers
    * @param cpuMillis - CPU capacity of each
    * @param bornMs - Unix time of their start, `undefined` if they don't report it
+   * @param zones - number of availability zones, `z0` and so on, over which they are spread in turn
    */
-  constructor (workers: number, cpuMillis = 4000, readonly bornMs?: number) {
+  constructor (workers: number, cpuMillis = 4000, readonly bornMs?: number, readonly zones = 1) {
     this.runs = new StandInRuns(systemClock, (taskKey) => ({ cpuMillis: this.#cpuMillisOf(taskKey), memoryMb: 0, gpus: 0 }))
     this.jobApiStore = new MonitoredStore(this.store, systemClock)
     this.jobApi = new JobApi({ store: this.jobApiStore, clock: systemClock, log: this.log, records: this.records })
@@ -169,7 +183,7 @@
       service: SERVICE,
       address: `10.0.0.${index}`,
       port: 80,
-      availabilityZone: 'z',
+      availabilityZone: `z${index % this.zones}`,
       state,
       labels: ['a', `r${index}`],
       capacity: { cpuMillis, memoryMb: 10_000, gpus: 0 }
@@ -245,6 +259,19 @@
     this.write(goneKey(SERVICE, workerIdOf(instanceId)), encodeMachineLossReport({ machineId, listedWallMs }))
   }
 
+  /**
+   * Requests or withdraws an evacuation, as an operator does.
+   *
+   * @param availabilityZone - the zone
+   * @param isRequested - false withdraws the request
+   */
+  evacuate (availabilityZone: string, isRequested = true): void {
+    const key = `${EVACUATION_PREFIX}${availabilityZone}`
+    this.#set(key, isRequested ? '{}' : undefined)
+    if (this.isWatchCutOff) return
+    this.requests.applyChange(isRequested ? { changed: [{ key, value: '{}', modRevision: 1 }], removed: [] } : { changed: [], removed: [key] })
+  }
+
   /**
    * Starts a new scheduler that takes the duty from any current holder.
    *
@@ -275,6 +302,8 @@
       records: this.records,
       configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
+      evacuations: this.requests,
+      evacuationKey: (zone) => `${EVACUATION_PREFIX}${zone}`,
       workersPrefix: WORKERS_PREFIX,
       decodeWorker: ({ value }) => decodeJson(workerSchema, value),
       onDeposed: () => { tenure().isDeposed = true }
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -51,6 +51,7 @@
       onLifetimeEnded: () => {},
       onFencedOff: () => {},
       onContactChange: () => {},
+      mayRepeatStart: () => true,
       holdWaitMs: () => HOLD_WAIT_MS
     })
     void this.link.keepPolling()
--- a/packages/scheduler/src/test/fleetRestarts.test.ts
+++ b/packages/scheduler/src/test/fleetRestarts.test.ts
@@ -93,6 +93,7 @@
       services: () => [SERVICE],
       waveStatus: (wave, isDone) => ({ key: `status/${wave}`, value: String(isDone) }),
       ordersPerS: () => 64,
+      isEvacuated: () => false,
       holderChangeMs: () => 300
     })
     void this.#duty.run()
