--- a/packages/scheduler/src/lib/records/FencedBatchWriter.ts
+++ b/packages/scheduler/src/lib/records/FencedBatchWriter.ts
@@ -37,7 +37,10 @@
 export interface WriteGuard {
   /** Returns the keys that must not exist when the next transaction takes effect; called when it is built. */
   readonly forbiddingKeys: () => readonly string[]
-  /** Called with those that exist. What they forbid must be withdrawn before this returns, because the records are then encoded again. */
+  /**
+   * Called with those that exist. What they forbid must be withdrawn before this returns: the records are then encoded again, or were
+   * written by an earlier attempt and would be acted on.
+   */
   readonly onForbidden: (items: readonly KeyValue[]) => void
 }
 
@@ -78,6 +81,8 @@
   readonly #options: FencedBatchWriterOptions
   readonly #pending = new Map<string, PendingRecord>()
   readonly #waiters: FlushWaiter[] = []
+  /** Chain values of rejected transactions of which an attempt without an answer may still take effect. */
+  readonly #rejectedChainValues = new Set<string>()
   #lastSequence = 0
   #inFlightSequence = Infinity
   #chainRevision: number
@@ -175,7 +180,7 @@
     const transaction = this.#buildTransaction(batch, forbiddingKeys, ++this.#transactionNumber)
     const startedMs = this.#options.clock.monotonicMs()
     const outcome = await this.#send(transaction, forbiddingKeys)
-    if (outcome === 'forbidden') this.#restore(batch)
+    if (outcome === 'rejected') this.#restore(batch)
     this.#inFlightSequence = Infinity
     if (outcome !== 'durable') return
     this.#options.onCommit?.(batch.length, this.#options.clock.monotonicMs() - startedMs)
@@ -222,15 +227,15 @@
 
   /**
    * Sends a transaction until its outcome is known. A conflict is a success if the chain key shows that an earlier attempt took effect. If
-   * only the guard's keys conflict, nothing was written: a late attempt with the same condition fails too, or else on the chain key, which
-   * the next transaction changes. Any other conflict means that another holder has taken over.
+   * only the guard's keys conflict, nothing was written. If the chain key shows that an attempt of a transaction rejected before took effect
+   * late, the records are written again on top of it. Any other conflict means that another holder has taken over.
    *
    * @param transaction - the transaction
    * @param forbiddingKeys - keys of its conditions that must not exist
-   * @returns `durable` if it took effect, `forbidden` if the guard prevented that, `deposed` if nothing more may be written
+   * @returns `durable` if it took effect, `rejected` if its records must be encoded and sent again, `deposed` if nothing more may be written
    */
-  async #send (transaction: Transaction, forbiddingKeys: readonly string[]): Promise<'durable' | 'forbidden' | 'deposed'> {
-    const { store, chainKey, dutyKey, dutyRevision, onStoreError, onDeposed } = this.#options
+  async #send (transaction: Transaction, forbiddingKeys: readonly string[]): Promise<'durable' | 'rejected' | 'deposed'> {
+    const { store, onStoreError, onDeposed } = this.#options
     for (let backoffMs = INITIAL_BACKOFF_MS; !this.#isClosed; backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2)) {
       const outcome = await store.transact(transaction)
       if (outcome.err) {
@@ -238,27 +243,39 @@
         await delay(backoffMs)
         continue
       }
-      if (outcome.val.committed) {
-        this.#chainRevision = outcome.val.modRevision
-        return 'durable'
-      }
-      const isHolder = outcome.val.current.some(({ key, modRevision }) => key === dutyKey && modRevision === dutyRevision)
-      const chain = outcome.val.current.find(({ key }) => key === chainKey)
-      if (isHolder && chain?.value === this.#chainValue(this.#transactionNumber)) {
-        this.#chainRevision = chain.modRevision
-        return 'durable'
-      }
-      const forbidding = outcome.val.current.filter(({ key }) => forbiddingKeys.includes(key))
-      if (isHolder && forbidding.length > 0 && (chain?.modRevision ?? 0) === this.#chainRevision) {
-        this.#options.guard?.onForbidden(forbidding)
-        return 'forbidden'
-      }
+      if (outcome.val.committed) return this.#settle(outcome.val.modRevision)
+      const resolved = this.#resolveConflict(outcome.val.current, forbiddingKeys)
+      if (resolved !== 'deposed') return resolved
       this.close()
       onDeposed()
     }
     return 'deposed'
   }
 
+  #resolveConflict (current: readonly KeyValue[], forbiddingKeys: readonly string[]): 'durable' | 'rejected' | 'deposed' {
+    const { chainKey, dutyKey, dutyRevision, guard } = this.#options
+    if (!current.some(({ key, modRevision }) => key === dutyKey && modRevision === dutyRevision)) return 'deposed'
+    const chain = current.find(({ key }) => key === chainKey)
+    const forbidding = current.filter(({ key }) => forbiddingKeys.includes(key))
+    // Records that took effect before are withdrawn too: their answer may come long after the forbidding key was written.
+    if (forbidding.length > 0) guard?.onForbidden(forbidding)
+    if (chain?.value === this.#chainValue(this.#transactionNumber)) return this.#settle(chain.modRevision)
+    const isUnchanged = (chain?.modRevision ?? 0) === this.#chainRevision
+    if (isUnchanged && forbidding.length > 0) {
+      this.#rejectedChainValues.add(this.#chainValue(this.#transactionNumber))
+      return 'rejected'
+    }
+    if (chain === undefined || !this.#rejectedChainValues.has(chain.value)) return 'deposed'
+    this.#chainRevision = chain.modRevision
+    return 'rejected'
+  }
+
+  #settle (chainRevision: number): 'durable' {
+    this.#chainRevision = chainRevision
+    this.#rejectedChainValues.clear()
+    return 'durable'
+  }
+
   #oldestPending (): number {
     const first = this.#pending.values().next()
     return Math.min(this.#inFlightSequence, first.done === true ? Infinity : first.value.sequence)
--- a/packages/scheduler/src/test/FencedBatchWriter.test.ts
+++ b/packages/scheduler/src/test/FencedBatchWriter.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { delay, systemClock } from '@quillscale/utils'
-import { FencedBatchWriter } from '../lib/records/FencedBatchWriter.js'
+import { MAX_TRANSACTION_ENTRIES, type Transaction } from '@quillscale/ports'
+import { FencedBatchWriter, type WriteGuard } from '../lib/records/FencedBatchWriter.js'
 import { FaultyStore } from './TestService.js'
 
 describe('FencedBatchWriter', () => {
@@ -11,7 +12,7 @@
     isDeposed = false
   })
 
-  async function createWriter (): Promise<FencedBatchWriter> {
+  async function createWriter (guard?: WriteGuard): Promise<FencedBatchWriter> {
     const duty = (await store.compareAndSwap({ key: 'duty', expectedModRevision: 0, value: 'me' })).unwrap()
     const log = new FencedBatchWriter({
       store,
@@ -21,7 +22,8 @@
       chainKey: 'chain',
       chainRevision: 0,
       onDeposed: () => { isDeposed = true },
-      onStoreError: () => {}
+      onStoreError: () => {},
+      guard
     })
     void log.run()
     return log
@@ -117,6 +119,86 @@
     expect(await written).to.equal(true)
     log.close()
   })
+
+  describe('with a guard', () => {
+    /** What the guarded record `k` says, until the guard withdraws it. */
+    let value: string
+    let findings: string[]
+    let forbiddingKeys: string[]
+    const guard: WriteGuard = {
+      forbiddingKeys: () => forbiddingKeys,
+      onForbidden: (items) => {
+        findings.push(...items.map(({ key }) => key));
+        [value, forbiddingKeys] = ['withdrawn', []]
+      }
+    }
+    const setForbidding = async (exists: boolean): Promise<unknown> =>
+      await store.transact({ conditions: [], puts: exists ? [{ key: 'op', value: '' }] : [], removals: exists ? [] : ['op'] })
+    beforeEach(() => { [value, findings, forbiddingKeys] = ['placed', [], ['op']] })
+
+    it('encodes rejected records again before newer ones, and resolves waiters in their order', async () => {
+      const log = await createWriter(guard)
+      await setForbidding(true)
+      const resolved: string[] = []
+      store.writeDelayMs = () => 20
+      log.put('k', () => value, true)
+      const first = log.flushed().then(() => resolved.push('first'))
+      await delay(10)
+      log.put('k', () => value, true)
+      log.put('later', () => value)
+      const second = log.flushed().then(() => resolved.push('second'))
+      await Promise.all([first, second])
+      expect([await valueOf('k'), await valueOf('later'), findings, resolved, isDeposed]).to.deep.equal(['withdrawn', 'withdrawn', ['op'], ['first', 'second'], false])
+      log.close()
+    })
+
+    it('withdraws records that took effect without an answer before the key was written', async () => {
+      const log = await createWriter(guard)
+      store.loseAnswers = () => true
+      log.put('k', () => value, true)
+      await delay(20)
+      store.loseAnswers = () => false
+      await setForbidding(true)
+      expect(await log.flushed()).to.equal(true)
+      expect([await valueOf('k'), findings, isDeposed]).to.deep.equal(['placed', ['op'], false])
+      log.close()
+    })
+
+    it('writes on top of an attempt that takes effect late, after it was rejected and the key was removed', async () => {
+      const log = await createWriter(guard)
+      const transact = store.transact.bind(store)
+      const sent: Transaction[] = []
+      store.transact = async (transaction) => {
+        sent.push(transaction)
+        if (sent.length === 1) return await transactWithoutAnswer()
+        if (sent.length !== 3 || sent[0] === undefined) return await transact(transaction)
+        await transact({ conditions: [], puts: [], removals: ['op'] })
+        expect((await transact(sent[0])).unwrap().committed).to.equal(true)
+        return await transact(transaction)
+      }
+      await transact({ conditions: [], puts: [{ key: 'op', value: '' }], removals: [] })
+      log.put('k', () => value, true)
+      expect(await log.flushed()).to.equal(true)
+      expect([await valueOf('k'), findings, isDeposed, sent.length]).to.deep.equal(['withdrawn', ['op'], false, 4])
+      log.close()
+    })
+
+    it('keeps transactions within the entry limit, conditions included', async () => {
+      forbiddingKeys = Array.from({ length: 20 }, (_, index) => `op${index}`)
+      const log = await createWriter(guard)
+      const sizes: number[] = []
+      const transact = store.transact.bind(store)
+      store.transact = async (transaction) => {
+        sizes.push(transaction.conditions.length + transaction.puts.length)
+        return await transact(transaction)
+      }
+      for (let index = 0; index < 40; index++) log.put(`k${index}`, () => 'v')
+      expect(await log.flushed()).to.equal(true)
+      expect((await store.list('k')).unwrap().items).to.have.length(40)
+      expect(Math.max(...sizes)).to.equal(MAX_TRANSACTION_ENTRIES)
+      log.close()
+    })
+  })
 })
 
 async function transactWithoutAnswer (): Promise<Awaited<ReturnType<FaultyStore['transact']>>> {
