--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -41,7 +41,7 @@
   readonly bounds: () => SchedulerBounds
   readonly evacuations: EvacuationSource
   /** Key of the request to evacuate an availability zone; `undefined` where operators do not evacuate zones. */
-  readonly evacuationKey: ((availabilityZone: string) => string) | undefined
+  readonly evacuationKey: ((availabilityZone: string) => string | undefined) | undefined
   /** Prefix under which workers register themselves. */
   readonly workersPrefix: string
   /** Decodes the registration of a worker. */
--- a/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
+++ b/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
@@ -29,8 +29,8 @@
   readonly log: EventLog
   readonly metrics: SchedulerMetrics
   readonly evacuations: EvacuationSource
-  /** Key of the request to evacuate a zone; `undefined` where operators do not evacuate zones. */
-  readonly evacuationKey: ((availabilityZone: string) => string) | undefined
+  /** Key of the request to evacuate a zone, `undefined` if none can name it; `undefined` where operators do not evacuate zones. */
+  readonly evacuationKey: ((availabilityZone: string) => string | undefined) | undefined
   readonly links: () => readonly WorkerLink[]
   readonly linkOf: (run: Run) => WorkerLink | undefined
   readonly isMachineDraining: (machineId: string) => boolean
@@ -127,7 +127,7 @@
     const { evacuationKey } = this.#options
     for (const run of this.#recording) if (run.phase !== 'recording' || !run.task.runs.includes(run)) this.#recording.delete(run)
     const zones = new Set([...this.#recording].map((run) => this.#zoneOf(run)))
-    return evacuationKey === undefined ? [] : [...zones].filter((zone) => zone !== undefined).map(evacuationKey)
+    return [...zones].map((zone) => zone === undefined ? undefined : evacuationKey?.(zone)).filter((key) => key !== undefined)
   }
 
   #zoneOf (run: Run): string | undefined {
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -32,6 +32,7 @@
 /** Decodes a registration that {@link TestService.list} wrote. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const EVACUATION_PREFIX = 'op/evacuate/'
+const evacuationKey = (zone: string): string | undefined => zone.includes('/') ? undefined : `${EVACUATION_PREFIX}${zone}`
 const POLL_INTERVAL_MS = 5
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
@@ -135,7 +136,9 @@
     log: this.log,
     records: this.records,
     decodeWave: () => undefined,
-    decodeEvacuation: ({ key, modRevision }) => Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
+    decodeEvacuation: ({ key, modRevision }) => evacuationKey(key.slice(EVACUATION_PREFIX.length)) === undefined
+      ? Err({ reason: 'wrong-field', path: '(key)', detail: '' })
+      : Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
     ageMs: () => this.isWatchCutOff ? Infinity : 0
   })
 
@@ -293,7 +296,7 @@
       configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
       evacuations: this.requests,
-      evacuationKey: (zone) => `${EVACUATION_PREFIX}${zone}`,
+      evacuationKey,
       workersPrefix: WORKERS_PREFIX,
       decodeWorker: ({ value }) => decodeJson(workerSchema, value),
       onDeposed: () => { tenure().isDeposed = true }
--- a/packages/scheduler/src/test/evacuation.test.ts
+++ b/packages/scheduler/src/test/evacuation.test.ts
@@ -27,6 +27,12 @@
   const hasLogged = (text: string): boolean => service.log.lines.some((line) => line.startsWith(text))
   const submit = (number = 1, step: Partial<StepSpec> = { taskCount: MANY_TASKS }, runMs = RUN_MS) => service.submit(number, { runMs }, [step])
   const silence = (isSilent: boolean): void => { for (const { faults } of workersIn(EVACUATED)) faults.isSilent = isSilent }
+  function rezone (index: number, availabilityZone: string): void {
+    const worker = service.runs.workers.get(`w${index}-1`) as StandInWorker
+    const instance = { ...worker.instance, availabilityZone }
+    Object.assign(worker, { instance })
+    service.list(instance)
+  }
   const placed = (): Promise<void> => service.until('tasks are placed', () => hasLogged('tasks placed'))
   const recorded = (): Promise<void> => service.until('the placement is recorded', async () =>
     (await service.store.list(progressPrefix(SERVICE))).unwrap().items.some(({ value }) => value.includes('w0-1')))
@@ -141,12 +147,8 @@
       around: async () => {
         service.evacuate(EVACUATED)
         // Worker 0 leaves the zone, worker 1 joins it.
-        for (const [index, zone] of ['z1', EVACUATED].entries()) {
-          const worker = service.runs.workers.get(`w${index}-1`)
-          const instance = { ...worker?.instance, availabilityZone: zone } as StandInWorker['instance']
-          Object.assign(worker ?? {}, { instance })
-          service.list(instance)
-        }
+        rezone(0, 'z1')
+        rezone(1, EVACUATED)
         await delay(600)
         await submit()
       }
@@ -155,9 +157,13 @@
       name: 'requests of other zones and with more parts are present',
       around: async () => {
         service.evacuate('nowhere')
+        // No request can name this zone, so its worker is used.
+        rezone(1, `${EVACUATED}/more`)
         service.evacuate(`${EVACUATED}/more`)
         service.evacuate(EVACUATED)
+        await delay(600)
         await submit()
+        await service.until('the other worker is used', () => startsIn(`${EVACUATED}/more`).length > 0)
       }
     }
   ]
