--- a/packages/policy/src/test/planPools.test.ts
+++ b/packages/policy/src/test/planPools.test.ts
@@ -75,6 +75,19 @@
     })
   }
 
+  const evacuations: ReadonlyArray<{ name: string, pools: readonly Pool[], evacuated: string[], moves: string[] }> = [
+    { name: 'machines elsewhere take the place of evacuated ones', pools: [{ name: 'a', machines: 3 }, { name: 'off', machines: 2 }], evacuated: ['a0', 'a1'], moves: ['off0 off>a'] },
+    { name: 'evacuated machines are not taken', pools: [{ name: 'a', machines: 1 }, { name: 'b', machines: 3, idle: 1 }, { name: 'off', machines: 2 }], evacuated: ['off0', 'b0'], moves: ['off1 off>a'] },
+    { name: 'evacuated machines are not released', pools: [{ name: 'a', machines: 4, idle: 4 }, { name: 'off', machines: 0 }], evacuated: ['a0', 'a1'], moves: [] },
+    { name: 'no move if all are evacuated', pools: [{ name: 'a', machines: 1, wantedCores: 50 }, { name: 'off', machines: 2 }], evacuated: ['a0', 'off0', 'off1'], moves: [] }
+  ]
+  for (const { name, pools, evacuated, moves } of evacuations) {
+    it(name, () => {
+      const planned = planPools({ ...viewOf(pools), evacuatedMachines: new Set(evacuated) }).map(({ machineId, from, to }) => `${machineId} ${from}>${to}`)
+      expect(planned).to.deep.equal(moves)
+    })
+  }
+
   it('moves ahead of a growing need', () => {
     const view = viewOf([{ name: 'a', machines: 3, wantedCores: 20 }, { name: 'off', machines: 4 }])
     expect(planPools({ ...view, predictedNeed: new Map([['a', 5]]) })).to.have.length(2)
