--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -32,6 +32,7 @@
 /** Decodes a registration that {@link TestService.list} wrote. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const EVACUATION_PREFIX = 'op/evacuate/'
+const evacuationKey = (zone: string): string | undefined => zone.includes('/') ? undefined : `${EVACUATION_PREFIX}${zone}`
 const POLL_INTERVAL_MS = 5
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
@@ -135,7 +136,9 @@
     log: this.log,
     records: this.records,
     decodeWave: () => undefined,
-    decodeEvacuation: ({ key, modRevision }) => Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
+    decodeEvacuation: ({ key, modRevision }) => evacuationKey(key.slice(EVACUATION_PREFIX.length)) === undefined
+      ? Err({ reason: 'wrong-field', path: '(key)', detail: '' })
+      : Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
     ageMs: () => this.isWatchCutOff ? Infinity : 0
   })
 
@@ -216,7 +219,7 @@
    * @param instance - the registration
    */
   list (instance: WorkerInstance): void {
-    this.#set(`${WORKERS_PREFIX}${workerIdOf(instance.instanceId)}`, JSON.stringify(instance))
+    this.write(`${WORKERS_PREFIX}${workerIdOf(instance.instanceId)}`, JSON.stringify(instance))
   }
 
   /**
@@ -225,30 +228,20 @@
    * @param instanceId - the registered lifetime
    */
   unlist (instanceId: string): void {
-    this.#set(`${WORKERS_PREFIX}${workerIdOf(instanceId)}`, undefined)
+    this.write(`${WORKERS_PREFIX}${workerIdOf(instanceId)}`, undefined)
   }
 
   /**
-   * Writes a key directly, without the faults of the store.
+   * Writes a key as another process would, for example the holder of the machine duty, and without the faults of the store.
    *
    * @param key - the key
    * @param value - the value, `undefined` removes the key
    */
-  #set (key: string, value: string | undefined): void {
+  write (key: string, value: string | undefined): void {
     const isRemoval = value === undefined
     void MemoryKeyValueStore.prototype.transact.call(this.store, { conditions: [], puts: isRemoval ? [] : [{ key, value }], removals: isRemoval ? [key] : [] })
   }
 
-  /**
-   * Writes a key as another process would, for example the holder of the machine duty.
-   *
-   * @param key - the key
-   * @param value - the value, `undefined` removes the key
-   */
-  write (key: string, value: string | undefined): void {
-    this.#set(key, value)
-  }
-
   /**
    * Reports a worker's machine as down, as the holder of the machine duty does.
    *
@@ -267,7 +260,7 @@
    */
   evacuate (availabilityZone: string, isRequested = true): void {
     const key = `${EVACUATION_PREFIX}${availabilityZone}`
-    this.#set(key, isRequested ? '{}' : undefined)
+    this.write(key, isRequested ? '{}' : undefined)
     if (this.isWatchCutOff) return
     this.requests.applyChange(isRequested ? { changed: [{ key, value: '{}', modRevision: 1 }], removed: [] } : { changed: [], removed: [key] })
   }
@@ -278,7 +271,7 @@
    * @returns the new tenure
    */
   async takeOver (): Promise<Tenure> {
-    this.#set(DUTY_KEY, undefined)
+    this.write(DUTY_KEY, undefined)
     const taken = await MemoryKeyValueStore.prototype.compareAndSwap.call(this.store, { key: DUTY_KEY, expectedModRevision: 0, value: 'test' })
     const fencingToken = taken.ok && taken.val.swapped ? taken.val.modRevision : 0
     const tenure: Tenure = { scheduler: this.#createScheduler(fencingToken, () => tenure), fencingToken, holdsDuty: true, isDeposed: false }
@@ -303,7 +296,7 @@
       configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
       evacuations: this.requests,
-      evacuationKey: (zone) => `${EVACUATION_PREFIX}${zone}`,
+      evacuationKey,
       workersPrefix: WORKERS_PREFIX,
       decodeWorker: ({ value }) => decodeJson(workerSchema, value),
       onDeposed: () => { tenure().isDeposed = true }
