--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -36,7 +36,7 @@
 export {
   fitsWithin, least, mapResources, minus, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, unlimitedWhereZero, type Resources
 } from './lib/quotas/resources.js'
-export { countsAsCapacity, findUnavailability, type AvailabilityContext, type UnavailabilityReason } from './lib/placement/unavailability.js'
+export { countsAsCapacity, countUnavailable, findUnavailability, type AvailabilityContext, type UnavailabilityReason } from './lib/placement/unavailability.js'
 export { stillFits } from './lib/placement/stillFits.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
 export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/policy/src/lib/placement/unavailability.ts
+++ b/packages/policy/src/lib/placement/unavailability.ts
@@ -56,6 +56,23 @@
   return REASONS.find((reason) => RULES[reason].applies(worker, context))
 }
 
+/**
+ * Counts the workers that get no new runs.
+ *
+ * @param workers - workers of a service
+ * @param context - the present time, drains and evacuations
+ * @returns the number of workers by the first reason that applies; reasons of none are left out
+ * @public
+ */
+export function countUnavailable (workers: readonly WorkerView[], context: AvailabilityContext): Partial<Record<UnavailabilityReason, number>> {
+  const counts: Partial<Record<UnavailabilityReason, number>> = {}
+  for (const worker of workers) {
+    const reason = findUnavailability(worker, context)
+    if (reason !== undefined) counts[reason] = (counts[reason] ?? 0) + 1
+  }
+  return counts
+}
+
 /**
  * Tells whether a worker counts as capacity of its service.
  *
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -47,6 +47,10 @@
   readonly #runTimes = new RunTimeEstimator()
   readonly #adviceCache: PlacementAdviceCache
   readonly #drainer: MachineDrainer
+  readonly #availability: Omit<AvailabilityContext, 'nowMs'> = {
+    isMachineDraining: (machineId) => this.#drainer.isDraining(machineId), isEvacuated: (zone) => this.#options.evacuations.isEvacuated(zone)
+  }
+
   readonly #silentWorkers: SilentWorkers
   readonly #ledger: QuotaLedger
   readonly #workers: WorkerTracker
@@ -73,7 +77,7 @@
     this.#log = options.log
     // Many pending waits listen to this signal.
     setMaxListeners(0, this.#stop.signal)
-    const { clock, store, service, configuration, evacuations } = options
+    const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock)
     this.#registry = new JobRegistry({
       clock,
@@ -103,12 +107,7 @@
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
     this.#statusWriter = new StatusWriter({
-      service,
-      clock,
-      log: options.log,
-      put,
-      limitOf: (account) => accountsOf(configuration()).limitOf(account),
-      isEvacuated: (zone) => evacuations.isEvacuated(zone)
+      service, clock, log: options.log, put, availability: this.#availability, limitOf: (account) => accountsOf(configuration()).limitOf(account)
     })
     this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#pacer.request() })
     this.#drainer = new MachineDrainer({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.evict(run) } })
@@ -342,10 +341,7 @@
       runTimes: this.#runTimes,
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
-      availability: {
-        isMachineDraining: (machineId) => this.#drainer.isDraining(machineId),
-        isEvacuated: (zone) => this.#options.evacuations.isEvacuated(zone)
-      },
+      availability: this.#availability,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -4,12 +4,32 @@
  * @module
  */
 import { decodeJson, Err, Ok, type DecodeProblem, type Result } from '@quillscale/utils'
-import type { KeyValueStore, PlatformError } from '@quillscale/ports'
+import type { EvacuationRequest, KeyValue, KeyValueStore, PlatformError, WorkerInstance } from '@quillscale/ports'
 import { hasEnded, isLacking, type JobFailure, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, sumGranted, type Resources } from '@quillscale/policy'
 import { quotaKey, decodeQuotaRecord, type QuotaRecord } from '../accounts/quotaRecord.js'
+import { explainEvacuations } from './explainEvacuations.js'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
+import type { RecordProblem } from '../records/RecordReader.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
-import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
+import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, progressPrefix, serviceDutyKey } from '../records/storeKeys.js'
+import { listZones, type ZoneRow } from '../workers/listZones.js'
+
+/** The records of operators and workers, whose keys and formats the platform determines. @public */
+export interface FleetReportSources {
+  /** Prefix of the requests to evacuate availability zones. */
+  readonly evacuationPrefix: string
+  readonly decodeEvacuation: (item: KeyValue) => Result<EvacuationRequest, RecordProblem> | undefined
+  /** Prefix of the registrations of workers. */
+  readonly workersPrefix: string
+  readonly decodeWorker: (item: KeyValue) => Result<WorkerInstance, RecordProblem>
+}
+
+/** The availability zones, and what is missing in the summary. @public */
+export interface ZoneReport {
+  readonly zones: readonly ZoneRow[]
+  /** Keys of the progress records that cannot be read; their runs are not counted. */
+  readonly unreadableKeys: readonly string[]
+}
 
 /** A duty and its current holder. @public */
 export interface DutyRow { readonly duty: string, readonly holder: string, readonly fencingToken: number }
@@ -35,10 +55,12 @@
 /** Builds reports for operators from the records in the store. @public */
 export class FleetReport {
   readonly #store: KeyValueStore
+  readonly #sources: FleetReportSources
 
-  /** @param store - the store of the fleet */
-  constructor (store: KeyValueStore) {
+  /** @param store - the store of the fleet @param sources - the records that the platform determines */
+  constructor (store: KeyValueStore, sources: FleetReportSources) {
     this.#store = store
+    this.#sources = sources
   }
 
   /**
@@ -68,6 +90,32 @@
     }))
   }
 
+  /**
+   * Summarizes the availability zones. Runs are read last: a run that is missing had ended, or was recorded after the evacuations were read.
+   *
+   * @returns one row for each zone, and the records that could not be read
+   */
+  async zones (): Promise<Result<ZoneReport, PlatformError>> {
+    const evacuations = await this.#listEvacuations()
+    if (evacuations.err) return evacuations
+    const [workers, services] = await Promise.all([this.#listWorkers(), this.services()])
+    if (workers.err) return workers
+    if (services.err) return services
+    const names = new Set([...workers.val, ...services.val].map(({ service }) => service))
+    const runs: Array<{ service: string, instanceId: string }> = []
+    const unreadableKeys: string[] = []
+    for (const service of names) {
+      const listed = await this.#store.list(progressPrefix(service))
+      if (listed.err) return listed
+      for (const { key, value } of listed.val.items) {
+        const progress = decodeProgress(value)
+        if (progress.err) unreadableKeys.push(key)
+        else runs.push(...progress.val.tasks.flatMap((task) => task.runs ?? []).map(({ instanceId }) => ({ service, instanceId })))
+      }
+    }
+    return Ok({ zones: listZones({ evacuations: evacuations.val, workers: workers.val, runs }), unreadableKeys })
+  }
+
   /**
    * Explains the state of a job.
    *
@@ -94,11 +142,30 @@
       if (decoded.err) return unreadableRecord(progressKey(row.service, jobId), decoded.val)
       const quota = await this.#readQuota(spec.val)
       if (quota.err) return quota
-      return Ok(explainJob(spec.val, row, { progress: decoded.val, isCancelled: cancel.val !== undefined, duties: duties.val, quota: quota.val }, wallMs))
+      const evacuations = await this.#listEvacuations()
+      if (evacuations.err) return evacuations
+      const workers: Result<WorkerInstance[], PlatformError> = evacuations.val.length === 0 ? Ok([]) : await this.#listWorkers()
+      if (workers.err) return workers
+      const records = { progress: decoded.val, isCancelled: cancel.val !== undefined, duties: duties.val, quota: quota.val }
+      return Ok(explainJob(spec.val, row, { ...records, evacuations: evacuations.val, workers: workers.val }, wallMs))
     }
     return Ok(undefined)
   }
 
+  /** Lists the evacuations; as for the hosts, unreadable requests count as missing. */
+  async #listEvacuations (): Promise<Result<EvacuationRequest[], PlatformError>> {
+    const { evacuationPrefix, decodeEvacuation } = this.#sources
+    const listed = await this.#store.list(evacuationPrefix)
+    return listed.map(({ items }) => items.map(decodeEvacuation).flatMap((decoded) => decoded?.ok === true ? [decoded.val] : []))
+  }
+
+  /** Lists the workers of all services; as for the hosts, unreadable registrations count as missing. */
+  async #listWorkers (): Promise<Result<WorkerInstance[], PlatformError>> {
+    const { workersPrefix, decodeWorker } = this.#sources
+    const listed = await this.#store.list(workersPrefix)
+    return listed.map(({ items }) => items.map(decodeWorker).flatMap((decoded) => decoded.ok ? [decoded.val] : []))
+  }
+
   async #readQuota ({ owner }: JobSpec): Promise<Result<QuotaRecord | undefined, PlatformError>> {
     if (owner === undefined) return Ok(undefined)
     const key = quotaKey(owner.account)
@@ -116,21 +183,33 @@
   readonly duties: readonly DutyRow[]
   /** `undefined` if the account has no limit, or has not run anything yet. */
   readonly quota: QuotaRecord | undefined
+  readonly evacuations: readonly EvacuationRequest[]
+  /** Registered workers of all services; empty unless there are evacuations. */
+  readonly workers: readonly WorkerInstance[]
 }
 
 function unreadableRecord (key: string, { path, detail }: DecodeProblem): Result<never, PlatformError> {
   return Err({ kind: 'unavailable', detail: `${key} cannot be read: ${path === '' ? '' : `${path}: `}${detail}` })
 }
 
-function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, duties, quota }: JobRecords, wallMs: number): JobExplanation {
+function explainJob (spec: JobSpec, row: ServiceRow, records: JobRecords, wallMs: number): JobExplanation {
+  const { progress, isCancelled, duties, quota } = records
   const status = progress?.status ?? 'queued'
   const hasJobEnded = hasEnded({ status })
-  const reasons = hasJobEnded ? [] : [...waitReasons(row, isCancelled, duties), ...quotaReasons(row.service, quota)]
+  const reasons = hasJobEnded ? [] : [...waitReasons(row, isCancelled, duties), ...quotaReasons(row.service, quota), ...evacuationReasons(spec, row, records)]
   const steps = hasJobEnded ? failureLines(progress?.failure) : spec.steps.map((_, index) => explainStep(spec, index, progress))
   const { jobId, queue, owner, submittedMs } = spec
   return { jobId, service: row.service, queue, account: owner?.account, status, ageMs: wallMs - submittedMs, lines: [...steps, ...reasons] }
 }
 
+function evacuationReasons (spec: JobSpec, { service }: ServiceRow, { progress, evacuations, workers }: JobRecords): string[] {
+  const waitingSteps = spec.steps.flatMap(({ taskCount }, index) => {
+    const busy = tasksOfStep(index, progress).filter(({ isDone, runs = [] }) => isDone === true || runs.length > 0)
+    return busy.length < taskCount ? [index] : []
+  })
+  return explainEvacuations(spec, { waitingSteps, evacuations, workers: workers.filter((worker) => worker.service === service) })
+}
+
 function explainStep (spec: JobSpec, index: number, progress: JobProgress | undefined): string {
   const step = spec.steps[index]
   const tasks = tasksOfStep(index, progress)
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { AccountName } from '@quillscale/ports'
-import { computeServiceDemand, type Job, machinesNeeded, type Resources } from '@quillscale/policy'
+import { type AvailabilityContext, computeServiceDemand, countUnavailable, type Job, machinesNeeded, type Resources } from '@quillscale/policy'
 import type { RecordEncoder } from '../records/FencedBatchWriter.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
@@ -19,7 +19,7 @@
   readonly log: EventLog
   /** Returns the resources that the running tasks of an account may use; `undefined` without a limit. */
   readonly limitOf: (account: AccountName) => Resources | undefined
-  readonly isEvacuated: (availabilityZone: string) => boolean
+  readonly availability: Omit<AvailabilityContext, 'nowMs'>
   /** Writes a record to the store, without delay if it is urgent. */
   readonly put: (key: string, source: RecordEncoder, isUrgent: boolean) => void
 }
@@ -77,8 +77,9 @@
   /** Writes the demand: at once if more machines are needed, otherwise no more often than its intervals allow. */
   #writeDemand (jobs: readonly Job[], workers: WorkerTracker, nowMs: number): void {
     this.#demandComputedMs = nowMs
-    const { service, clock, log, limitOf, isEvacuated, put } = this.#options
-    const demand = computeServiceDemand({ service, jobs, workerViews: workers.links, limitOf, isEvacuated, nowMs, wallMs: clock.wallMs() })
+    const { service, clock, log, limitOf, availability, put } = this.#options
+    const { links: workerViews } = workers
+    const demand = computeServiceDemand({ ...availability, service, jobs, workerViews, limitOf, nowMs, wallMs: clock.wallMs() })
     const need = machinesNeeded(demand)
     const text = encodeDemand(demand)
     const isMore = need > this.#writtenNeed
@@ -86,7 +87,8 @@
     if (!isMore && ageMs < (text === this.#demandText ? DEMAND_REFRESH_INTERVAL_MS : DEMAND_CHANGE_INTERVAL_MS)) return
     if (need !== this.#writtenNeed) {
       const { wantedMillis, runsByMachine } = demand
-      log.info({ service, need, machines: runsByMachine.size, wantedMillis, workers: workers.counts(nowMs) }, 'need of machines')
+      const withoutNewRuns = countUnavailable(workerViews, { ...availability, nowMs })
+      log.info({ service, need, machines: runsByMachine.size, wantedMillis, workers: workers.counts(nowMs), withoutNewRuns }, 'need of machines')
     }
     this.#demandWrittenMs = nowMs
     this.#demandText = text
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -74,6 +74,16 @@
     return Math.min(this.#replica.ageMs(nowMs), nowMs - this.#lastAnsweredReadStartMs)
   }
 
+  /**
+   * Computes how stale the operators' requests may be. Unlike the configuration, they are not read again on demand.
+   *
+   * @param nowMs - the current monotonic time
+   * @returns the time since the last confirmed state
+   */
+  requestsAgeMs (nowMs: number): number {
+    return this.#replica.ageMs(nowMs)
+  }
+
   /**
    * Watches the records until aborted.
    *
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -3,15 +3,16 @@
  *
  * @module
  */
-import { decodeJson, delay, Err, Ok, systemClock, type Result } from '@quillscale/utils'
+import { decodeJson, delay, Err, Ok, systemClock, type DecodeProblem, type Result } from '@quillscale/utils'
 import {
-  lifetimeStartMsOf, createInstanceId, workerIdOf, type AccountName, type FleetConfiguration, type KeyValue, type PlatformError, type Transaction,
-  type TransactionOutcome, type WorkerId, type WorkerInstance
+  lifetimeStartMsOf, createInstanceId, workerIdOf, type AccountName, type EvacuationRequest, type FleetConfiguration, type KeyValue, type PlatformError,
+  type Transaction, type TransactionOutcome, type WorkerId, type WorkerInstance
 } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
 import { type JobId, type JobOwner, type JobSpec, jobSpecSchema, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
+import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { JobApi } from '../lib/jobs/JobApi.js'
 import type { EventLog } from '../lib/duties/EventLog.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
@@ -32,6 +33,9 @@
 /** Decodes a registration that {@link TestService.list} wrote. */
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const EVACUATION_PREFIX = 'op/evacuate/'
+const decodeWorker = ({ value }: KeyValue): Result<WorkerInstance, DecodeProblem> => decodeJson(workerSchema, value)
+const decodeEvacuation = ({ key, modRevision }: KeyValue): Result<EvacuationRequest, DecodeProblem> =>
+  Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision })
 const POLL_INTERVAL_MS = 5
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
@@ -135,11 +139,13 @@
     log: this.log,
     records: this.records,
     decodeWave: () => undefined,
-    decodeEvacuation: ({ key, modRevision }) => Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
+    decodeEvacuation,
     ageMs: () => this.isWatchCutOff ? Infinity : 0
   })
 
   isWatchCutOff = false
+  /** What operators are told. */
+  readonly report = new FleetReport(this.store, { evacuationPrefix: EVACUATION_PREFIX, decodeEvacuation, workersPrefix: WORKERS_PREFIX, decodeWorker })
   maxLeaseMs = 1000
   configuration: FleetConfiguration = {
     version: 1,
@@ -305,7 +311,7 @@
       evacuations: this.requests,
       evacuationKey: (zone) => `${EVACUATION_PREFIX}${zone}`,
       workersPrefix: WORKERS_PREFIX,
-      decodeWorker: ({ value }) => decodeJson(workerSchema, value),
+      decodeWorker,
       onDeposed: () => { tenure().isDeposed = true }
     })
   }
--- a/packages/scheduler/src/test/accountLimits.test.ts
+++ b/packages/scheduler/src/test/accountLimits.test.ts
@@ -2,7 +2,6 @@
 import { delay } from '@quillscale/utils'
 import type { AccountName, ClientAccount } from '@quillscale/ports'
 import type { JobOwner } from '@quillscale/policy'
-import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { TestService } from './TestService.js'
 
 const account = (name: string, weight: number, cpuMillis: number): ClientAccount =>
@@ -74,8 +73,8 @@
     const first = await service.submit(1, { runMs: 5000 }, [{}], 1, undefined, ownerOf('press'))
     await service.untilStatus(first, 'running')
     const jobId = await service.submit(2, { runMs: 10 }, [{}], 1, undefined, ownerOf('press'))
-    await service.until('its demand is published', async () => (await new FleetReport(service.store).services()).unwrap().length > 0)
-    const reasons = async (): Promise<readonly string[]> => (await new FleetReport(service.store).explain(jobId, Date.now())).unwrap()?.lines ?? []
+    await service.until('its demand is published', async () => (await service.report.services()).unwrap().length > 0)
+    const reasons = async (): Promise<readonly string[]> => (await service.report.explain(jobId, Date.now())).unwrap()?.lines ?? []
     await service.until('the reason is reported', async () => (await reasons()).some((line) => line.startsWith('account press has 1000 mcpu')))
   })
 
--- a/packages/scheduler/src/test/foreignRecords.test.ts
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import type { JobId } from '@quillscale/policy'
-import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { demandKey } from '../lib/records/serviceDemand.js'
 import { cancelKey, chainKey, inboxPrefix, jobKey, progressKey, silentWorkersKey, vacatedKey, vacateKey, waitingKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
@@ -144,7 +143,7 @@
     const runs = service.runs.records.filter(({ taskKey }) => taskKey.startsWith(jobId))
     expect(runs.map(({ end }) => end)).to.deep.equal(['done'])
     expect(await service.status(jobId)).to.equal('unavailable')
-    const explained = await new FleetReport(service.store).explain(jobId, Date.now())
+    const explained = await service.report.explain(jobId, Date.now())
     expect(explained.err && explained.val.detail).to.match(/^progress.*cannot be read/)
   })
 
