--- a/packages/bench/src/lib/policy/SimulatedWorker.ts
+++ b/packages/bench/src/lib/policy/SimulatedWorker.ts
@@ -23,6 +23,7 @@
   readonly health = new WorkerHealth()
   readonly acceptsRuns = true
   readonly isRecordedSilent = false
+  readonly coldUntilMs = -Infinity
   refusingUntilMs = -Infinity
   /** It neither hears nor answers. */
   isCut = false
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -37,6 +37,7 @@
   fitsWithin, least, mapResources, minus, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, unlimitedWhereZero, type Resources
 } from './lib/quotas/resources.js'
 export { countsAsCapacity, countUnavailable, findUnavailability, type AvailabilityContext, type UnavailabilityReason } from './lib/placement/unavailability.js'
+export { coldUntilMs } from './lib/placement/warmup.js'
 export { stillFits } from './lib/placement/stillFits.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
 export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -12,7 +12,7 @@
 import { createWorkerRoom } from './createWorkerRoom.js'
 import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
-import { compareRanks, rankStep, RANK_TIERS, type StepRank } from '../jobs/rankStep.js'
+import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
 
@@ -49,11 +49,14 @@
 const PREEMPT_AFTER_MS = 700
 /** A run without progress on an unresponsive worker gets a copy after this time; workers are polled at least every second. */
 const COPY_AFTER_SILENCE_MS = 2500
-/** A run gets a copy at this multiple of the run time of its image; tasks of one image vary by less. */
+/** A run gets a copy at this multiple of the run time of its image; tasks of one image vary by less. Time on a cold worker is not counted. */
 const STRAGGLER_FACTOR = 2.5
 /** A run without progress for this long is stopped and placed elsewhere. */
 const STALL_TIMEOUT_MS = 3000
 
+/** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
+const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
+
 interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueConfiguration | undefined }
 
 /** Places the waiting tasks of a service once. @public */
@@ -127,7 +130,8 @@
     const workerView = workerViews.find(({ instance }) => instance.instanceId === run.instanceId)
     // A new holder has no answers yet, so its workers get time to respond.
     const isSilent = workerView?.isAnswering(nowMs) !== true && run.phase !== 'recording' && nowMs - run.progressMs > COPY_AFTER_SILENCE_MS
-    const isBehind = run.startedMs !== undefined && runTimes.hasSamples(step) && nowMs - run.startedMs > runTimes.expectedMs(step) * STRAGGLER_FACTOR
+    const isBehind = run.startedMs !== undefined && runTimes.hasSamples(step) &&
+      nowMs - Math.max(run.startedMs, workerView?.coldUntilMs ?? -Infinity) > runTimes.expectedMs(step) * STRAGGLER_FACTOR
     if (isSilent || isBehind) task.avoidedInstances.add(run.instanceId)
     return isSilent || isBehind
   }
@@ -136,10 +140,11 @@
     const mayReserve = rank.tier === RANK_TIERS.lasting
     const waitedMs = this.#options.nowMs - Math.min(...tasks.map(({ waitingSinceMs }) => waitingSinceMs ?? this.#options.nowMs))
     const mayShareWorker = waitedMs >= ISOLATION_WAIT_MS
-    if (queue?.advice === undefined) return { tasks, mayReserve, mayShareWorker }
+    const isUrgent = URGENT_TIERS.has(rank.tier)
+    if (queue?.advice === undefined) return { tasks, mayReserve, mayShareWorker, isUrgent }
     const byRoom = [...rooms].sort((a, b) => b.cpuMillis - a.cpuMillis).map(({ instanceId }) => instanceId)
     const tickets = this.#options.advice.ticketsFor(tasks[0] as Task, byRoom, this.#options.nowMs)
-    return tickets === undefined ? undefined : { tasks, mayReserve, mayShareWorker, tickets }
+    return tickets === undefined ? undefined : { tasks, mayReserve, mayShareWorker, isUrgent, tickets }
   }
 
   #availableRooms (): WorkerRoom[] {
--- a/packages/policy/src/lib/placement/WorkerRoom.ts
+++ b/packages/policy/src/lib/placement/WorkerRoom.ts
@@ -11,6 +11,8 @@
   readonly instanceId: string
   readonly labels: readonly string[]
   readonly capacity: WorkerCapacity
+  /** Whether it is still slow after its start. */
+  readonly isCold: boolean
   /** Remaining capacity. */
   cpuMillis: number
   memoryMb: number
@@ -35,6 +37,8 @@
   readonly tickets?: ReadonlyMap<string, string> | undefined
   /** Whether capacity is reserved on a worker if a task does not fit anywhere. */
   readonly mayReserve: boolean
+  /** Whether somebody waits for its tasks, so that they prefer warm workers. */
+  readonly isUrgent?: boolean
   /** Whether suspect tasks have waited long enough to share a worker with other jobs. */
   readonly mayShareWorker?: boolean
 }
--- a/packages/policy/src/lib/placement/WorkerView.ts
+++ b/packages/policy/src/lib/placement/WorkerView.ts
@@ -20,6 +20,8 @@
   readonly health: WorkerHealth
   /** Monotonic; it refused a run and gets no new ones until then. */
   readonly refusingUntilMs: number
+  /** Monotonic; it is or was slow after its start until then, `-Infinity` if it does not report that. */
+  readonly coldUntilMs: number
   /** Whether it is recorded as silent and must not get a lease. */
   readonly isRecordedSilent: boolean
   /** @param nowMs - monotonic @returns whether it has answered recently */
--- a/packages/policy/src/lib/placement/createWorkerRoom.ts
+++ b/packages/policy/src/lib/placement/createWorkerRoom.ts
@@ -22,6 +22,7 @@
     instanceId,
     labels,
     capacity,
+    isCold: nowMs < workerView.coldUntilMs,
     cpuMillis: capacity.cpuMillis,
     memoryMb: capacity.memoryMb,
     gpus: capacity.gpus,
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -98,10 +98,11 @@
 
 /**
  * Scores a worker for a task; higher is better. Prefers, in this order, workers where a crash would end the fewest other runs, where the task has
- * not failed, near its data, with the least interference, with few lasting tasks of the same step, and the fullest, so that idle machines can
- * be released.
+ * not failed, near its data, with the least interference, with few lasting tasks of the same step, warm if the task is urgent, and the fullest,
+ * so that idle machines can be released. The warm-up passes while the criteria above it hold for as long as the task runs; but a slow start
+ * delays somebody now, and a full worker only saves a machine later.
  */
-function placementScore (task: Task, step: StepSpec, room: WorkerRoom): number {
+function placementScore (task: Task, step: StepSpec, room: WorkerRoom, isUrgent: boolean): number {
   const isNear = step.preferredRack === '' || room.labels.includes(step.preferredRack)
   const isAvoided = task.avoidedInstances.has(room.instanceId)
   const disturbed = step.isFiller ? room.latencySensitiveTasks + room.fillers : step.targetTailMs > 0 ? room.fillers : 0
@@ -109,7 +110,7 @@
   const colocatedRuns = step.isLasting ? room.runsByStep.get(task.stepKey) ?? 0 : 0
   const endangeredRuns = isCrashSuspect(task) ? countRunsOfOtherJobs(room, task.job) : 0
   const penalty = endangeredRuns * ENDANGERED_RUN_WEIGHT + (isAvoided ? AVOIDED_WORKER_WEIGHT : 0) +
-    disturbed * INTERFERENCE_WEIGHT + colocatedRuns * COLOCATION_WEIGHT
+    disturbed * INTERFERENCE_WEIGHT + colocatedRuns * COLOCATION_WEIGHT + (isUrgent && room.isCold ? COLD_WORKER_WEIGHT : 0)
   return (isNear ? LOCALITY_WEIGHT : 0) + used - penalty
 }
 
@@ -119,6 +120,7 @@
 const ENDANGERED_RUN_WEIGHT = 20_000
 const INTERFERENCE_WEIGHT = 50
 const COLOCATION_WEIGHT = 5
+const COLD_WORKER_WEIGHT = 2.5
 
 function findBestRoom (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): WorkerRoom | undefined {
   const step = stepOf(task)
@@ -126,7 +128,7 @@
   let bestScore = -Infinity
   for (const room of rooms) {
     if (!fits(step, room) || !isSuitable(task, step, group, room)) continue
-    const value = placementScore(task, step, room)
+    const value = placementScore(task, step, room, group.isUrgent === true)
     if (value > bestScore) [best, bestScore] = [room, value]
   }
   return best
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -19,10 +19,10 @@
   queues: [{ name: QUEUE, host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 3, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000 }]
 }
 
-const jobOf = (number: number, steps: ReadonlyArray<Partial<StepSpec>>): Job =>
-  createJob(jobSpecSchema.parse({ jobId: testJobId(number), queue: QUEUE, command: '', submittedMs: 0, steps: steps.map((step) => ({ taskCount: 2, cpuMillis: 1000, ...step })) }))
+const jobOf = (number: number, steps: ReadonlyArray<Partial<StepSpec>>, submittedMs = 0): Job =>
+  createJob(jobSpecSchema.parse({ jobId: testJobId(number), queue: QUEUE, command: '', submittedMs, steps: steps.map((step) => ({ taskCount: 2, cpuMillis: 1000, ...step })) }))
 
-function workerOf (instanceId: string): WorkerView {
+function workerOf (instanceId: string, coldUntilMs = -Infinity): WorkerView {
   const capacity = { cpuMillis: CPU_MILLIS, memoryMb: 10_000, gpus: 0 }
   return {
     instance: { instanceId, machineId: instanceId, service: 's', address: '10.0.0.1', port: 80, availabilityZone: 'z', state: 'ready', labels: ['a', instanceId], capacity },
@@ -31,17 +31,18 @@
     clock: { isKnown: true },
     health: new WorkerHealth(),
     refusingUntilMs: -Infinity,
+    coldUntilMs,
     isRecordedSilent: false,
     isAnswering: () => true
   }
 }
 
-function roundOf (jobs: readonly Job[], links: readonly WorkerView[]): PlacementRound {
+function roundOf (jobs: readonly Job[], links: readonly WorkerView[], runTimes = new RunTimeEstimator()): PlacementRound {
   return new PlacementRound({
     configuration,
     jobs,
     workerViews: links,
-    runTimes: new RunTimeEstimator(),
+    runTimes,
     advice: { ticketsFor: () => undefined },
     accountQuotaOf: () => undefined,
     availability: { isMachineDraining: () => false, isEvacuated: () => false },
@@ -94,3 +95,47 @@
     })
   }
 })
+
+/** Worker `w1` is cold and `w0` is warm; without a preference the first goes. Jobs are due at 0, so those with a late objective are past use. */
+const preferences: ReadonlyArray<{ name: string, step: Partial<StepSpec>, submittedMs: number, coldIds?: readonly string[], expected: string }> = [
+  { name: 'a task in time goes to the warm worker', step: {}, submittedMs: NOW_MS, expected: 'w0' },
+  { name: 'a lasting task too', step: { isLasting: true }, submittedMs: NOW_MS, expected: 'w0' },
+  { name: 'lasting tasks of a step are spread over both', step: { isLasting: true, taskCount: 2 }, submittedMs: NOW_MS, expected: 'w0 w1' },
+  { name: 'one that nobody waits for goes to the first, cold or not', step: {}, submittedMs: 0, expected: 'w1' },
+  { name: 'a filler too', step: { isLasting: true, isFiller: true }, submittedMs: NOW_MS, expected: 'w1' },
+  { name: 'one whose data is near the cold worker goes there', step: { preferredRack: 'w1' }, submittedMs: NOW_MS, expected: 'w1' },
+  { name: 'one that needs the cold worker goes there', step: { requiredLabel: 'w1' }, submittedMs: NOW_MS, expected: 'w1' },
+  { name: 'with all workers cold the first goes', step: {}, submittedMs: NOW_MS, coldIds: ['w0', 'w1'], expected: 'w1' },
+  { name: 'with all workers warm the first goes', step: {}, submittedMs: NOW_MS, coldIds: [], expected: 'w1' }
+]
+
+/** A run began 1000 ms ago; its image takes 100 ms, so that it is a straggler after 250 ms on a warm worker. */
+const stragglers: ReadonlyArray<{ name: string, coldUntilMs: number, isSilent?: boolean, isCopied: boolean }> = [
+  { name: 'on a worker that was never cold gets a copy', coldUntilMs: -Infinity, isCopied: true },
+  { name: 'on a cold worker gets none', coldUntilMs: NOW_MS + 1, isCopied: false },
+  { name: 'on a worker that is warm for less than that gets none', coldUntilMs: NOW_MS - 250, isCopied: false },
+  { name: 'on a worker that is warm for longer gets a copy', coldUntilMs: NOW_MS - 251, isCopied: true },
+  { name: 'on a silent cold worker gets a copy', coldUntilMs: NOW_MS + 1, isSilent: true, isCopied: true }
+]
+
+describe('PlacementRound, with workers that warm up', () => {
+  for (const { name, step, submittedMs, coldIds = ['w1'], expected } of preferences) {
+    it(`prefers: ${name}`, () => {
+      const job = jobOf(1, [{ taskCount: 1, ...step }], submittedMs)
+      const workers = ['w1', 'w0'].map((instanceId) => workerOf(instanceId, coldIds.includes(instanceId) ? NOW_MS + 1 : NOW_MS))
+      expect(roundOf([job], workers).place().map(({ instanceId }) => instanceId).join(' ')).to.equal(expected)
+    })
+  }
+
+  for (const { name, coldUntilMs, isSilent = false, isCopied } of stragglers) {
+    it(`a late run ${name}`, () => {
+      const job = jobOf(1, [{ taskCount: 1, allowsCopies: true, image: 'i' }])
+      const runTimes = new RunTimeEstimator()
+      runTimes.addSample(job.spec.steps[0] as StepSpec, 100)
+      const [run] = roundOf([job], [workerOf('w0')]).place()
+      Object.assign(run ?? {}, { phase: 'running', startedMs: NOW_MS - 1000, progressMs: NOW_MS - 10_000 })
+      const worker: WorkerView = { ...workerOf('w0', coldUntilMs), isAnswering: () => !isSilent }
+      expect(roundOf([job], [worker, workerOf('w1')], runTimes).place()).to.have.length(isCopied ? 1 : 0)
+    })
+  }
+})
--- a/packages/policy/src/test/QuotaAdmission.test.ts
+++ b/packages/policy/src/test/QuotaAdmission.test.ts
@@ -27,6 +27,7 @@
     labels: ['a', 'r1'],
     ...capacity,
     capacity,
+    isCold: false,
     latencySensitiveTasks: 0,
     fillers: 0,
     runsByStep: new Map(),
--- a/packages/policy/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -11,6 +11,7 @@
   static looks = 0
   readonly labels = ['a', 'r1']
   readonly capacity = { cpuMillis: 16_000, memoryMb: 32_000, gpus: 0 }
+  readonly isCold = false
   memoryMb = 32_000
   gpus = 0
   latencySensitiveTasks = 0
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -160,7 +160,8 @@
     const nowMs = this.#options.clock.monotonicMs()
     if (outcome === 'done') {
       link?.health.succeeded()
-      if (run.startedMs !== undefined) this.#options.runTimes.addSample(stepOf(run.task), nowMs - run.startedMs)
+      const wasCold = run.startedMs !== undefined && link !== undefined && run.startedMs < link.coldUntilMs
+      if (run.startedMs !== undefined && !wasCold) this.#options.runTimes.addSample(stepOf(run.task), nowMs - run.startedMs)
     }
     if (outcome !== 'failed' || link === undefined || stepOf(run.task).isLasting) return
     const hasFailedElsewhere = allTasks(run.task.job).some((task) => [...task.avoidedInstances].some((instanceId) => instanceId !== run.instanceId))
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -6,7 +6,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay, type Clock } from '@quillscale/utils'
 import { lifetimeStartMsOf, type HoldReport, type RunOrderError, type RunOrders, type WorkerInstance } from '@quillscale/ports'
-import { type Run, WorkerHealth } from '@quillscale/policy'
+import { coldUntilMs, type Run, WorkerHealth } from '@quillscale/policy'
 import { WorkerClock } from './WorkerClock.js'
 
 /** Dependencies of a {@link WorkerLink}, supplied by its scheduler. @public */
@@ -59,8 +59,8 @@
   readonly openedMs: number
   /** Runs placed there that are not known to have ended. */
   readonly runs = new Map<string, Run>()
-  /** The latest registration of the worker. */
-  instance: WorkerInstance
+  #instance: WorkerInstance
+  #coldUntilMs: number
   /** State of the registration entry. An unreadable entry makes the worker ineligible for new work, but says nothing about its runs. */
   registration: 'readable' | 'unreadable' | 'missing' = 'readable'
   /** Monotonic time until which no work is placed there, because the worker refused some. */
@@ -81,14 +81,31 @@
 
   /** @param instance - the worker @param options - dependencies of the link */
   constructor (instance: WorkerInstance, options: WorkerLinkOptions) {
-    this.instance = instance
+    this.#instance = instance
     this.#options = options
     this.openedMs = options.clock.monotonicMs()
+    this.#coldUntilMs = coldUntilMs(-Infinity, instance.warmupLeftMs, this.openedMs)
     this.#lifetimeStartMs = lifetimeStartMsOf(instance.instanceId)
     // Many pending orders listen to this signal at a time.
     setMaxListeners(0, this.#stop.signal)
   }
 
+  /** The latest registration of the worker. Each is one object, however often it is read. */
+  get instance (): WorkerInstance {
+    return this.#instance
+  }
+
+  set instance (instance: WorkerInstance) {
+    if (instance === this.#instance) return
+    this.#instance = instance
+    this.#coldUntilMs = coldUntilMs(this.#coldUntilMs, instance.warmupLeftMs, this.#options.clock.monotonicMs())
+  }
+
+  /** Monotonic time until which the worker is or was slow after its start, `-Infinity` if it does not report that. */
+  get coldUntilMs (): number {
+    return this.#coldUntilMs
+  }
+
   /** Whether the worker is still registered. */
   get isRegistered (): boolean {
     return this.registration !== 'missing'
