--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -3,15 +3,16 @@
  *
  * @module
  */
-import { decodeJson, delay, Err, Ok, systemClock, type Result } from '@quillscale/utils'
+import { decodeJson, delay, Err, Ok, systemClock, type DecodeProblem, type Result } from '@quillscale/utils'
 import {
-  lifetimeStartMsOf, createInstanceId, workerIdOf, type AccountName, type FleetConfiguration, type KeyValue, type PlatformError, type Transaction,
-  type TransactionOutcome, type WorkerId, type WorkerInstance
+  lifetimeStartMsOf, createInstanceId, workerIdOf, type AccountName, type EvacuationRequest, type FleetConfiguration, type KeyValue, type PlatformError,
+  type Transaction, type TransactionOutcome, type WorkerId, type WorkerInstance
 } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
 import { type JobId, type JobOwner, type JobSpec, jobSpecSchema, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
+import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { JobApi } from '../lib/jobs/JobApi.js'
 import type { EventLog } from '../lib/duties/EventLog.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
@@ -33,6 +34,12 @@
 const workerSchema = z.object({ instanceId: z.string(), service: z.string(), port: z.number() }).loose().transform((raw) => raw as unknown as WorkerInstance)
 const EVACUATION_PREFIX = 'op/evacuate/'
 const evacuationKey = (zone: string): string | undefined => zone.includes('/') ? undefined : `${EVACUATION_PREFIX}${zone}`
+const decodeWorker = ({ value }: KeyValue): Result<WorkerInstance, DecodeProblem> => decodeJson(workerSchema, value)
+const decodeEvacuation = ({ key, modRevision }: KeyValue): Result<EvacuationRequest, DecodeProblem> => {
+  const availabilityZone = key.slice(EVACUATION_PREFIX.length)
+  if (evacuationKey(availabilityZone) === undefined) return Err({ reason: 'wrong-field', path: '(key)', detail: '' })
+  return Ok({ availabilityZone, revision: modRevision })
+}
 const POLL_INTERVAL_MS = 5
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
@@ -136,13 +143,13 @@
     log: this.log,
     records: this.records,
     decodeWave: () => undefined,
-    decodeEvacuation: ({ key, modRevision }) => evacuationKey(key.slice(EVACUATION_PREFIX.length)) === undefined
-      ? Err({ reason: 'wrong-field', path: '(key)', detail: '' })
-      : Ok({ availabilityZone: key.slice(EVACUATION_PREFIX.length), revision: modRevision }),
+    decodeEvacuation,
     ageMs: () => this.isWatchCutOff ? Infinity : 0
   })
 
   isWatchCutOff = false
+  /** What operators are told. */
+  readonly report = new FleetReport(this.store, { evacuationPrefix: EVACUATION_PREFIX, decodeEvacuation, workersPrefix: WORKERS_PREFIX, decodeWorker })
   maxLeaseMs = 1000
   configuration: FleetConfiguration = {
     version: 1,
@@ -298,7 +305,7 @@
       evacuations: this.requests,
       evacuationKey,
       workersPrefix: WORKERS_PREFIX,
-      decodeWorker: ({ value }) => decodeJson(workerSchema, value),
+      decodeWorker,
       onDeposed: () => { tenure().isDeposed = true }
     })
   }
