--- a/packages/scheduler/src/lib/jobs/explainEvacuations.ts
+++ b/packages/scheduler/src/lib/jobs/explainEvacuations.ts
@@ -8,7 +8,7 @@
 
 /** What {@link explainEvacuations} needs to know. @public */
 export interface EvacuationSources {
-  /** Indexes of the steps with tasks that are neither done nor placed. */
+  /** Indexes of the ready steps with tasks that are neither done nor placed. */
   readonly waitingSteps: readonly number[]
   readonly evacuations: readonly EvacuationRequest[]
   /** Registered workers of the job's service. */
--- a/packages/scheduler/src/lib/workers/WorkerTracker.ts
+++ b/packages/scheduler/src/lib/workers/WorkerTracker.ts
@@ -326,7 +326,7 @@
       if (run.instanceId === instanceId) link.runs.set(runKey(run), run)
       else this.#lossHandler.addUnresolved(run)
     }
-    log.info({ instanceId, machineId: instance.machineId, address, labels, capacity }, 'worker met')
+    log.info({ instanceId, machineId: instance.machineId, workerZone: instance.availabilityZone, address, labels, capacity }, 'worker met')
     void link.keepPolling()
   }
 
--- a/packages/scheduler/src/test/FleetReport.test.ts
+++ b/packages/scheduler/src/test/FleetReport.test.ts
@@ -46,6 +46,7 @@
     { name: 'no evacuation', steps: [{ isLasting: true, taskCount: 9 }], evacuated: [], expected: [] },
     { name: 'a zone without workers', steps: [{ isLasting: true, taskCount: 9 }], evacuated: ['z7'], expected: [] },
     { name: 'an evacuation while nothing waits', steps: [{ isLasting: true, taskCount: 2 }], evacuated: ['z1'], expected: [] },
+    { name: 'a step that waits for another', steps: [{ isLasting: true }, { dependsOn: [0], requiredLabel: 'r1' }], evacuated: ['z1'], expected: [] },
     {
       name: 'too little room elsewhere',
       steps: [{ isLasting: true, taskCount: 6 }],
