--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,7 +4,8 @@
  * @module
  */
 export {
-  clearCrashRecordIfSurvived, isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, EARLY_LOSS_MS, type WorkerLossKind, type PlacementDecision
+  clearCrashRecordIfSurvived, isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, startMsOf, EARLY_LOSS_MS, type WorkerLossKind,
+  type PlacementDecision
 } from './lib/jobs/crashes.js'
 export { createCrashRecord, type CrashRecord } from './lib/jobs/CrashRecord.js'
 export {
--- a/packages/policy/src/lib/jobs/CrashRecord.ts
+++ b/packages/policy/src/lib/jobs/CrashRecord.ts
@@ -14,11 +14,11 @@
   hasEarlyLoss: boolean
   /** Whether only the task's own job can have caused the last loss. */
   isLastLossCertain: boolean
-  /** Whether the task had just started at every loss. */
-  hasOnlyEarlyLosses: boolean
+  /** Whether, at every loss, the task had just started, and no worker ended at that time that cannot have been ended by a task. */
+  hasOnlyAttributableLosses: boolean
 }
 
 /** @param points - as stored by previous holders @returns a record with these points @public */
 export const createCrashRecord = (points = 0): CrashRecord => ({
-  points, lastLossMs: undefined, hasEarlyLoss: false, isLastLossCertain: false, hasOnlyEarlyLosses: points === 0
+  points, lastLossMs: undefined, hasEarlyLoss: false, isLastLossCertain: false, hasOnlyAttributableLosses: points === 0
 })
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -29,6 +29,10 @@
   readonly placedMs: number | undefined
   /** Monotonic; when the worker confirmed the start. */
   startedMs: number | undefined
+  /** Reading of the worker's clock when it was placed or, once confirmed, started; known for lasting tasks, and handed on to the next holder. */
+  workerClockStartMs?: number | undefined
+  /** Monotonic; when it started under a previous holder, derived from `workerClockStartMs` once the worker has listed it. */
+  previousStartMs?: number | undefined
   /** Monotonic; when the worker confirmed the stop. */
   stopConfirmedMs: number | undefined
   /** The worker may still act on a start order. */
--- a/packages/policy/src/lib/jobs/crashes.ts
+++ b/packages/policy/src/lib/jobs/crashes.ts
@@ -28,7 +28,7 @@
 
 /** Reached by the third crash, or the fifth loss of uncertain cause: users allow two more starts after three crashes. */
 const GIVE_UP_POINTS = 5
-/** Two crashes suffice if both came soon after the start and only the task's job ran on the second worker. */
+/** Two crashes suffice if both came soon after the start, no other worker ended then for another cause, and only the task's job ran on the second worker. */
 const CERTAIN_GIVE_UP_POINTS = 4
 /** From the first crash on, or after one early loss, a task is isolated from other jobs and gets no speculative copies. */
 const SUSPECT_POINTS = 2
@@ -49,8 +49,8 @@
 export type PlacementDecision = 'place' | 'wait' | 'give-up'
 
 /** @param task - a task without a run @param nowMs - monotonic @returns whether to place it, wait or give it up @public */
-export function decidePlacement ({ crashes: { points, isLastLossCertain, hasOnlyEarlyLosses, lastLossMs } }: Task, nowMs: number): PlacementDecision {
-  if (points < (isLastLossCertain && hasOnlyEarlyLosses ? CERTAIN_GIVE_UP_POINTS : GIVE_UP_POINTS)) return 'place'
+export function decidePlacement ({ crashes: { points, isLastLossCertain, hasOnlyAttributableLosses, lastLossMs } }: Task, nowMs: number): PlacementDecision {
+  if (points < (isLastLossCertain && hasOnlyAttributableLosses ? CERTAIN_GIVE_UP_POINTS : GIVE_UP_POINTS)) return 'place'
   return lastLossMs !== undefined && nowMs - lastLossMs < GIVE_UP_DELAY_MS ? 'wait' : 'give-up'
 }
 
@@ -69,6 +69,9 @@
   return true
 }
 
-function hasSurvived ({ startedMs }: Run, nowMs: number): boolean {
-  return startedMs !== undefined && nowMs - startedMs >= SURVIVAL_MS
+/** @param run - a run @returns monotonic time of its start, also if a previous holder started it; of its placement while no start is confirmed @public */
+export const startMsOf = ({ previousStartMs, startedMs, placedMs }: Run): number | undefined => previousStartMs ?? startedMs ?? placedMs
+
+function hasSurvived (run: Run, nowMs: number): boolean {
+  return run.startedMs !== undefined && nowMs - (startMsOf(run) ?? nowMs) >= SURVIVAL_MS
 }
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -12,7 +12,7 @@
 export type {
   EndReport, HoldReport, HoldRequest, RunEnd, RunOrderError, RunOrders, RunRef, RunReport, RunStart, WorkerCapacity, WorkerInstance
 } from './lib/RunOrders.js'
-export { lifetimeStartMsOf, createInstanceId, workerIdOf, type WorkerId } from './lib/WorkerId.js'
+export { lifetimeStartMsOf, createInstanceId, isNextLifetime, workerIdOf, type WorkerId } from './lib/WorkerId.js'
 export type { HostDirectory, ListedHost } from './lib/HostDirectory.js'
 export type { TaskReport, TaskStart, WorkerAddress, WorkerTasks } from './lib/WorkerTasks.js'
 export type { FencedOrder, HostControl, OrderOutcome, Platform } from './lib/HostControl.js'
--- a/packages/ports/src/lib/WorkerId.ts
+++ b/packages/ports/src/lib/WorkerId.ts
@@ -33,3 +33,8 @@
   const [, lifetimeStartMs] = instanceId.split(SEPARATOR)
   return lifetimeStartMs === undefined ? undefined : Number(lifetimeStartMs)
 }
+
+/** @param instanceId - the id of a lifetime @param previous - the id of another @returns whether the first is a later lifetime of the same worker @public */
+export function isNextLifetime (instanceId: string, previous: string): boolean {
+  return workerIdOf(instanceId) === workerIdOf(previous) && (lifetimeStartMsOf(instanceId) ?? -Infinity) > (lifetimeStartMsOf(previous) ?? -Infinity)
+}
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { hasEnded, isCrashSuspect, CRASH_POINTS, EARLY_LOSS_MS, type CrashRecord, type Job, type WorkerLossKind, type Run, type Task } from '@quillscale/policy'
+import { hasEnded, isCrashSuspect, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, type CrashRecord, type Job, type WorkerLossKind, type Run, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 
 /** A worker that ended, and the runs that were lost with it. @public */
@@ -13,7 +13,7 @@
   /** `undefined` if this duty holder has never contacted the worker. */
   readonly rack: string | undefined
   readonly availabilityZone: string | undefined
-  /** Runs that were placed on the worker and are not known to have ended. */
+  /** Runs that were placed on the worker and are not known to have ended; empty if no task can have ended the worker. */
   readonly runs: readonly Run[]
   /** Monotonic time of the last answer to this duty holder; `undefined` if the worker never answered it. */
   readonly lastAnswerMs: number | undefined
@@ -38,12 +38,16 @@
  */
 interface Penalty { readonly task: Task, readonly record: CrashRecord, readonly hasSurvivedStart: boolean, points: number }
 
-interface Crash {
+/** The end of a worker, with or without runs. */
+interface WorkerEnd {
   readonly atMs: number
   readonly loss: WorkerLoss
-  readonly penalties: readonly Penalty[]
   /** Jobs with a run that had just started on the worker. */
   readonly justStartedJobs: ReadonlySet<Job>
+}
+
+interface Crash extends WorkerEnd {
+  readonly penalties: readonly Penalty[]
   isShared: boolean
 }
 
@@ -58,12 +62,16 @@
 const CRASH_RETENTION_MS = 60_000
 /** Bounds the memory used; the oldest crashes are dropped. */
 const MAX_RETAINED_CRASHES = 200
+/** Bounds the work in an outage of many workers, of which a few tell as much as all. */
+const MAX_IDLE_ENDS = 50
 const MAX_LOGGED_TASKS = 20
 
 /** Records lost workers, and keeps the penalty points of the tasks that ran on them. @public */
 export class CrashTracker {
   readonly #options: CrashTrackerOptions
   #crashes: Crash[] = []
+  /** Recent ends of workers without runs, which prove that something else than a task ends workers. */
+  #idleEnds: WorkerEnd[] = []
 
   /** @param options - dependencies */
   constructor (options: CrashTrackerOptions) {
@@ -73,10 +81,11 @@
   /**
    * Charges the tasks that ran on a lost worker, then reduces the points where a common cause such as a power loss has become evident.
    *
-   * @param loss - the worker and its runs
+   * @param loss - the worker and its runs; without runs it only tells about the cause of other losses
    * @param nowMs - current monotonic time
    */
   recordLoss (loss: WorkerLoss, nowMs: number): void {
+    if (loss.runs.length === 0) return this.#recordIdleEnd(loss, nowMs)
     // If the end was planned, a run that the worker is known to have survived for a while did not cause it.
     const begun = loss.runs.filter((run) => run.phase !== 'recording' && !(loss.isPlanned && hasSurvivedStart(loss, run)))
     if (begun.length === 0) return
@@ -96,15 +105,31 @@
       record.lastLossMs = nowMs
       record.hasEarlyLoss = !loss.isSilent && isJustStarted && (suspects.size === 0 || suspects.has(task.job))
       record.isLastLossCertain = !loss.isSilent && isSingleJob && isJustStarted
-      record.hasOnlyEarlyLosses &&= isJustStarted
+      record.hasOnlyAttributableLosses &&= isJustStarted
     }
     this.#report(loss, baseLossKindOf(loss, justStartedTasks.size > 0), penalties)
     if (loss.isSilent) return
     const justStartedJobs = new Set([...justStartedTasks].map(({ job }) => job))
     const retained = this.#crashes.filter(({ atMs }) => nowMs - atMs < CRASH_RETENTION_MS).slice(1 - MAX_RETAINED_CRASHES)
     this.#crashes = [...retained, { atMs: nowMs, loss, penalties, justStartedJobs, isShared: false }]
-    const recent = this.#crashes.filter(({ atMs }) => nowMs - atMs < SIMULTANEOUS_LOSS_MS)
-    for (const crash of recent) this.#applyCommonCause(crash, countUnrelatedLosses(crash, recent))
+    this.#applyCommonCauses(nowMs)
+  }
+
+  #recordIdleEnd (loss: WorkerLoss, nowMs: number): void {
+    if (loss.isPlanned || loss.isSilent) return
+    this.#idleEnds = [...this.#idleEnds.slice(1 - MAX_IDLE_ENDS), { atMs: nowMs, loss, justStartedJobs: new Set() }]
+    this.#applyCommonCauses(nowMs)
+  }
+
+  /** Judges the recent crashes by all recent ends of workers. Any end without runs makes the cause of each crash doubtful. */
+  #applyCommonCauses (nowMs: number): void {
+    const isRecent = ({ atMs }: WorkerEnd): boolean => nowMs - atMs < SIMULTANEOUS_LOSS_MS
+    this.#idleEnds = this.#idleEnds.filter(isRecent)
+    const crashes = this.#crashes.filter(isRecent)
+    const ends = [...crashes, ...this.#idleEnds]
+    for (const crash of crashes) this.#applyCommonCause(crash, countUnrelatedLosses(crash, ends))
+    if (this.#idleEnds.length === 0) return
+    for (const { penalties } of crashes) for (const { record } of penalties) record.hasOnlyAttributableLosses = false
   }
 
   /**
@@ -169,7 +194,7 @@
 }
 
 /** Counts the workers of the same rack and zone that ended at the same time without a just started job in common. */
-function countUnrelatedLosses ({ loss, justStartedJobs }: Crash, recent: readonly Crash[]): UnrelatedLosses {
+function countUnrelatedLosses ({ loss, justStartedJobs }: Crash, recent: readonly WorkerEnd[]): UnrelatedLosses {
   const others = recent.filter((other) => other.loss !== loss && ![...other.justStartedJobs].some((job) => justStartedJobs.has(job)))
   return {
     inRack: others.filter(({ loss: { rack } }) => rack !== undefined && rack === loss.rack).length,
@@ -177,13 +202,13 @@
   }
 }
 
-function hasJustStarted ({ startedMs, placedMs }: Run, nowMs: number): boolean {
-  const startMs = startedMs ?? placedMs
+function hasJustStarted (run: Run, nowMs: number): boolean {
+  const startMs = startMsOf(run)
   return startMs !== undefined && nowMs - startMs <= EARLY_LOSS_MS
 }
 
 /** Whether the worker is known to have answered more than {@link EARLY_LOSS_MS} after the start of the run. */
-function hasSurvivedStart ({ lastAnswerMs }: WorkerLoss, { startedMs, placedMs }: Run): boolean {
-  const startMs = startedMs ?? placedMs
+function hasSurvivedStart ({ lastAnswerMs }: WorkerLoss, run: Run): boolean {
+  const startMs = startMsOf(run)
   return lastAnswerMs !== undefined && startMs !== undefined && lastAnswerMs - startMs > EARLY_LOSS_MS
 }
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import type { HoldReport, RunOrderError, RunOrders } from '@quillscale/ports'
+import type { HoldReport, RunOrderError, RunOrders, RunReport } from '@quillscale/ports'
 import { clearCrashRecordIfSurvived, hasEnded, type Job, type JobId, planPaces, type Run, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { LossEvidence, JobRegistry } from './JobRegistry.js'
@@ -30,6 +30,8 @@
 /** How long a worker gets no new starts after it refused one because it lacks room or is unhealthy; longer if it did not answer. */
 const REFUSAL_BACKOFF_MS = 300
 const UNANSWERED_BACKOFF_MS = 900
+/** A start this long after its placement is recorded, so that the next holder does not overestimate how long the run has gone on. */
+const LATE_START_MS = 1000
 const NOT_LISTED: LossEvidence = { reason: 'its worker does not list it', silentMs: 0 }
 
 /** Reconciles the recorded runs of each worker with the runs that the worker reports. @public */
@@ -55,7 +57,7 @@
     const running = new Map(report.running.map((run) => [runKey(run), run]))
     for (const [key, run] of [...link.runs]) {
       const listedRun = running.get(key)
-      if (listedRun !== undefined) this.#updateListedRun(run, listedRun.percent, listedRun.load, listedRun.checkpoint, nowMs)
+      if (listedRun !== undefined) this.#updateListedRun(link, run, listedRun, nowMs)
       else if (!report.hasMoreEnds) this.#closeUnlistedRun(run, askedMs)
     }
     for (const [key, listedRun] of running) {
@@ -77,6 +79,7 @@
     run.phase = 'running'
     this.#markJobRunning(run.task.job)
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
+    this.#updateWorkerClockStart(run, run.startedMs)
     this.#options.count('runs_started')
   }
 
@@ -110,8 +113,10 @@
     if (run.phase !== 'stopping') void this.#options.linkOf(run)?.stop(run)
   }
 
-  #updateListedRun (run: Run, percent: number, load: number, checkpoint: string, nowMs: number): void {
+  #updateListedRun (link: WorkerLink, run: Run, { percent, load, checkpoint }: RunReport, nowMs: number): void {
+    if (run.phase === 'unconfirmed') run.previousStartMs = previousStartMsOf(link, run, nowMs)
     if (run.phase === 'unconfirmed' || run.phase === 'starting') {
+      if (run.phase === 'starting') this.#updateWorkerClockStart(run, nowMs)
       run.phase = 'running'
       this.#markJobRunning(run.task.job)
       run.startedMs = nowMs
@@ -125,6 +130,14 @@
     if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
   }
 
+  /** Replaces the time of placement by that of the start. Only a start long after its placement is worth a write of its own. */
+  #updateWorkerClockStart (run: Run, startedMs: number): void {
+    const placedClockMs = run.workerClockStartMs
+    if (placedClockMs === undefined) return
+    run.workerClockStartMs = this.#options.linkOf(run)?.clock.latestMs(startedMs) ?? placedClockMs
+    if (run.workerClockStartMs - placedClockMs > LATE_START_MS) this.#options.onChanged(run.task.job)
+  }
+
   /** Closes a run that the worker does not list, once that proves that the run never started, was stopped, or is lost. */
   #closeUnlistedRun (run: Run, askedMs: number): void {
     const { registry } = this.#options
@@ -149,4 +162,10 @@
   }
 }
 
+/** Derives when a run of a previous holder started. The worker's clock is the only one that holders have in common. */
+function previousStartMsOf ({ clock }: WorkerLink, { workerClockStartMs }: Run, nowMs: number): number | undefined {
+  const elapsedMs = workerClockStartMs === undefined ? undefined : clock.elapsedSinceMs(workerClockStartMs, nowMs)
+  return elapsedMs === undefined ? undefined : nowMs - elapsedMs
+}
+
 const jobIdOfTask = (taskKey: string): JobId => (taskKey.split('.')[0] ?? '') as JobId
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -7,7 +7,13 @@
 import * as z from 'zod'
 import { allTasks, createCrashRecord, findTask, jobOwnerSchema, type Job, type Run } from '@quillscale/policy'
 
-const runProgressSchema = z.object({ runNumber: z.number(), instanceId: z.string(), isStopping: z.boolean().optional() })
+const runProgressSchema = z.object({
+  runNumber: z.number(),
+  instanceId: z.string(),
+  isStopping: z.boolean().optional(),
+  /** Reading of the worker's clock at the start; missing for tasks that are not lasting, and in records of older versions. */
+  workerClockStartMs: z.number().optional()
+})
 type RunProgress = z.infer<typeof runProgressSchema>
 
 const taskProgressSchema = z.object({
@@ -62,9 +68,9 @@
 }
 
 /** Encodes a run. A stop that a previous duty holder recorded stays in the record until the run has ended. */
-function encodeRun ({ runNumber, instanceId, phase, shouldStop }: Run): RunProgress {
+function encodeRun ({ runNumber, instanceId, phase, shouldStop, workerClockStartMs }: Run): RunProgress {
   const isStopping = phase === 'stopping' || shouldStop
-  return { runNumber, instanceId, isStopping: isStopping || undefined }
+  return { runNumber, instanceId, isStopping: isStopping || undefined, workerClockStartMs }
 }
 
 /**
@@ -98,7 +104,7 @@
     task.failures = taskProgress.failures ?? 0
     task.crashes = createCrashRecord(taskProgress.crashPoints)
     task.checkpoint = taskProgress.checkpoint ?? ''
-    for (const { runNumber, instanceId, isStopping } of taskProgress.runs ?? []) {
+    for (const { runNumber, instanceId, isStopping, workerClockStartMs } of taskProgress.runs ?? []) {
       const run: Run = {
         task,
         taskKey: taskProgress.key,
@@ -107,6 +113,7 @@
         phase: 'unconfirmed',
         placedMs: undefined,
         startedMs: undefined,
+        workerClockStartMs,
         stopConfirmedMs: undefined,
         isUncertain: true,
         shouldStop: isStopping === true,
--- a/packages/scheduler/src/lib/workers/RunLossHandler.ts
+++ b/packages/scheduler/src/lib/workers/RunLossHandler.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import { lifetimeStartMsOf, type HoldReport } from '@quillscale/ports'
+import { lifetimeStartMsOf, type HoldReport, type WorkerInstance } from '@quillscale/ports'
 import type { Run } from '@quillscale/policy'
 import type { WorkerLoss } from '../jobs/CrashTracker.js'
 import type { LossEvidence } from '../jobs/JobRegistry.js'
@@ -28,7 +28,7 @@
   readonly tookOverMs: number
   /** Whether a machine is being drained. */
   readonly isDraining: (machineId: string) => boolean
-  /** Called for each worker whose runs are lost, before {@link RunLossHandlerOptions.onLost} is called for the runs. */
+  /** Called for each worker that ended, with its lost runs if it had any, before {@link RunLossHandlerOptions.onLost} is called for the runs. */
   readonly onWorkerLost: (loss: WorkerLoss) => void
   /** Called for each run that is lost with its worker. */
   readonly onLost: (run: Run, evidence: LossEvidence) => void
@@ -63,12 +63,25 @@
   loseRunsOfLink (link: WorkerLink, reason: string): void {
     const { instanceId } = link.instance
     const runs = [...link.runs.values()]
+    if (runs.length === 0) return this.#reportIdleEnd(link, reason)
     const unresolved = new Set(runs.filter((run) => mayRunOnNextLifetime(run, link, reason)))
     const loss = this.#lossOf(instanceId, link, reason)
     for (const run of unresolved) this.#unresolved.add(run, this.#unresolvedStateOf(reason, { mayArrive: run.phase === 'starting', loss }))
     this.loseRuns(instanceId, link, runs.filter((run) => !unresolved.has(run)), reason)
   }
 
+  /** Reports a restart of another service's worker, which no task of this service can have caused. @param instance - its current lifetime */
+  reportRestartElsewhere ({ instanceId }: WorkerInstance): void {
+    const unknown = { rack: undefined, availabilityZone: undefined, lastAnswerMs: undefined }
+    this.#options.onWorkerLost({ instanceId, ...unknown, runs: [], isPlanned: false, isSilent: false })
+  }
+
+  /** Reports the end of a worker without runs, unless it was out of use already. */
+  #reportIdleEnd (link: WorkerLink, reason: string): void {
+    if (!link.acceptsRuns || !link.isAnswering(this.#options.clock.monotonicMs())) return
+    this.#options.onWorkerLost({ ...this.#lossOf(link.instance.instanceId, link, reason), runs: [] })
+  }
+
   /**
    * Reports runs of a lifetime as lost.
    *
@@ -98,6 +111,7 @@
     for (const run of [...reported, ...mayStillArrive.map((each) => each.run)]) {
       run.instanceId = link.instance.instanceId
       run.lastListedMs = -Infinity
+      run.workerClockStartMs = undefined
       link.runs.set(runKey(run), run)
       if (run.phase !== 'stopping') run.phase = 'unconfirmed'
       this.#options.onMoved(run)
--- a/packages/scheduler/src/lib/workers/WorkerClock.ts
+++ b/packages/scheduler/src/lib/workers/WorkerClock.ts
@@ -72,6 +72,23 @@
     return clockMs >= this.#earliestMs(nowMs) - LATE_READING_TOLERANCE_MS && clockMs <= latestMs + LATE_READING_TOLERANCE_MS
   }
 
+  /** Returns the highest value that the clock may show. @param nowMs - monotonic time @returns whole ms, `undefined` while there is no reading of it */
+  latestMs (nowMs: number): number | undefined {
+    return this.#readingMs === undefined ? undefined : Math.ceil(this.#readingMs + nowMs - this.#readingTakenMs)
+  }
+
+  /**
+   * Computes the least time since the clock showed a value.
+   *
+   * @param clockMs - a time on the worker's clock
+   * @param nowMs - monotonic time
+   * @returns the elapsed time, `undefined` if unknown: there is no reading, or the clock has not reached the value
+   */
+  elapsedSinceMs (clockMs: number, nowMs: number): number | undefined {
+    const elapsedMs = this.#earliestMs(nowMs) - clockMs
+    return this.#readingMs === undefined || elapsedMs < 0 ? undefined : elapsedMs
+  }
+
   /** Returns the lowest value that the clock may show now. */
   #earliestMs (nowMs: number): number {
     return (this.#readingMs ?? 0) + (nowMs - this.#readingTakenMs) * (1 - MAX_CLOCK_DRIFT_RATIO)
--- a/packages/scheduler/src/lib/workers/WorkerRegistrations.ts
+++ b/packages/scheduler/src/lib/workers/WorkerRegistrations.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type { Result } from '@quillscale/utils'
-import type { KeyValue, WorkerId, WorkerInstance } from '@quillscale/ports'
+import { isNextLifetime, type KeyValue, type WorkerId, type WorkerInstance } from '@quillscale/ports'
 import type { RecordProblem, RecordReader } from '../records/RecordReader.js'
 
 /** Dependencies of {@link WorkerRegistrations}. @public */
@@ -26,6 +26,8 @@
   readonly workers: readonly WorkerInstance[]
   /** Worker ids of all entries, of any service, valid or not. */
   readonly registeredIds: ReadonlySet<WorkerId>
+  /** Workers of other services that have a later lifetime than at the previous reading, without having been about to end. */
+  readonly restartedElsewhere: readonly WorkerInstance[]
 }
 
 interface CachedEntry { readonly revision: number, readonly worker: WorkerInstance | undefined }
@@ -45,11 +47,14 @@
     const { service, prefix } = this.#options
     for (const key of this.#cache.keys()) if (!items.has(key)) this.#cache.delete(key)
     const workers: WorkerInstance[] = []
+    const restartedElsewhere: WorkerInstance[] = []
     for (const item of items.values()) {
+      const previous = this.#cache.get(item.key)?.worker
       const worker = this.#decodeCached(item)
       if (worker?.service === service) workers.push(worker)
+      else if (worker !== undefined && hasRestarted(worker, previous)) restartedElsewhere.push(worker)
     }
-    return { workers, registeredIds: new Set([...items.keys()].map((key) => key.slice(prefix.length) as WorkerId)) }
+    return { workers, restartedElsewhere, registeredIds: new Set([...items.keys()].map((key) => key.slice(prefix.length) as WorkerId)) }
   }
 
   #decodeCached (item: KeyValue): WorkerInstance | undefined {
@@ -72,3 +77,9 @@
     return decoded.val
   }
 }
+
+/** Whether a worker in use has started again in the same service. */
+function hasRestarted (worker: WorkerInstance, previous: WorkerInstance | undefined): boolean {
+  if (previous === undefined || previous === worker) return false
+  return previous.service === worker.service && previous.state === 'ready' && isNextLifetime(worker.instanceId, previous.instanceId)
+}
--- a/packages/scheduler/src/lib/workers/WorkerTracker.ts
+++ b/packages/scheduler/src/lib/workers/WorkerTracker.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import { lifetimeStartMsOf, workerIdOf, type WorkerId, type WorkerInstance } from '@quillscale/ports'
+import { isNextLifetime, workerIdOf, type WorkerId, type WorkerInstance } from '@quillscale/ports'
 import { type Run, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { WorkerLoss } from '../jobs/CrashTracker.js'
@@ -74,7 +74,7 @@
   readonly #leases: LeaseBounds
   readonly #lossHandler: RunLossHandler
   readonly #tookOverMs: number
-  #registered: RegisteredWorkers = { workers: [], registeredIds: new Set() }
+  #registered: RegisteredWorkers = { workers: [], restartedElsewhere: [], registeredIds: new Set() }
   #hasLoggedLeaseWaits = false
   /** Monotonic time when the registrations were first known. */
   #firstRegistrationsMs = Infinity
@@ -131,6 +131,7 @@
   /** Adds a run that was placed by this holder or a previous one. @param run - the run, with its worker's id */
   addRun (run: Run): void {
     const link = this.linkOf(run)
+    if (run.phase === 'recording' && stepOf(run.task).isLasting) run.workerClockStartMs = link?.clock.latestMs(this.#options.clock.monotonicMs())
     if (link !== undefined) link.runs.set(runKey(run), run)
     else if (this.links.some(({ instance }) => isNextLifetime(instance.instanceId, run.instanceId))) this.#lossHandler.addUnresolved(run)
     else this.#orphans.add(run)
@@ -138,8 +139,9 @@
 
   /** Applies the current registrations: opens links to new lifetimes, and updates the others. @param registered - the registrations */
   updateRegistrations (registered: RegisteredWorkers): void {
-    const { workers: listed, registeredIds } = registered
+    const { workers: listed, registeredIds, restartedElsewhere } = registered
     this.#registered = registered
+    for (const instance of restartedElsewhere) this.#lossHandler.reportRestartElsewhere(instance)
     const linksById = new Map(this.links.map((link) => [workerIdOf(link.instance.instanceId), link]))
     for (const instance of listed) this.#handleRegistration(instance, linksById.get(workerIdOf(instance.instanceId)))
     if (this.#firstRegistrationsMs === Infinity) this.#firstRegistrationsMs = this.#options.clock.monotonicMs()
@@ -351,8 +353,3 @@
     this.#options.onChange()
   }
 }
-
-/** Tells whether a lifetime is a later one of the same worker. */
-function isNextLifetime (instanceId: string, previous: string): boolean {
-  return workerIdOf(instanceId) === workerIdOf(previous) && (lifetimeStartMsOf(instanceId) ?? -Infinity) > (lifetimeStartMsOf(previous) ?? -Infinity)
-}
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -29,9 +29,30 @@
 const crash = (atMs: number, ...tasks: string[]): Loss => ({ atMs, runs: tasks.map((task) => ({ task, agoMs: SOON })) })
 const lateCrash = (atMs: number, ...tasks: string[]): Loss => ({ atMs, runs: tasks.map((task) => ({ task, agoMs: LATE })) })
 
+/** A worker ends that runs nothing. */
+const idleEnd = (atMs: number): Loss => ({ atMs, runs: [] })
+
 const cases: readonly Case[] = [
   { name: 'one crash', steps: [crash(0, 'a')], expected: { task: 'a', points: 2, isSuspect: true, decision: 'place' } },
   { name: 'two crashes, the second soon after the start with no other job on the worker', steps: [crash(0, 'a', 'b'), crash(2000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'give-up' } },
+  { name: 'two crashes, an idle worker ends after the second', steps: [crash(0, 'a'), crash(700, 'a'), idleEnd(900)], expected: { task: 'a', points: 4, isSuspect: true, decision: 'place' } },
+  { name: 'two crashes, an idle worker ends before the second', steps: [crash(0, 'a'), idleEnd(1500), crash(2000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'place' } },
+  { name: 'two crashes, an idle worker ends after the first', steps: [crash(0, 'a'), idleEnd(200), crash(2000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'place' } },
+  {
+    name: 'two crashes, idle workers end at other times',
+    steps: [idleEnd(0), crash(1500, 'a'), idleEnd(3000), crash(4500, 'a'), idleEnd(6000)],
+    expected: { task: 'a', points: 4, isSuspect: true, decision: 'give-up' }
+  },
+  {
+    name: 'two crashes, an idle worker is drained and another falls silent',
+    steps: [crash(0, 'a'), crash(700, 'a'), { ...idleEnd(800), isPlanned: true }, { ...idleEnd(900), isSilent: true }],
+    expected: { task: 'a', points: 4, isSuspect: true, decision: 'give-up' }
+  },
+  {
+    name: 'three crashes, an idle worker ends with each',
+    steps: [0, 2000, 4000].flatMap((atMs) => [crash(atMs, 'a'), idleEnd(atMs + 100)]),
+    expected: { task: 'a', points: 6, isSuspect: true, decision: 'give-up' }
+  },
   { name: 'two crashes, the first late in the run', steps: [lateCrash(0, 'a'), crash(9000, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'place' } },
   {
     name: 'three crashes, the first late in the run',
--- a/packages/scheduler/src/test/crashingTasks.test.ts
+++ b/packages/scheduler/src/test/crashingTasks.test.ts
@@ -10,6 +10,7 @@
 import { expect } from 'chai'
 import { delay, Err, SeededRandom } from '@quillscale/utils'
 import type { RunRecord, StandInCommand, StandInWorker } from '@quillscale/standins'
+import { createInstanceId, type WorkerId } from '@quillscale/ports'
 import { hasEnded, type JobId, type JobStatus, type StepSpec } from '@quillscale/policy'
 import { TestService, type Tenure } from './TestService.js'
 
@@ -48,6 +49,11 @@
     }
   }
 
+  /** Tells whether a worker has crashed. @param worker - the worker @returns true if it has */
+  hasCrashed ({ instance }: StandInWorker): boolean {
+    return this.#crashedInstances.has(instance.instanceId)
+  }
+
   async #bringBack (instanceId: string, machineId: string): Promise<void> {
     this.#crashedInstances.add(instanceId)
     await delay(DETECTION_MS)
@@ -226,7 +232,47 @@
 /** Longer than the leases of 2.4 s in that case plus the time for a stop. */
 const DISCONNECTED_MS = 3200
 
+/** Crashes the worker of a job, together with a worker that runs nothing. */
+async function crashWithIdleWorker (fleet: CrashingFleet, jobId: JobId): Promise<void> {
+  const worker = await waitForWorkerOf(fleet, jobId)
+  await delay(60)
+  const idle = [...fleet.service.runs.workers.values()].findLast((other) => other !== worker && !fleet.hasCrashed(other)) as StandInWorker
+  for (const each of [idle, worker]) {
+    each.crash()
+    each.onCrash(each)
+  }
+}
+
 const innocentCases: readonly InnocentCase[] = [
+  {
+    name: 'its worker loses power right after its start, then its next one and an idle one do',
+    steps: [{ taskCount: 1 }],
+    runMs: 800,
+    injectFaults: async (fleet, jobId) => {
+      const first = await waitForWorkerOf(fleet, jobId)
+      await delay(60)
+      first.crash()
+      first.onCrash(first)
+      await crashWithIdleWorker(fleet, jobId)
+    }
+  },
+  {
+    name: 'its worker loses power right after its start, twice, each time while a worker of another service starts again',
+    steps: [{ taskCount: 1 }],
+    runMs: 800,
+    injectFaults: async (fleet, jobId) => {
+      const { instance } = fleet.service.runs.workers.values().next().value as StandInWorker
+      const listOther = (startMs: number): void => fleet.service.list({ ...instance, service: 'other', instanceId: createInstanceId('other' as WorkerId, startMs) })
+      listOther(1)
+      for (let life = 2; life < 4; life++) {
+        const worker = await waitForWorkerOf(fleet, jobId)
+        await delay(60)
+        worker.crash()
+        worker.onCrash(worker)
+        listOther(life)
+      }
+    }
+  },
   {
     name: 'all workers lose power twice under long tasks',
     steps: [{ taskCount: 4 }],
@@ -301,7 +347,28 @@
       expect(service.duplicatedTasks).to.deep.equal([])
     }).timeout(40_000)
   }
+
+  it('is not given up: a lasting task whose three workers crash late in the run, with a new duty holder during each run', async () => {
+    fleet = new CrashingFleet()
+    const { service } = fleet
+    let tenure = await service.takeOver()
+    const jobId = await service.submit(CRASHING_JOB, { runMs: 0 }, [{ isLasting: true }])
+    for (let times = 0; times < 3; times++) {
+      const worker = await waitForWorkerOf(fleet, jobId)
+      await delay(HALF_RUN_MS)
+      tenure = await replaceHolder(fleet, tenure)
+      await delay(HALF_RUN_MS)
+      worker.crash()
+      worker.onCrash(worker)
+    }
+    await waitForWorkerOf(fleet, jobId)
+    expect(await service.status(jobId), service.log.lines.filter((line) => line.startsWith('worker ended')).join('\n')).to.equal('running')
+    expect(service.duplicatedTasks).to.deep.equal([])
+  }).timeout(40_000)
 })
 
+/** A lasting task counts as no cause of crashes after 3 s; no holder of that test watches a run for so long. */
+const HALF_RUN_MS = 2200
+
 /** Time to detect the loss, to restart a worker, and to wait for a worker without other jobs. */
 const MAX_DELAY_MS = DETECTION_MS + RESTART_MS + 1500 + 1000
--- a/packages/scheduler/src/test/decoders.test.ts
+++ b/packages/scheduler/src/test/decoders.test.ts
@@ -2,7 +2,7 @@
 import * as fc from 'fast-check'
 import { decodeJson, type Result } from '@quillscale/utils'
 import { allTasks, createJob, jobSpecSchema } from '@quillscale/policy'
-import { decodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
+import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
 import { decodeMachineDutyRecord, encodeMachineDutyRecord } from '../lib/machines/machineDutyRecord.js'
 import { decodeDemand, encodeDemand } from '../lib/records/serviceDemand.js'
 import { testJobId } from './TestService.js'
@@ -36,6 +36,15 @@
     })
   }
 
+  it('progress tells the next holder when a run started by the clock of its worker, and may lack it, as in records of older versions', () => {
+    const withStart = { status: 'running' as const, tasks: [{ key: `${JOB.jobId}.0.0.0`, lastRunNumber: 1, runs: [{ runNumber: 1, instanceId: 'w', workerClockStartMs: 7 }] }] }
+    for (const progress of [withStart, PROGRESS]) {
+      const job = createJob(jobSpecSchema.parse(JOB))
+      restoreProgress(job, decodeProgress(JSON.stringify(progress)).unwrap(), 0)
+      expect(JSON.parse(encodeProgress(job))).to.deep.equal(progress)
+    }
+  })
+
   it('progress of another job, or of tasks that the job does not have, is not restored', () => {
     const key = fc.oneof(fc.string(), fc.tuple(fc.nat(3), fc.nat(3), fc.nat(9)).map((parts) => [JOB.jobId, ...parts].join('.')), fc.constant(`${JOB.jobId}.-1.0.0`))
     fc.assert(fc.property(fc.array(key), (keys) => {
