--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -31,6 +31,10 @@
 export type { PlacementGroup, WorkerRoom } from './lib/placement/WorkerRoom.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
 export { isLacking, planGrant, sumGranted, type QuotaClaim, type GrantPlan, type OwnClaim } from './lib/quotas/planGrant.js'
+export type { Backlog, BacklogRow } from './lib/pressure/Backlog.js'
+export { computeBacklog, type BacklogSources } from './lib/pressure/computeBacklog.js'
+export { decideAdmission, type AdmissionDecision, type AdmissionInput } from './lib/pressure/decideAdmission.js'
+export { predictWaitMs } from './lib/pressure/predictWaitMs.js'
 export { QuotaAdmission, type AccountQuota, type AccountQuotaLookup, type QuotaShortage } from './lib/quotas/QuotaAdmission.js'
 export { AccountTokenBuckets } from './lib/quotas/AccountTokenBuckets.js'
 export {
