--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { JobApi, type JobApiOptions, type SubmitOutcome, type StatusOutcome, type CancelOutcome, type WaitingOutcome } from './lib/jobs/JobApi.js'
+export { JobApi, type JobApiOptions, type OverloadedOutcome, type SubmitOutcome, type StatusOutcome, type CancelOutcome, type WaitingOutcome } from './lib/jobs/JobApi.js'
 export type { EventLog } from './lib/duties/EventLog.js'
 export { SchedulerMetrics } from './lib/duties/SchedulerMetrics.js'
 export { MonitoredStore } from './lib/records/MonitoredStore.js'
@@ -11,10 +11,12 @@
 export { DutyElector, type DutyElectorOptions } from './lib/duties/DutyElector.js'
 export type { SchedulerBounds, ServiceSchedulerOptions } from './lib/duties/ServiceSchedulerOptions.js'
 export { ConfigurationWatcher, type ConfigurationWatcherOptions } from './lib/records/ConfigurationWatcher.js'
+export { BacklogWatcher, type BacklogWatcherOptions, type KnownBacklog } from './lib/pressure/BacklogWatcher.js'
+export { JobAdmission, type AdmissionRefusal, type JobAdmissionOptions } from './lib/pressure/JobAdmission.js'
 export { FleetReport, type DutyRow, type JobExplanation, type ServiceRow } from './lib/jobs/FleetReport.js'
 export { accountsOf, type AccountDirectory } from './lib/accounts/AccountDirectory.js'
 export { hashKey, keyTagOf } from './lib/accounts/hashKey.js'
 export { matchQueue, type QueueMatch } from './lib/jobs/matchQueue.js'
 export { MachineDuty, type MachineDutyOptions } from './lib/machines/MachineDuty.js'
 export { ServiceScheduler } from './lib/duties/ServiceScheduler.js'
-export { serviceDutyKey, MACHINE_DUTY_KEY } from './lib/records/storeKeys.js'
+export { backlogKey, serviceDutyKey, MACHINE_DUTY_KEY } from './lib/records/storeKeys.js'
--- a/packages/scheduler/src/lib/duties/DutyElector.ts
+++ b/packages/scheduler/src/lib/duties/DutyElector.ts
@@ -9,7 +9,7 @@
  */
 import { decodeJson, delay, type Clock } from '@quillscale/utils'
 import type { KeyValueStore } from '@quillscale/ports'
-import { LeaseHolder, type PrefixReplica } from '@quillscale/leases'
+import { LeaseHolder, type PrefixChange, type PrefixReplica } from '@quillscale/leases'
 import { dutyClaimDelayMs } from '@quillscale/policy'
 import * as z from 'zod'
 import { createReplica } from '../records/createReplica.js'
@@ -49,6 +49,8 @@
   readonly ttlMs: number
   /** Returns a random number from 0 to 1. */
   readonly random: () => number
+  /** Called with the changes of all keys of duties, and whether the store has answered without interruption before them. */
+  readonly onChange?: (change: PrefixChange, isInContact: boolean) => void
 }
 
 /** How long the published capacities of the hosts are cached: they change only when hosts of another size join. */
@@ -95,7 +97,13 @@
     this.#options = options
     const { store, clock, log } = options
     this.#dutyReplica = createReplica(log, {
-      store, clock, prefix: DUTY_PREFIX, onChange: () => { void this.#refreshCapacities().then(() => this.#scheduleAttempts()) }
+      store,
+      clock,
+      prefix: DUTY_PREFIX,
+      onChange: (change) => {
+        options.onChange?.(change, this.#dutyReplica.reachableForMs(clock.monotonicMs()) > 0)
+        void this.#refreshCapacities().then(() => this.#scheduleAttempts())
+      }
     })
   }
 
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -83,7 +83,8 @@
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
-      onUnneeded: (run) => this.#tracker.stopRun(run)
+      onUnneeded: (run) => this.#tracker.stopRun(run),
+      onBegun: (waitedMs) => options.metrics.record('first_start_wait', service, waitedMs)
     })
     this.#ledger = this.#createLedger()
     this.#tracker = this.#createTracker()
@@ -103,10 +104,9 @@
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
     this.#statusWriter = new StatusWriter({
-      service,
-      clock,
-      log: options.log,
+      ...options,
       put,
+      runTimes: this.#runTimes,
       limitOf: (account) => accountsOf(configuration()).limitOf(account),
       isEvacuated: (zone) => evacuations.isEvacuated(zone)
     })
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import { decodeJson, Err, Ok, type DecodeProblem, type Result } from '@quillscale/utils'
-import type { KeyValueStore, PlatformError } from '@quillscale/ports'
-import { hasEnded, isLacking, type JobFailure, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, sumGranted, type Resources } from '@quillscale/policy'
+import type { KeyValue, KeyValueStore, PlatformError } from '@quillscale/ports'
+import { hasEnded, isLacking, type JobFailure, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, predictWaitMs, sumGranted, type Resources } from '@quillscale/policy'
 import { quotaKey, decodeQuotaRecord, type QuotaRecord } from '../accounts/quotaRecord.js'
 import { decodeProgress, type JobProgress } from './jobProgress.js'
+import { decodeBacklog } from '../pressure/backlogRecord.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
-import { cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
+import { BACKLOG_PREFIX, backlogKey, cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, serviceDutyKey } from '../records/storeKeys.js'
 
 /** A duty and its current holder. @public */
 export interface DutyRow { readonly duty: string, readonly holder: string, readonly fencingToken: number }
@@ -31,6 +32,7 @@
 }
 
 const MILLIS_PER_CORE = 1000
+const MS_PER_S = 1000
 
 /** Builds reports for operators from the records in the store. @public */
 export class FleetReport {
@@ -47,9 +49,12 @@
    * @returns one row for each duty
    */
   async duties (): Promise<Result<DutyRow[], PlatformError>> {
-    const listed = await this.#store.list(DUTY_PREFIX)
-    return listed.map(({ items }) => items.map(({ key, value, modRevision }) =>
-      ({ duty: key.slice(DUTY_PREFIX.length), holder: value.split('#')[0] ?? '', fencingToken: modRevision })))
+    return (await this.#listDutyItems()).map(toDutyRows)
+  }
+
+  /** Lists the records of the duties, and of the backlogs beside them. */
+  async #listDutyItems (): Promise<Result<readonly KeyValue[], PlatformError>> {
+    return (await this.#store.list(DUTY_PREFIX)).map(({ items }) => items)
   }
 
   /**
@@ -83,7 +88,7 @@
       if (record.err) return record
       if (record.val === undefined) continue
       const [progress, cancel, duties] = await Promise.all([
-        this.#store.get(progressKey(row.service, jobId)), this.#store.get(cancelKey(row.service, jobId)), this.duties()
+        this.#store.get(progressKey(row.service, jobId)), this.#store.get(cancelKey(row.service, jobId)), this.#listDutyItems()
       ])
       if (progress.err) return progress
       if (cancel.err) return cancel
@@ -94,7 +99,8 @@
       if (decoded.err) return unreadableRecord(progressKey(row.service, jobId), decoded.val)
       const quota = await this.#readQuota(spec.val)
       if (quota.err) return quota
-      return Ok(explainJob(spec.val, row, { progress: decoded.val, isCancelled: cancel.val !== undefined, duties: duties.val, quota: quota.val }, wallMs))
+      const records = { progress: decoded.val, isCancelled: cancel.val !== undefined, dutyItems: duties.val, quota: quota.val }
+      return Ok(explainJob(spec.val, row, records, wallMs))
     }
     return Ok(undefined)
   }
@@ -113,7 +119,7 @@
 interface JobRecords {
   readonly progress: JobProgress | undefined
   readonly isCancelled: boolean
-  readonly duties: readonly DutyRow[]
+  readonly dutyItems: readonly KeyValue[]
   /** `undefined` if the account has no limit, or has not run anything yet. */
   readonly quota: QuotaRecord | undefined
 }
@@ -122,10 +128,12 @@
   return Err({ kind: 'unavailable', detail: `${key} cannot be read: ${path === '' ? '' : `${path}: `}${detail}` })
 }
 
-function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, duties, quota }: JobRecords, wallMs: number): JobExplanation {
+function explainJob (spec: JobSpec, row: ServiceRow, { progress, isCancelled, dutyItems, quota }: JobRecords, wallMs: number): JobExplanation {
   const status = progress?.status ?? 'queued'
   const hasJobEnded = hasEnded({ status })
-  const reasons = hasJobEnded ? [] : [...waitReasons(row, isCancelled, duties), ...quotaReasons(row.service, quota)]
+  const duties = toDutyRows(dutyItems)
+  const backlog = status === 'queued' ? backlogReasons(row.service, dutyItems) : []
+  const reasons = hasJobEnded ? [] : [...waitReasons(row, isCancelled, duties), ...quotaReasons(row.service, quota), ...backlog]
   const steps = hasJobEnded ? failureLines(progress?.failure) : spec.steps.map((_, index) => explainStep(spec, index, progress))
   const { jobId, queue, owner, submittedMs } = spec
   return { jobId, service: row.service, queue, account: owner?.account, status, ageMs: wallMs - submittedMs, lines: [...steps, ...reasons] }
@@ -172,6 +180,20 @@
   return [`account ${quota.account} has ${has} for ${service} and wants ${wants}; all its services have ${all}`]
 }
 
+/** Names the backlog that the present holder of a service has published. An unreadable record counts as missing, as it does for all hosts. */
+function backlogReasons (service: string, dutyItems: readonly KeyValue[]): string[] {
+  const item = dutyItems.find(({ key }) => key === backlogKey(service))
+  const decoded = item === undefined ? undefined : decodeBacklog(item.value)
+  if (decoded?.ok !== true) return []
+  const { fencingToken, backlog } = decoded.val
+  if (!dutyItems.some(({ key, modRevision }) => key === serviceDutyKey(service) && modRevision === fencingToken)) return []
+  const waitS = predictWaitMs(backlog, Infinity, 0) / MS_PER_S
+  return [`${service} is under pressure: new jobs of its lowest priority wait ${waitS.toFixed(1)} s or longer`]
+}
+
+const toDutyRows = (items: readonly KeyValue[]): DutyRow[] => items.filter(({ key }) => !key.startsWith(BACKLOG_PREFIX)).map(({ key, value, modRevision }) =>
+  ({ duty: key.slice(DUTY_PREFIX.length), holder: value.split('#')[0] ?? '', fencingToken: modRevision }))
+
 const formatResources = ({ cpuMillis, memoryMb, gpus }: Resources): string => `${cpuMillis} mcpu, ${memoryMb} MB${gpus === 0 ? '' : `, ${gpus} GPUs`}`
 
 function waitReasons (row: ServiceRow, isCancelled: boolean, duties: readonly DutyRow[]): string[] {
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -6,11 +6,12 @@
  * @module
  */
 import { decodeJson, delay, Err, type Clock, type Result } from '@quillscale/utils'
-import type { KeyValue, PlatformError, TransactionOutcome } from '@quillscale/ports'
+import type { KeyValue, PlatformError, QueueConfiguration, TransactionOutcome } from '@quillscale/ports'
 import { isOwnedBy, jobSpecSchema, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
+import type { AdmissionRefusal, JobAdmission } from '../pressure/JobAdmission.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import { CANCEL_VALUE, cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from '../records/storeKeys.js'
@@ -21,6 +22,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly records: RecordReader
+  /** Decides which jobs are of no use any more; without it, all are accepted. */
+  readonly admission?: Pick<JobAdmission, 'decide' | 'report'> | undefined
 }
 
 /**
@@ -29,7 +32,9 @@
  *
  * @public
  */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken'
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | OverloadedOutcome
+/** This request has not written the job and never will, since the job would end too late to be of use. @public */
+export interface OverloadedOutcome { readonly kind: 'overloaded', readonly retryAfterMs: number }
 /** Status of a job. `unavailable`: the store did not answer in time, or its record of the job cannot be decoded. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
 /** Outcome of a cancellation; `unavailable` as in {@link StatusOutcome}. @public */
@@ -69,10 +74,14 @@
    * @param spec - the job
    * @param service - the service whose workers run the job
    * @param deadlineMs - monotonic time at which the client stops waiting
+   * @param queue - the queue by whose objective a job may be refused; without it, the job is accepted
    * @returns the outcome
    */
-  async submit (spec: JobSpec, service: string, deadlineMs: number): Promise<SubmitOutcome> {
-    const { log } = this.#options
+  async submit (spec: JobSpec, service: string, deadlineMs: number, queue?: QueueConfiguration): Promise<SubmitOutcome> {
+    const { log, admission } = this.#options
+    const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
+    const refused = refusal === undefined ? undefined : await this.#refuse(spec, service, deadlineMs, refusal)
+    if (refused !== undefined) return refused
     const written = await this.#writeJob(spec, service, deadlineMs)
     const outcome = this.#submitOutcome(spec, service, written)
     const fields = { jobId: spec.jobId, queue: spec.queue, service, account: spec.owner?.account, outcome, tries: written.tries }
@@ -82,6 +91,19 @@
     return outcome
   }
 
+  /** Refuses a job that would be of no use, unless it was accepted before: that is a promise, and its repeat is handled as always. */
+  async #refuse (spec: JobSpec, service: string, deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
+    const { admission, store, log } = this.#options
+    const earlier = await this.#retry(deadlineMs, () => store.get(jobKey(service, spec.jobId)))
+    if (earlier.result.err) {
+      log.warn({ jobId: spec.jobId, queue: spec.queue, service, outcome: 'refused', tries: earlier.tries, error: earlier.result.val }, 'job not taken in')
+      return 'refused'
+    }
+    if (earlier.result.val !== undefined) return undefined
+    admission?.report(spec, service, refusal)
+    return { kind: 'overloaded', retryAfterMs: refusal.retryAfterMs }
+  }
+
   #submitOutcome ({ jobId, owner }: JobSpec, service: string, { result, mayHaveEffect }: RetryResult<TransactionOutcome>): SubmitOutcome {
     if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
     const item = result.val.committed ? undefined : result.val.current.find(({ key }) => key === jobKey(service, jobId))
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -44,6 +44,8 @@
   readonly onChanged: (job: Job) => void
   /** Called for each run that has definitely ended. */
   readonly onRunClosed: (run: Run) => void
+  /** Called when the first run of a job without a schedule has started, with the time since the job was accepted, by the clocks of two hosts. */
+  readonly onBegun: (waitedMs: number) => void
   /** Called for each run that is no longer needed and has to be stopped. */
   readonly onUnneeded: (run: Run) => void
 }
@@ -75,12 +77,25 @@
     if (checkpoint !== '' && stepOf(task).isCheckpointing) task.checkpoint = checkpoint
     const { job } = task
     this.#updateWorkerHealth(run, outcome)
-    if (job.status === 'queued' && outcome !== 'not-started' && outcome !== 'lost') job.status = 'running'
+    if (outcome !== 'not-started' && outcome !== 'lost') this.markBegun(job)
     if (!hasEnded(job)) this.#applyOutcome(run, outcome)
     this.#logEnd(run, outcome, evidence)
     this.#options.onChanged(job)
   }
 
+  /**
+   * Marks a job as running, unless it was before.
+   *
+   * @param job - a job of which a worker has started a run
+   * @returns whether it had not begun before
+   */
+  markBegun (job: Job): boolean {
+    if (job.status !== 'queued') return false
+    job.status = 'running'
+    if (job.spec.schedule === undefined) this.#options.onBegun(this.#options.clock.wallMs() - job.spec.submittedMs)
+    return true
+  }
+
   /**
    * Applies the end of a run that a worker reported, unless it was applied before.
    *
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -143,9 +143,7 @@
 
   /** Marks a job as running once a worker has started one of its runs. A placement alone is not enough, as its start may still fail. */
   #markJobRunning (job: Job): void {
-    if (job.status !== 'queued') return
-    job.status = 'running'
-    this.#options.onChanged(job)
+    if (this.#options.registry.markBegun(job)) this.#options.onChanged(job)
   }
 }
 
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -1,27 +1,18 @@
 /**
- * Publishes the state of a service in the store: how many jobs wait, and how many machines it needs.
+ * Publishes the state of a service in the store: how many jobs wait, how many machines it needs, and how long new jobs wait.
  *
  * @module
  */
 import type { Clock } from '@quillscale/utils'
-import type { AccountName } from '@quillscale/ports'
-import { computeServiceDemand, type Job, machinesNeeded, type Resources } from '@quillscale/policy'
-import type { RecordEncoder } from '../records/FencedBatchWriter.js'
-import type { EventLog } from '../duties/EventLog.js'
+import { computeServiceDemand, type Job, machinesNeeded } from '@quillscale/policy'
+import { BacklogPublisher, type BacklogPublisherOptions } from '../pressure/BacklogPublisher.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
 import { waitingKey } from '../records/storeKeys.js'
 import type { WorkerTracker } from '../workers/WorkerTracker.js'
 
 /** Dependencies of a {@link StatusWriter}. @public */
-export interface StatusWriterOptions {
-  readonly service: string
+export interface StatusWriterOptions extends BacklogPublisherOptions {
   readonly clock: Clock
-  readonly log: EventLog
-  /** Returns the resources that the running tasks of an account may use; `undefined` without a limit. */
-  readonly limitOf: (account: AccountName) => Resources | undefined
-  readonly isEvacuated: (availabilityZone: string) => boolean
-  /** Writes a record to the store, without delay if it is urgent. */
-  readonly put: (key: string, source: RecordEncoder, isUrgent: boolean) => void
 }
 
 /** Interval between writes of the waiting job counts; readers treat counts that are much older as outdated. */
@@ -33,7 +24,7 @@
 /** An unchanged demand is rewritten at this interval as a heartbeat. */
 const DEMAND_REFRESH_INTERVAL_MS = 2000
 
-/** Writes the waiting job counts and the machine demand of a service to the store. @public */
+/** Writes the waiting job counts, the machine demand and the backlog of a service to the store. @public */
 export class StatusWriter {
   readonly #options: StatusWriterOptions
   #waitingText = ''
@@ -42,10 +33,12 @@
   #writtenNeed = 0
   #demandComputedMs = -Infinity
   #demandWrittenMs = -Infinity
+  readonly #backlogPublisher: BacklogPublisher
 
   /** @param options - dependencies */
   constructor (options: StatusWriterOptions) {
     this.#options = options
+    this.#backlogPublisher = new BacklogPublisher(options)
   }
 
   /**
@@ -58,6 +51,7 @@
   write (jobs: readonly Job[], workers: WorkerTracker, nowMs: number): void {
     if (nowMs - this.#waitingWrittenMs >= WAITING_COUNT_INTERVAL_MS) this.#writeWaiting(jobs, nowMs)
     if (nowMs - this.#demandComputedMs >= DEMAND_INTERVAL_MS) this.#writeDemand(jobs, workers, nowMs)
+    this.#backlogPublisher.write(jobs, workers.links, nowMs, this.#options.clock.wallMs())
   }
 
   #writeWaiting (jobs: readonly Job[], nowMs: number): void {
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -51,6 +51,10 @@
 export const DUTY_PREFIX = 'duty/'
 /** Key of the duty to schedule a service. @public */
 export const serviceDutyKey = (service: string): string => `duty/service/${service}`
+/** Prefix of the backlogs of services. It lies below {@link DUTY_PREFIX}, so that the watch of the duties, which each host has, brings them. @public */
+export const BACKLOG_PREFIX = 'duty/backlog/'
+/** Key of the backlog of a service; written by its scheduler while new jobs have to wait long. @public */
+export const backlogKey = (service: string): string => `${BACKLOG_PREFIX}${service}`
 /** Key of the machine duty: ordering maintenance and moves of machines. @public */
 export const MACHINE_DUTY_KEY = 'duty/machines'
 
--- a/packages/scheduler/src/test/DutyElector.test.ts
+++ b/packages/scheduler/src/test/DutyElector.test.ts
@@ -3,7 +3,7 @@
 import type { KeyValueStore, PlatformError } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { DutyElector, type DutyGrant, type DutyTask } from '../lib/duties/DutyElector.js'
-import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../lib/records/storeKeys.js'
+import { backlogKey, DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../lib/records/storeKeys.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { TestLog } from './TestService.js'
@@ -54,8 +54,8 @@
     hosts = []
   })
 
-  function addHost (name: string, capacityCores: number, dutyKeys: readonly string[] = DUTIES): Host {
-    const hostStore = new HostStore(store)
+  function addHost (name: string, capacityCores: number, dutyKeys: readonly string[] = DUTIES, sharedStore = store): Host {
+    const hostStore = new HostStore(sharedStore)
     const random = new SeededRandom(hosts.length)
     const elector = new DutyElector({
       hostName: name,
@@ -116,6 +116,15 @@
     }).timeout(20_000)
   }
 
+  it('takes vacant duties though the backlog of a former holder is listed among them', async () => {
+    const freshStore = new MemoryKeyValueStore(systemClock)
+    await freshStore.transact({ conditions: [], puts: [{ key: backlogKey('a'), value: 'backlog#{}' }], removals: [] })
+    const key = 'duty/service/a'
+    const startedMs = performance.now()
+    addHost('host1', 1, [key], freshStore)
+    await waitUntilHeld([key], startedMs, 5000)
+  }).timeout(20_000)
+
   it('skips the first-start delay when the fleet restarts', async () => {
     const first = addHost('host1', 1)
     await waitUntilHeld(DUTIES, performance.now(), 5000)
