--- a/packages/scheduler/src/test/admission.test.ts
+++ b/packages/scheduler/src/test/admission.test.ts
@@ -1,11 +1,14 @@
 import { expect } from 'chai'
+import type { PrefixChange } from '@quillscale/leases'
 import { systemClock } from '@quillscale/utils'
 import { jobSpecSchema, type Backlog } from '@quillscale/policy'
 import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { JobApi, type SubmitOutcome } from '../lib/jobs/JobApi.js'
 import { encodeBacklog } from '../lib/pressure/backlogRecord.js'
 import { JobAdmission } from '../lib/pressure/JobAdmission.js'
-import { backlogKey, jobKey } from '../lib/records/storeKeys.js'
+import { BacklogWatcher } from '../lib/pressure/BacklogWatcher.js'
+import { createReplica } from '../lib/records/createReplica.js'
+import { backlogKey, DUTY_PREFIX, jobKey, serviceDutyKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, testJobId, TestService } from './TestService.js'
 
 const BACKLOG: Backlog = { roomMillis: 1000, freeMillis: 0, largestFreeMillis: 0, ahead: [{ priority: -1, waitMs: 60_000, taskMillis: 1 }], runTimes: [] }
@@ -15,7 +18,7 @@
   let service: TestService
   let isUnderPressure: boolean
   beforeEach(() => {
-    service = new TestService(1)
+    service = new TestService(1, 1000)
     isUnderPressure = true
   })
   afterEach(() => { service.close() })
@@ -67,6 +70,35 @@
     }
   })
 
+  it('refuses by the backlog that the scheduler publishes, and no longer once it is gone', async () => {
+    const [queue] = service.configuration.queues
+    const first = { ...queue!, stretch: 100 }
+    const low = { ...queue!, name: 'low', priority: 1 }
+    service.configuration = { ...service.configuration, queues: [first, low] }
+    const watcher = new BacklogWatcher({ clock: systemClock, records: service.records })
+    const stop = new AbortController()
+    const onChange = (change: PrefixChange): void => watcher.apply(change, true)
+    const replica = createReplica(service.log, { store: service.store, clock: systemClock, prefix: DUTY_PREFIX, onChange })
+    void replica.run(stop.signal)
+    const { jobApiStore: store, log, metrics, records } = service
+    const admission = new JobAdmission({ backlogs: watcher, log, metrics, random: () => 0.5 })
+    const jobApi = new JobApi({ store, clock: systemClock, log, records, admission })
+    const submitLow = (number: number): Promise<SubmitOutcome> =>
+      jobApi.submit({ ...SPEC, jobId: testJobId(number), queue: 'low', submittedMs: Date.now() }, SERVICE, performance.now() + 2000, low)
+
+    const tenure = await service.takeOver()
+    for (let number = 1; number <= 3; number++) await service.submit(number, { runMs: 60_000 }, [{ taskCount: 10, cpuMillis: 100, estimateMs: 60_000 }])
+    await service.submit(4, { runMs: 60_000 }, [{ taskCount: 20, cpuMillis: 50, estimateMs: 60_000 }])
+    expect(await submitLow(100)).to.equal('accepted')
+    await service.until('the backlog is known', () => watcher.backlogOf(SERVICE) !== undefined)
+    expect(await submitLow(101)).to.include({ kind: 'overloaded' })
+    tenure.scheduler.close()
+    service.write(serviceDutyKey(SERVICE), undefined)
+    await service.until('the record is not used', () => watcher.backlogOf(SERVICE) === undefined, 1000)
+    expect(await submitLow(101)).to.equal('accepted')
+    stop.abort()
+  }).timeout(20_000)
+
   it('records how long a job waited for its first start', async () => {
     await service.takeOver()
     await service.untilStatus(await service.submit(3, { runMs: 5 }), 'succeeded')
