--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -87,7 +87,8 @@
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
-      onUnneeded: (run) => this.#tracker.stopRun(run)
+      onUnneeded: (run) => this.#tracker.stopRun(run),
+      onBegun: (waitedMs) => options.metrics.record('first_start_wait', service, waitedMs)
     })
     this.#ledger = this.#createLedger()
     this.#tracker = this.#createTracker()
@@ -107,7 +108,12 @@
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
     this.#statusWriter = new StatusWriter({
-      service, clock, log: options.log, put, availability: this.#availability, limitOf: (account) => accountsOf(configuration()).limitOf(account)
+      ...options,
+      put,
+      runTimes: this.#runTimes,
+      availability: this.#availability,
+      isEvacuated: this.#availability.isEvacuated,
+      limitOf: (account) => accountsOf(configuration()).limitOf(account)
     })
     this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#pacer.request() })
     this.#drainer = new MachineDrainer({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.evict(run) } })
--- a/packages/scheduler/src/test/coldWorkers.test.ts
+++ b/packages/scheduler/src/test/coldWorkers.test.ts
@@ -29,7 +29,15 @@
       const runTimes = new RunTimeEstimator()
       const ignore = (): void => {}
       const registry = new JobRegistry({
-        clock, log: new TestLog(), runTimes, maxAttemptsOf: () => 1, linkOf: () => link, onChanged: ignore, onRunClosed: ignore, onUnneeded: ignore
+        clock,
+        log: new TestLog(),
+        runTimes,
+        maxAttemptsOf: () => 1,
+        linkOf: () => link,
+        onChanged: ignore,
+        onRunClosed: ignore,
+        onBegun: ignore,
+        onUnneeded: ignore
       })
       const job = createJob(jobSpecSchema.parse({ jobId: testJobId(1), queue: 'q', command: '', submittedMs: 0, steps: [{ taskCount: 1, image: 'i' }] }))
       const task = tasksOf(job, 0)[0]?.[0]
