--- a/packages/scheduler/src/lib/records/OperatorRequests.ts
+++ b/packages/scheduler/src/lib/records/OperatorRequests.ts
@@ -51,7 +51,7 @@
       const request = this.#evacuations.get(key)
       if (request === undefined) continue
       this.#evacuations.delete(key)
-      this.#options.log.info({ ...request }, 'evacuation withdrawn')
+      this.#options.log.info(logFieldsOf(request), 'evacuation withdrawn')
     }
   }
 
@@ -66,7 +66,7 @@
       const decoded = decodeEvacuation(item)
       if (decoded?.ok !== true || this.#evacuations.has(item.key)) continue
       this.#findings.set(item.key, { request: decoded.val, foundMs: clock.monotonicMs() })
-      log.info({ ...decoded.val }, 'evacuation found by a transaction')
+      log.info(logFieldsOf(decoded.val), 'evacuation found by a transaction')
     }
   }
 
@@ -109,6 +109,11 @@
     if (request === undefined) return
     const isNew = !this.#evacuations.has(item.key)
     this.#evacuations.set(item.key, request)
-    if (isNew) log.info({ ...request, ageMs: Math.round(ageMs(clock.monotonicMs())) }, 'evacuation requested')
+    if (isNew) log.info({ ...logFieldsOf(request), ageMs: Math.round(ageMs(clock.monotonicMs())) }, 'evacuation requested')
   }
 }
+
+/** Names the zone unlike the host's own, which each log line has. */
+function logFieldsOf ({ availabilityZone, revision }: EvacuationRequest): { readonly workerZone: string, readonly revision: number } {
+  return { workerZone: availabilityZone, revision }
+}
--- a/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
+++ b/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
@@ -92,7 +92,7 @@
     for (const run of withdrawn) {
       this.#recording.delete(run)
       if (run.phase !== 'recording' || !run.task.runs.includes(run)) continue
-      log.info({ taskKey: run.taskKey, runNumber: run.runNumber, instanceId: run.instanceId, availabilityZone: this.#zoneOf(run) }, 'placement withdrawn: its availability zone is evacuated')
+      log.info({ taskKey: run.taskKey, runNumber: run.runNumber, instanceId: run.instanceId, workerZone: this.#zoneOf(run) }, 'placement withdrawn: its availability zone is evacuated')
       withdraw(run)
     }
     return runs.filter((run) => !withdrawn.has(run))
@@ -115,7 +115,7 @@
     for (const zone of [...this.#progress.keys()]) {
       if (zones.has(zone)) continue
       this.#progress.delete(zone)
-      log.info({ service, availabilityZone: zone }, 'availability zone gets new work again')
+      log.info({ service, workerZone: zone }, 'availability zone gets new work again')
     }
     this.#runsLeft.clear()
     if (zones.size === 0) return
@@ -145,7 +145,7 @@
     for (const [run, state] of planEvacuation(runs, this.#roomsElsewhere(nowMs), nowMs)) {
       this.#runsLeft.set(state, (this.#runsLeft.get(state) ?? 0) + 1)
       if (state !== 'leaving' || run.phase !== 'running') continue
-      log.info({ taskKey: run.taskKey, runNumber: run.runNumber, instanceId: run.instanceId, availabilityZone: this.#zoneOf(run) }, 'lasting task leaves an evacuated availability zone')
+      log.info({ taskKey: run.taskKey, runNumber: run.runNumber, instanceId: run.instanceId, workerZone: this.#zoneOf(run) }, 'lasting task leaves an evacuated availability zone')
       evict(run)
     }
   }
@@ -163,7 +163,7 @@
     const workers = links().filter(({ instance }) => instance.availabilityZone === zone)
     const isEmpty = workers.every(({ runs }) => runs.size === 0)
     if (isEmpty && !progress.isEmpty) {
-      log.info({ service, availabilityZone: zone, workers: workers.length, tookMs: Math.round(nowMs - progress.sinceMs) }, 'availability zone is empty')
+      log.info({ service, workerZone: zone, workers: workers.length, tookMs: Math.round(nowMs - progress.sinceMs) }, 'availability zone is empty')
     }
     progress.isEmpty = isEmpty
   }
