--- a/packages/bench/src/lib/policy/SimulatedService.ts
+++ b/packages/bench/src/lib/policy/SimulatedService.ts
@@ -9,10 +9,9 @@
   type Job, type JobSpec, type Run, type ServiceDemand, type Task
 } from '@quillscale/policy'
 import type { DrawnJob } from './drawJobs.js'
+import type { PolicyLoad } from './policyLoad.js'
 import type { SimulatedWorker } from './SimulatedWorker.js'
 
-/** From a decision to the start on a worker: the record, and the order. */
-const START_MS = 25
 /** From an end on a worker until it is known. */
 const NOTICE_MS = 5
 /** Until a stop is over. */
@@ -29,15 +28,17 @@
   readonly #name: string
   readonly #configuration: FleetConfiguration
   readonly #leaseMs: number
+  readonly #startMs: number
   readonly #held = new Map<string, HeldJob>()
   readonly #times = new RunTimeEstimator()
   readonly #stopping: Array<{ readonly run: Run, readonly atMs: number }> = []
 
-  /** @param name - of the service @param configuration - with its queues @param leaseMs - until runs of a silent worker may be placed again */
-  constructor (name: string, configuration: FleetConfiguration, leaseMs: number) {
+  /** @param name - of the service @param configuration - with its queues @param load - its times until a start and until a silent worker's runs are over */
+  constructor (name: string, configuration: FleetConfiguration, { leaseMs, startMs }: Pick<PolicyLoad, 'leaseMs' | 'startMs'>) {
     this.#name = name
     this.#configuration = configuration
     this.#leaseMs = leaseMs
+    this.#startMs = startMs
   }
 
   /** @param spec - as accepted @param drawn - what the bench knows of it, `undefined` for lasting tasks @param nowMs - the present */
@@ -115,12 +116,12 @@
       nowMs,
       wallMs: nowMs
     })
-    for (const run of round.place()) this.workers.get(run.instanceId)?.begin(run, nowMs + START_MS, this.#trueMs(run.task))
+    for (const run of round.place()) this.workers.get(run.instanceId)?.begin(run, nowMs + this.#startMs, this.#trueMs(run.task))
     for (const run of round.runsToStop) this.#stop(run, nowMs)
   }
 
   #trueMs (task: Task): number {
-    return stepOf(task).isLasting ? Infinity : this.#held.get(task.job.spec.jobId)?.drawn?.runMs[task.stepIndex] ?? 0
+    return stepOf(task).isLasting ? Infinity : this.#held.get(task.job.spec.jobId)?.drawn?.taskMs[task.stepIndex]?.[task.index] ?? 0
   }
 
   #jobs (): Job[] {
--- a/packages/bench/src/lib/policy/drawJobs.ts
+++ b/packages/bench/src/lib/policy/drawJobs.ts
@@ -18,8 +18,10 @@
   readonly kind: JobKind
   /** When its client sends it first. */
   readonly sentMs: number
-  /** How long a task of each step really runs. */
+  /** How long a task of each step really runs, by the mean of the step. */
   readonly runMs: readonly number[]
+  /** How long each task really runs, by step. */
+  readonly taskMs: ReadonlyArray<readonly number[]>
   /** The longest chain of its work. */
   readonly chainMs: number
   /** Core-seconds. */
@@ -39,7 +41,11 @@
 
 /** @param load - any @param service - whose turn @param atS - when @returns its rate against its mean */
 function rateShare (load: PolicyLoad, service: string, atS: number): number {
-  const { turns, services } = load
+  const burst = load.bursts.find((some) => atS >= some.atS && atS < some.atS + some.forS)
+  return (burst?.factor ?? 1) * turnShare(load, service, atS)
+}
+
+function turnShare ({ turns, services }: PolicyLoad, service: string, atS: number): number {
   if (turns === undefined) return 1
   const index = services.findIndex(({ name }) => name === service)
   const beginsS = index * turns.periodS / services.length
@@ -84,5 +90,8 @@
     jobId: number.toString(16).padStart(16, '0') as JobId, queue: kind.name, command: '', submittedMs: sentMs, steps
   })
   const work = steps.reduce((sum, step, index) => sum + step.taskCount * step.cpuMillis * (runMs[index] ?? 0), 0) / (MS_PER_S * MS_PER_S)
-  return { spec, kind, sentMs, runMs, chainMs: runMs.reduce((sum, ms) => sum + ms, 0), work, worth: 0 }
+  const { unevenSpread } = kind
+  const taskMs = steps.map(({ taskCount }, index) => Array.from({ length: taskCount }, () =>
+    (runMs[index] ?? 0) * (unevenSpread === 0 ? 1 : Math.exp(unevenSpread * normal(random) - unevenSpread ** 2 / 2))))
+  return { spec, kind, sentMs, runMs, taskMs, chainMs: taskMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0), work, worth: 0 }
 }
--- a/packages/bench/src/lib/policy/playLoad.ts
+++ b/packages/bench/src/lib/policy/playLoad.ts
@@ -63,7 +63,7 @@
     this.#load = load
     this.#drawn = drawJobs(load, new SeededRandom(seed))
     const configuration = configurationOf(load)
-    this.#services = new Map(load.services.map(({ name }) => [name, new SimulatedService(name, configuration, load.leaseMs)]))
+    this.#services = new Map(load.services.map(({ name }) => [name, new SimulatedService(name, configuration, load)]))
     this.#pools = new SimulatedPools({
       load, services: this.#services, silentAfterMs, isCut: (zone, nowMs) => this.#active('zone-cut', nowMs).some((fault) => fault.zone === zone)
     })
--- a/packages/bench/src/lib/policy/policyLoad.ts
+++ b/packages/bench/src/lib/policy/policyLoad.ts
@@ -20,6 +20,8 @@
   steps: sizeSchema,
   tasks: sizeSchema,
   runMs: sizeSchema,
+  /** Tasks of a step differ from its run time by this, as the spread of a lognormal. */
+  unevenSpread: z.number().nonnegative().default(0),
   cpuMillis: sizeSchema,
   memoryMb: sizeSchema,
   /** Clients' guesses of run times are off by this, as the spread of a lognormal. */
@@ -41,6 +43,9 @@
   idleShare: z.number().min(0)
 })
 
+/** All clients send `factor` times as much. */
+const burstSchema = z.object({ atS: z.number().nonnegative(), forS: z.number().positive(), factor: z.number().positive() })
+
 const faultSchema = z.discriminatedUnion('kind', [
   /** Workers of a zone neither hear nor answer. */
   z.object({ kind: z.literal('zone-cut'), atS: z.number(), forS: z.number(), zone: z.string() }),
@@ -66,10 +71,13 @@
   machine: z.object({ cpuMillis: z.number().positive(), memoryMb: z.number().positive() }),
   /** Without turns the rate is even. */
   turns: turnsSchema.optional(),
+  bursts: z.array(burstSchema).default([]),
   jobs: z.array(jobsSchema).min(1),
   faults: z.array(faultSchema).default([]),
   /** What a second of a machine that is on costs, and a change of pool, in the unit of worth. */
   prices: z.object({ machineS: z.number().nonnegative(), move: z.number().nonnegative() }),
+  /** From a decision to the start on a worker: the record, and the order. */
+  startMs: z.number().positive().default(25),
   /** How long a machine is away when its pool changes, and until its new worker is known. */
   moveMs: z.number().positive(),
   /** Leases of runs: what ran on a worker that fell silent may be placed again after this. */
