--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,6 +15,9 @@
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
+export {
+  selectFeasible, type FeasibilityCandidate, type FeasibilityRoom, type FeasibilitySelection
+} from './lib/jobs/selectFeasible.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
 export { dutyClaimDelayMs, type DutyCandidate } from './lib/duties/dutyClaimDelayMs.js'
 export { computeServiceDemand, type DemandSources } from './lib/machines/computeServiceDemand.js'
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -10,9 +10,11 @@
 import { ISOLATION_WAIT_MS } from './isolation.js'
 import { type AvailabilityContext, findUnavailability } from './unavailability.js'
 import { createWorkerRoom } from './createWorkerRoom.js'
+import { measureFeasibilityRoom } from './measureFeasibilityRoom.js'
 import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
-import { compareRanks, rankStep, RANK_TIERS, type StepRank } from '../jobs/rankStep.js'
+import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
+import { selectFeasible, type FeasibilitySelection } from '../jobs/selectFeasible.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
 
@@ -54,6 +56,11 @@
 /** A run without progress for this long is stopped and placed elsewhere. */
 const STALL_TIMEOUT_MS = 3000
 
+/** Tiers of finite jobs that are still of use. */
+const FEASIBILITY_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.inTime, RANK_TIERS.late, RANK_TIERS.overShare])
+
+const occurrenceKeyOf = ({ job, occurrence }: Task): string => `${job.spec.jobId}.${occurrence}`
+
 interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueConfiguration | undefined }
 
 /** Places the waiting tasks of a service once. @public */
@@ -64,6 +71,8 @@
   readonly tasksToGiveUp: Task[] = []
   /** Quota admission of this round, with the shortages that it found. */
   readonly quota: QuotaAdmission
+  /** Which jobs have no room in time, set by {@link place}. */
+  feasibility: FeasibilitySelection | undefined
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
 
@@ -101,7 +110,28 @@
         waiting.push({ tasks, queue, rank: rankStep(first, queue, this.#options.runTimes, this.#options.wallMs) })
       }
     }
-    return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
+    return this.#postponeInfeasible(waiting).sort((a, b) => compareRanks(a.rank, b.rank))
+  }
+
+  /** Marks the steps of jobs that there is no room for in time. Jobs of which everything ready runs count, too, with their later steps. */
+  #postponeInfeasible (waiting: readonly WaitingStep[]): WaitingStep[] {
+    const { jobs, runTimes, workerViews, nowMs, wallMs } = this.#options
+    const ranks = new Map<string, StepRank>()
+    const add = (task: Task, rank: StepRank): void => { if (FEASIBILITY_TIERS.has(rank.tier)) ranks.set(occurrenceKeyOf(task), rank) }
+    for (const { tasks: [first], rank } of waiting) if (first !== undefined) add(first, rank)
+    for (const job of jobs) {
+      const ready = hasEnded(job) ? [] : listReadySteps(job, wallMs)
+      for (const [first] of ready) {
+        if (first !== undefined && !ranks.has(occurrenceKeyOf(first))) add(first, rankStep(first, this.#queues.get(job.spec.queue), runTimes, wallMs))
+      }
+    }
+    const room = measureFeasibilityRoom(workerViews.filter((workerView) => this.#isAvailable(workerView)), runTimes, nowMs)
+    this.feasibility = selectFeasible([...ranks].map(([key, rank]) => ({ key, rank })), room, wallMs)
+    const { postponed } = this.feasibility
+    return waiting.map(({ tasks, rank, queue }) => {
+      const isPostponed = FEASIBILITY_TIERS.has(rank.tier) && postponed.has(occurrenceKeyOf(tasks[0] as Task))
+      return { tasks, queue, rank: { ...rank, isPostponed } }
+    })
   }
 
   /** Selects the placeable tasks of a step. Members of a gang are placed only together, so none may still have a run. */
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -27,6 +27,7 @@
 import { RunStarter } from '../jobs/RunStarter.js'
 import { RunTracker } from '../jobs/RunTracker.js'
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
+import { ShortageMonitor } from '../jobs/ShortageMonitor.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
 import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
@@ -54,6 +55,7 @@
   readonly #crashTracker: CrashTracker
   readonly #starter: RunStarter
   readonly #statusWriter: StatusWriter
+  readonly #shortageMonitor: ShortageMonitor
   readonly #registrations: WorkerRegistrations
   readonly #registrationReplica: PrefixReplica
   readonly #inboxReader: InboxReader
@@ -79,7 +81,7 @@
       clock,
       log: options.log,
       runTimes: this.#runTimes,
-      maxAttemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts ?? DEFAULT_ATTEMPTS,
+      maxAttemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts,
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
@@ -111,6 +113,7 @@
       isEvacuated: (zone) => evacuations.isEvacuated(zone)
     })
     this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#pacer.request() })
+    this.#shortageMonitor = new ShortageMonitor({ service, log: options.log, count: (name, by) => options.metrics.count(name, service, by) })
     this.#drainer = new MachineDrainer({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.evict(run) } })
     this.#registrations = new WorkerRegistrations({
       ...options, prefix: options.workersPrefix, isServiceConfigured: (name) => configuration()?.services.some((named) => named.name === name) === true
@@ -332,8 +335,7 @@
   }
 
   #placeTasks (nowMs: number): void {
-    if (!this.#options.holdsDuty()) return
-    const configuration = this.#options.configuration()
+    const configuration = this.#options.holdsDuty() ? this.#options.configuration() : undefined
     if (configuration === undefined) return
     const round = new PlacementRound({
       configuration,
@@ -350,6 +352,7 @@
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
+    this.#shortageMonitor.observe(round.feasibility, nowMs)
     for (const run of runs) this.#trackRun(run)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
     this.#ledger.warnOversized(round.quota.oversized)
@@ -385,6 +388,3 @@
     }
   }
 }
-
-/** Attempts for jobs of a queue that was removed from the configuration; the value that most queues have. */
-const DEFAULT_ATTEMPTS = 3
