--- a/packages/policy/src/lib/pressure/criticalPathMs.ts
+++ b/packages/policy/src/lib/jobs/criticalPathMs.ts
@@ -3,18 +3,18 @@
  *
  * @module
  */
-import type { StepSpec } from '../jobs/JobSpec.js'
+import type { StepSpec } from './JobSpec.js'
 
 /**
  * Returns the length of a job's critical path.
  *
  * @param steps - steps of the job, each after those that it depends on
- * @param expectedMs - expected run time of a task of a step
+ * @param expectedMs - expected run time of a task of a step, 0 for a step that is done
  * @returns the time from the start of the first step to the end of the last, in ms
  * @public
  */
-export function criticalPathMs (steps: readonly StepSpec[], expectedMs: (step: StepSpec) => number): number {
+export function criticalPathMs (steps: readonly StepSpec[], expectedMs: (step: StepSpec, index: number) => number): number {
   const endMs: number[] = []
-  for (const step of steps) endMs.push(Math.max(0, ...step.dependsOn.map((earlier) => endMs[earlier] ?? 0)) + expectedMs(step))
+  steps.forEach((step, index) => endMs.push(Math.max(0, ...step.dependsOn.map((earlier) => endMs[earlier] ?? 0)) + expectedMs(step, index)))
   return Math.max(0, ...endMs)
 }
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -10,10 +10,11 @@
 import type { QueueConfiguration } from '@quillscale/ports'
 import { mapResources, NO_RESOURCES, type Resources } from '../quotas/resources.js'
 import { dueMs, stepOf, type Job, type Task } from './JobState.js'
+import { criticalPathMs } from './criticalPathMs.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
-/** A job still has some value up to this multiple of its objective, by the users' rules page. */
-const LATE_FACTOR = 3
+/** A job still has some value up to this multiple of its objective. @public */
+export const LATE_FACTOR = 3
 /** Share of the work of steps that wait for others which counts as queued: they start while jobs behind theirs wait, but not at once. */
 const LATER_STEP_SHARE = 0.5
 
@@ -47,15 +48,7 @@
   readonly isPostponed: boolean
 }
 
-/** @param job - a job @param runTimes - learned run times @param isLeft - which steps count @returns the length of its critical path */
-function criticalPathMs (job: Job, runTimes: RunTimeEstimator, isLeft: (stepIndex: number) => boolean): number {
-  const endMs: number[] = []
-  job.spec.steps.forEach((step, index) => {
-    const startMs = Math.max(0, ...step.dependsOn.map((earlier) => endMs[earlier] ?? 0))
-    endMs[index] = startMs + (isLeft(index) ? runTimes.expectedMs(step) : 0)
-  })
-  return Math.max(0, ...endMs)
-}
+const isStepDone = (tasks: readonly Task[] | undefined): boolean => tasks?.every(({ isDone }) => isDone) === true
 
 /** Sums the work of the tasks that satisfy a condition; steps whose tasks are not created yet count in full. */
 function sumWork (job: Job, steps: readonly Task[][], runTimes: RunTimeEstimator, isCounted: (task: Task) => boolean): number {
@@ -96,8 +89,8 @@
     return { tier, priority, placedShare: 0, workLeft: 0, queuedWork: NO_RESOURCES, leftMs: 0, startByMs: startMs, useByMs: startMs, isPostponed: false }
   }
   const steps = job.occurrences.get(task.occurrence) ?? []
-  const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job, runTimes, () => true) + (queue?.targetLatencyMs ?? 0)
-  const leftMs = criticalPathMs(job, runTimes, (index) => steps[index]?.every(({ isDone }) => isDone) !== true)
+  const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)) + (queue?.targetLatencyMs ?? 0)
+  const leftMs = criticalPathMs(job.spec.steps, (each, index) => isStepDone(steps[index]) ? 0 : runTimes.expectedMs(each))
   const workLeft = sumWork(job, steps, runTimes, ({ isDone, runs }) => !isDone && runs.length === 0)
   const placedShare = 1 - workLeft / Math.max(1, sumWork(job, steps, runTimes, () => true))
   const tier = tierOf(wallMs + leftMs, startMs, objectiveMs)
--- a/packages/policy/src/lib/pressure/decideAdmission.ts
+++ b/packages/policy/src/lib/pressure/decideAdmission.ts
@@ -6,10 +6,11 @@
  * @module
  */
 import type { QueueConfiguration } from '@quillscale/ports'
+import { criticalPathMs } from '../jobs/criticalPathMs.js'
 import type { JobSpec, StepSpec } from '../jobs/JobSpec.js'
+import { LATE_FACTOR } from '../jobs/rankStep.js'
 import { cpuDemandOf } from '../placement/placeTasks.js'
 import type { Backlog } from './Backlog.js'
-import { criticalPathMs } from './criticalPathMs.js'
 import { findRowAhead, predictWaitMs } from './predictWaitMs.js'
 
 /** What an admission depends on. @public */
@@ -28,8 +29,6 @@
   | { readonly isAccepted: true, readonly predictedWaitMs: number }
   | { readonly isAccepted: false, readonly predictedWaitMs: number, readonly retryAfterMs: number }
 
-/** A job still has some value up to this multiple of its objective; the same as in the ranks of steps. */
-const LATE_FACTOR = 3
 /** The room may grow by this factor while a job waits, and predictions err. */
 const ROOM_MARGIN = 1.25
 /** Without a learned run time, a task may take this multiple of the client's guess, and its objective is longer accordingly. */
--- a/packages/scheduler/src/lib/pressure/BacklogPublisher.ts
+++ b/packages/scheduler/src/lib/pressure/BacklogPublisher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { FleetConfiguration } from '@quillscale/ports'
+import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { computeBacklog, type Backlog, type BacklogSources, type Job, predictWaitMs, type RunTimeEstimator } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { RecordEncoder } from '../records/FencedBatchWriter.js'
@@ -63,6 +63,7 @@
     this.#computedMs = nowMs
     const { configuration } = this.#options
     const queues = new Map(configuration()?.queues.map((queue) => [queue.name, queue]))
+    if (!hasWorkOfSeveralPriorities(jobs, queues)) return this.#remove(nowMs)
     const backlog = computeBacklog({ ...this.#options, jobs, workerViews, queueOf: (name) => queues.get(name), nowMs, wallMs })
     const waitMs = predictWaitMs(backlog, Infinity, 0)
     if (this.#isRoomSettled(backlog, waitMs, nowMs)) this.#publish(backlog, waitMs, nowMs)
@@ -100,3 +101,10 @@
     put(backlogKey(service), () => undefined, false)
   }
 }
+
+/** Without it, no work is certain to go before a new job, and there is no backlog to compute. */
+function hasWorkOfSeveralPriorities (jobs: readonly Job[], queues: ReadonlyMap<string, QueueConfiguration>): boolean {
+  const [first] = queues.values()
+  const isSeveral = [...queues.values()].some(({ priority }) => priority !== first?.priority)
+  return isSeveral && jobs.some(({ status }) => status === 'queued' || status === 'running')
+}
