--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -63,6 +63,9 @@
   readonly status: number
 }
 
+/** An evacuation of an availability zone; `Infinity` as the time of its withdrawal while it is requested. @public */
+export interface Evacuation { readonly availabilityZone: string, readonly acknowledgedMs: number, withdrawnMs: number }
+
 /** The record of one run, which the promises are checked against. @public */
 export interface History {
   readonly jobs: readonly JobView[]
@@ -75,6 +78,7 @@
   readonly keyProbes: readonly KeyProbe[]
   /** The limits of the limited account, in order of time. */
   readonly limits: readonly LimitChange[]
+  readonly evacuations: readonly Evacuation[]
   /** How many machines of a wave may be down for maintenance at once. */
   readonly maxInUpkeep: number
 }
--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -5,9 +5,10 @@
  */
 import type { Clock, SeededRandom } from '@quillscale/utils'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
-import { encodeConfiguration, encodeWaveRequest, StandInWireFleet, StandInWireStore, type QueueSettings } from '@quillscale/platform-fleet'
+import { encodeConfiguration, encodeEvacuationRequest, encodeWaveRequest, StandInWireFleet, StandInWireStore, type QueueSettings } from '@quillscale/platform-fleet'
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
+import type { Evacuation } from './History.js'
 import { SoakAccounts } from './SoakAccounts.js'
 
 /** The number of hosts and machines of a run. @public */
@@ -15,6 +16,8 @@
 
 /** The services; each has a permanent queue. @public */
 export const SERVICES = ['grids', 'checks'] as const
+/** The availability zones of the machines. @public */
+export const ZONES = ['z0', 'z1', 'z2'] as const
 /** The host name of all queues. @public */
 export const QUEUE_HOST = 'soak.example'
 const PERMANENT_QUEUES: readonly QueueSettings[] = SERVICES.map((service) => ({ host: QUEUE_HOST, pathPrefix: `/${service}/`, service }))
@@ -47,6 +50,7 @@
   /** Proxies in front of the machines, by machine id. */
   readonly machineLinks = new Map<string, FaultProxy>()
   readonly extraQueueChanges: ExtraQueueChange[] = []
+  readonly evacuations: Evacuation[] = []
   readonly accounts = new SoakAccounts()
   /** How many of the next jobs crash the workers that start them. */
   remainingCrashingJobs = 0
@@ -64,6 +68,7 @@
       store: this.memory,
       clock,
       services: SERVICES,
+      zones: ZONES,
       machinesPerService: size.machinesPerService,
       cpuMillis: MACHINE_CPU_MILLIS,
       addressOf: async (machineId, port) => `127.0.0.1:${await this.#addMachineProxy(machineId, port)}`
@@ -119,6 +124,25 @@
     await this.#write(encodeWaveRequest(++this.#lastWave, machineIds, MAX_IN_MAINTENANCE))
   }
 
+  /** Requests an evacuation, unless it is requested already. @param availabilityZone - the zone */
+  async requestEvacuation (availabilityZone: string): Promise<void> {
+    if (this.#openEvacuation(availabilityZone) !== undefined) return
+    await this.#write(encodeEvacuationRequest(availabilityZone))
+    this.evacuations.push({ availabilityZone, acknowledgedMs: this.clock.monotonicMs(), withdrawnMs: Infinity })
+  }
+
+  /** Withdraws a requested evacuation. @param availabilityZone - the zone */
+  async withdrawEvacuation (availabilityZone: string): Promise<void> {
+    const evacuation = this.#openEvacuation(availabilityZone)
+    if (evacuation === undefined) return
+    evacuation.withdrawnMs = this.clock.monotonicMs()
+    await this.memory.transact({ conditions: [], puts: [], removals: [encodeEvacuationRequest(availabilityZone).key] })
+  }
+
+  #openEvacuation (zone: string): Evacuation | undefined {
+    return this.evacuations.find(({ availabilityZone, withdrawnMs }) => availabilityZone === zone && withdrawnMs === Infinity)
+  }
+
   /** Writes an unexpected entry below a prefix that the program reads. @param random - draws the key and the value */
   async writeForeignEntry (random: SeededRandom): Promise<void> {
     const value = random.pick(FOREIGN_VALUES)
@@ -137,6 +161,7 @@
     this.store.latencyMs = 0
     for (const link of [...this.storeLinks, ...this.machineLinks.values()]) link.set('none')
     for (const host of this.hosts) host.thaw()
+    for (const zone of ZONES) void this.withdrawEvacuation(zone)
     for (const machineId of this.fleet.machineIds) {
       this.fleet.setWorkerFaults(machineId, { isSilent: false, losesAnswers: false, failsAll: false })
       this.fleet.resizeWorker(machineId, 1)
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -29,6 +29,9 @@
 const MAX_EXTRA_STARTS = 2
 const CAPACITY_UPDATE_MS = 3000 + 1500
 
+/** Time after the acknowledgement of an evacuation from which no run may start in its zone. */
+const EVACUATE_MS = 5000
+
 const OK = 200
 const UNAUTHORIZED = 401
 
@@ -187,6 +190,14 @@
   })
 }
 
+function findStartsInEvacuatedZones ({ runs, evacuations }: History): string[] {
+  return runs.flatMap(({ taskKey, instanceId, availabilityZone: zone, startedMs }) => {
+    const broken = evacuations.find(({ availabilityZone, acknowledgedMs, withdrawnMs }) =>
+      availabilityZone === zone && startedMs > acknowledgedMs + EVACUATE_MS && startedMs < withdrawnMs)
+    return broken === undefined ? [] : [`${taskKey} started on ${instanceId} ${startedMs - broken.acknowledgedMs} ms after the evacuation of ${zone} was acknowledged`]
+  })
+}
+
 /** Every promise with the function that returns its violations in a run. @public */
 export const PROMISES: Readonly<Record<string, (history: History) => string[]>> = {
   'an accepted job is kept': findLostJobs,
@@ -205,7 +216,8 @@
   'a task that crashes workers is given up': findUnboundedCrashes,
   'no worker is overloaded': findOverloads,
   'keys hold': findKeyViolations,
-  'limits hold': findLimitViolations
+  'limits hold': findLimitViolations,
+  'an evacuated zone gets no new runs': findStartsInEvacuatedZones
 }
 
 /** Checks all promises. @param history - the record of a run @returns every violation @public */
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -6,7 +6,7 @@
 import type { SeededRandom } from '@quillscale/utils'
 import type { LinkFault } from './FaultProxy.js'
 import { ACCOUNTS, APPLY_MS } from './SoakAccounts.js'
-import type { SoakEnvironment } from './SoakEnvironment.js'
+import { ZONES, type SoakEnvironment } from './SoakEnvironment.js'
 
 /** Starts a fault and returns the function that ends it, or `undefined` if it ends by itself. */
 type Fault = (environment: SoakEnvironment, random: SeededRandom, forMs: number) => (() => void) | undefined
@@ -23,6 +23,8 @@
 /** Longest restart of a worker, shorter than its registration lasts. */
 const MAX_RESTART_MS = 500
 const RESTART_SHARE = 0.3
+/** An evacuation lasts longer than the bound from which no run may start in its zone. */
+const MIN_EVACUATION_MS = 5500
 /** A worker whose capacity shrinks keeps less than this share of it. */
 const MAX_SHRUNK_SHARE = 0.7
 
@@ -158,6 +160,12 @@
   'many workers start again': (environment, random) => {
     for (const machineId of environment.fleet.machineIds) if (random.next() < RESTART_SHARE) environment.fleet.crash(machineId, random.integer(MAX_RESTART_MS))
     return undefined
+  },
+  'a zone is evacuated': (environment, random, forMs) => {
+    const zone = random.pick(ZONES)
+    void environment.requestEvacuation(zone)
+    setTimeout(() => { void environment.withdrawEvacuation(zone) }, MIN_EVACUATION_MS + forMs)
+    return undefined
   }
 }
 
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -71,6 +71,7 @@
     probes: callers.probes,
     keyProbes: callers.keyProbes,
     limits: environment.accounts.limits,
+    evacuations: environment.evacuations,
     maxInUpkeep: MAX_IN_MAINTENANCE
   }
   const broken = checkPromises(history)
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -17,7 +17,7 @@
   ...changes
 })
 const runOf = (changes: Partial<FleetRunRecord> = {}): FleetRunRecord => ({
-  taskKey: 'a.0.0.0', runNumber: 1, instanceId: 'w1', command: '', startedMs: 200, endedMs: 300, end: 'done', isAcknowledged: true, endedByOrder: false, ...changes
+  taskKey: 'a.0.0.0', runNumber: 1, instanceId: 'w1', command: '', startedMs: 200, endedMs: 300, end: 'done', isAcknowledged: true, availabilityZone: 'z0', endedByOrder: false, ...changes
 })
 const order = (changes: Partial<MachineOrderRecord> = {}): MachineOrderRecord =>
   ({ machineId: 'm', holder: 'host-0', fencingToken: 5, kind: 'upkeep', wave: 1, atMs: 1000, inUpkeep: 1, ...changes })
@@ -32,10 +32,12 @@
     probes: [],
     keyProbes: [],
     limits: [{ atMs: -Infinity, tasks: 1 }],
+    evacuations: [],
     maxInUpkeep: 2,
     ...changes
   })
 
+const evacuations = [{ availabilityZone: 'z0', acknowledgedMs: 1000, withdrawnMs: 9000 }]
 const twoSteps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }, { taskCount: 1, dependsOn: [0], isLasting: false, maxAway: undefined }]
 const lasting = job({ steps: [{ taskCount: 2, dependsOn: [], isLasting: true, maxAway: 1 }], finalState: 'running' })
 
@@ -98,6 +100,7 @@
       how: 'it is started three more times',
       seen: history({ jobs: [job({ crashesWorkers: true, finalState: 'failed' })], runs: [1, 2, 3, 4, 5, 6].map((runNumber) => runOf({ runNumber, startedMs: runNumber * 100, endedMs: runNumber * 100 + 10, end: undefined })) })
     },
+    { promise: 'an evacuated zone gets no new runs', how: 'one starts there 6 s later', seen: history({ evacuations, runs: [runOf({ startedMs: 7000, endedMs: 7100 })] }) },
     { promise: 'no worker is overloaded', how: 'its capacity was reduced 5 s ago', seen: history({ overloads: [{ machineId: 'm', atMs: 6000, shrunkMs: 1000 }] }) }
   ]
   for (const { promise, how, seen } of broken) {
@@ -113,6 +116,8 @@
   const kept: ReadonlyArray<{ name: string, seen: History }> = [
     { name: 'a completed job', seen: history() },
     { name: 'a run that is lost with its worker and repeated', seen: history({ runs: [runOf({ end: undefined, isAcknowledged: false }), runOf({ runNumber: 2, startedMs: 300, endedMs: 400 })] }) },
+    ...[{ where: 'an evacuated zone within the bound', startedMs: 5900 }, { where: 'a zone after the withdrawal', startedMs: 9100 }, { where: 'another zone', startedMs: 7000, availabilityZone: 'z1' }]
+      .map(({ where, ...start }) => ({ name: `a start in ${where}`, seen: history({ evacuations, runs: [runOf({ ...start, endedMs: start.startedMs + 100 })] }) })),
     { name: 'a job whose submission has an unknown outcome', seen: history({ jobs: [job({ submitted: 'unknown', finalState: '' })] }) },
     { name: 'a new holder that orders 4 s after the previous one', seen: history({ orders: [order(), order({ holder: 'host-1', fencingToken: 6, atMs: 5000 })] }) },
     {
