--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -229,11 +229,7 @@
     this.write(`${WORKERS_PREFIX}${workerIdOf(instance.instanceId)}`, JSON.stringify(instance))
   }
 
-  /**
-   * Removes the registration of a worker.
-   *
-   * @param instanceId - the registered lifetime
-   */
+  /** Removes the registration of a worker. @param instanceId - the registered lifetime */
   unlist (instanceId: string): void {
     this.write(`${WORKERS_PREFIX}${workerIdOf(instanceId)}`, undefined)
   }
@@ -364,12 +360,7 @@
     }
   }
 
-  /**
-   * Waits until a job has a state.
-   *
-   * @param jobId - the job
-   * @param status - the state to wait for
-   */
+  /** Waits until a job has a state. @param jobId - the job @param status - the state to wait for */
   untilStatus (jobId: JobId, status: string): Promise<void> {
     return this.until(`${jobId} is ${status}`, async () => await this.status(jobId) === status)
   }
