--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -29,6 +29,7 @@
 export { countOthersAway, isReportedReady, isDisruptionAllowed, planLeavingWorkerDrain, planDrain } from './lib/machines/planDrain.js'
 export { planWave, type WavePlanningInput } from './lib/machines/planWave.js'
 export { NEED_WINDOW_MS, MachineNeedTracker } from './lib/machines/MachineNeedTracker.js'
+export { RoomGrowth } from './lib/placement/RoomGrowth.js'
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
 export { createWorkerRoom } from './lib/placement/createWorkerRoom.js'
 export { cpuDemandOf, findRoomFor, occupy, placeTasks, type Placement } from './lib/placement/placeTasks.js'
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -12,6 +12,7 @@
 import { createWorkerRoom } from './createWorkerRoom.js'
 import { measureFeasibilityRoom } from './measureFeasibilityRoom.js'
 import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
+import type { RoomGrowth } from './RoomGrowth.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import { selectFeasible, type FeasibilitySelection } from '../jobs/selectFeasible.js'
@@ -42,6 +43,8 @@
   readonly accountQuotaOf: AccountQuotaLookup
   /** Tells which machines are being drained and which availability zones are evacuated. */
   readonly availability: Omit<AvailabilityContext, 'nowMs'>
+  /** Jobs are postponed only while the room does not grow. */
+  readonly roomGrowth: RoomGrowth
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -73,7 +76,7 @@
   readonly tasksToGiveUp: Task[] = []
   /** Quota admission of this round, with the shortages that it found. */
   readonly quota: QuotaAdmission
-  /** Which jobs have no room in time, set by {@link place}. */
+  /** Which jobs have no room in time; `undefined` while the room grows. */
   feasibility: FeasibilitySelection | undefined
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
@@ -117,7 +120,9 @@
 
   /** Marks the steps of jobs that there is no room for in time. Jobs of which everything ready runs count, too, with their later steps. */
   #postponeInfeasible (waiting: readonly WaitingStep[]): WaitingStep[] {
-    const { jobs, runTimes, workerViews, nowMs, wallMs } = this.#options
+    const { jobs, runTimes, workerViews, roomGrowth, nowMs, wallMs } = this.#options
+    const room = measureFeasibilityRoom(workerViews.filter((workerView) => this.#isAvailable(workerView)), runTimes, nowMs)
+    if (!roomGrowth.isSettled(room.capacity.cpuMillis, nowMs)) return [...waiting]
     const ranks = new Map<string, StepRank>()
     const add = (task: Task, rank: StepRank): void => { if (FEASIBILITY_TIERS.has(rank.tier)) ranks.set(occurrenceKeyOf(task), rank) }
     for (const { tasks: [first], rank } of waiting) if (first !== undefined) add(first, rank)
@@ -127,7 +132,6 @@
         if (first !== undefined && !ranks.has(occurrenceKeyOf(first))) add(first, rankStep(first, this.#queues.get(job.spec.queue), runTimes, wallMs))
       }
     }
-    const room = measureFeasibilityRoom(workerViews.filter((workerView) => this.#isAvailable(workerView)), runTimes, nowMs)
     this.feasibility = selectFeasible([...ranks].map(([key, rank]) => ({ key, rank })), room, wallMs)
     const { postponed } = this.feasibility
     return waiting.map(({ tasks, rank, queue }) => {
--- a/packages/policy/src/test/shortagePatterns.test.ts
+++ b/packages/policy/src/test/shortagePatterns.test.ts
@@ -5,6 +5,7 @@
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { PlacementRound } from '../lib/placement/PlacementRound.js'
+import { RoomGrowth } from '../lib/placement/RoomGrowth.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
 import { testJobId } from './testJobId.js'
@@ -96,6 +97,7 @@
   const random = new SeededRandom(3)
   const workers = new Map(Array.from({ length: WORKERS }, (_, at) => [`w${at}`, workerOf(`w${at}`)]))
   const ends = new Map<Run, number>()
+  const roomGrowth = new RoomGrowth()
   for (let nowMs = 0; nowMs < LENGTH_MS + FINISH_MS; nowMs += TICK_MS) {
     for (const [run, endMs] of ends) if (endMs <= nowMs) endRun(run)
     for (const one of handed) if (one.atMs <= nowMs && one.doneMs === Infinity && isJobDone(one.job)) [one.doneMs, one.job.status] = [nowMs, 'succeeded']
@@ -108,6 +110,7 @@
       runTimes: new RunTimeEstimator(),
       advice: { ticketsFor: () => undefined },
       accountQuotaOf: () => undefined,
+      roomGrowth,
       availability: { isMachineDraining: () => false, isEvacuated: () => false },
       nowMs,
       wallMs: nowMs
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, hasEnded, type Job, PlacementRound, RoomGrowth, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -46,6 +46,7 @@
   readonly #registry: JobRegistry
   readonly #log: EventLog
   readonly #runTimes = new RunTimeEstimator()
+  readonly #roomGrowth = new RoomGrowth()
   readonly #adviceCache: PlacementAdviceCache
   readonly #drainer: MachineDrainer
   readonly #availability: Omit<AvailabilityContext, 'nowMs'> = {
@@ -350,6 +351,7 @@
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
       availability: this.#availability,
+      roomGrowth: this.#roomGrowth,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
