--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -121,8 +121,7 @@
 }
 
 /**
- * Compares two ranks. Among jobs that nobody waits for any more, the least remaining work goes first, so that most of them end soon. Among
- * jobs without room in time the one with the most time left goes first, in case there is room after all.
+ * Compares two ranks. Among jobs that nobody waits for any more, the least remaining work goes first, so that most of them end soon.
  *
  * @param a - a rank
  * @param b - another
@@ -131,6 +130,5 @@
  */
 export function compareRanks (a: StepRank, b: StepRank): number {
   return a.tier - b.tier || a.priority - b.priority || Number(a.isPostponed) - Number(b.isPostponed) ||
-    (a.tier === RANK_TIERS.pastUse ? a.workLeft - b.workLeft : b.placedShare - a.placedShare) ||
-    (a.isPostponed ? b.startByMs - a.startByMs : a.startByMs - b.startByMs)
+    (a.tier === RANK_TIERS.pastUse ? a.workLeft - b.workLeft : b.placedShare - a.placedShare) || a.startByMs - b.startByMs
 }
