--- a/packages/policy/src/lib/jobs/selectFeasible.ts
+++ b/packages/policy/src/lib/jobs/selectFeasible.ts
@@ -6,11 +6,11 @@
  *
  * @module
  */
-import { mapResources, plus, RESOURCE_KINDS, type Resources } from '../quotas/resources.js'
+import { mapResources, minus, plus, RESOURCE_KINDS, type Resources } from '../quotas/resources.js'
 import type { StepRank } from './rankStep.js'
 
-/** Share of the nominal capacity that runs of finite tasks use: the rest is lost between runs and to tasks that do not fit. */
-const USED_SHARE = 0.9
+/** Capacity until a job's turn, as a multiple of the present one: machines on their way come in before it, some is lost to tasks that do not fit. */
+const EXPECTED_CAPACITY = 1.4
 /** Share of a job's own work that has to be done before its last tasks can start. */
 const OWN_WORK_SHARE = 0.5
 /** Share of the work under way that is ahead of the queue: runs end one after another, and the queue takes the room of each as it ends. */
@@ -18,6 +18,11 @@
 /** Spare time before the latest start: orders and records take time, and the longest task of a step takes longer than its mean. */
 const MARGIN_MS = 250
 const MARGIN_SHARE = 0.1
+/** Share of a job's worth that does not depend on its work, and the work, as a multiple of the mean, from which on it adds nothing. */
+const FLAT_WORTH = 0.3
+const MAX_TIMES_MEAN = 4
+/** Share of the jobs, the largest, that give way to no other. */
+const PROTECTED_SHARE = 0.2
 
 /** A job with unfinished work, in one of its occurrences. @public */
 export interface FeasibilityCandidate {
@@ -45,7 +50,8 @@
 }
 
 /**
- * Walks the jobs in the order in which they would start and postpones those whose turn would come too late. Jobs that have begun are never
+ * Walks the jobs in the order in which they would start and where a turn would come too late postpones the job with the least worth by work up to
+ * it. Jobs that have begun are never
  * postponed. Late jobs are held against the last moment at which they are of use. While every turn of a tier comes in time nothing of it is
  * postponed; only otherwise does a job also need the spare time.
  *
@@ -73,16 +79,39 @@
 
 function walkTurns (inTurn: readonly FeasibilityCandidate[], capacity: Resources, aheadBefore: Resources, wallMs: number, hasMargin: boolean): Walk {
   const postponed: string[] = []
+  const { worthOf, isProtected } = weigh(inTurn)
+  let kept: FeasibilityCandidate[] = []
   let ahead = aheadBefore
-  for (const { key, rank } of inTurn) {
+  for (const candidate of inTurn) {
+    const { rank } = candidate
     const spareMs = hasMargin ? MARGIN_MS + MARGIN_SHARE * rank.leftMs : 0
     const turnMs = durationMs(ahead, capacity) + OWN_WORK_SHARE * durationMs(rank.queuedWork, capacity)
-    if (!hasBegun(rank) && wallMs + turnMs + spareMs > latestStartMs(rank, wallMs)) postponed.push(key)
-    else ahead = plus(ahead, rank.queuedWork)
+    ahead = plus(ahead, rank.queuedWork)
+    if (hasBegun(rank)) continue
+    kept.push(candidate)
+    if (wallMs + turnMs + spareMs <= latestStartMs(rank, wallMs)) continue
+    const least = kept.filter((one) => !isProtected(one)).reduce((a, b) => worthOf(b) < worthOf(a) ? b : a, candidate)
+    kept = kept.filter((one) => one !== least)
+    postponed.push(least.key)
+    ahead = minus(ahead, least.rank.queuedWork)
   }
   return { postponed, ahead }
 }
 
+interface Weights { readonly worthOf: (candidate: FeasibilityCandidate) => number, readonly isProtected: (candidate: FeasibilityCandidate) => boolean }
+
+/** Weighs jobs by their worth for their work, which is least for the largest; the largest fifth gives way to no job after it, or none of it would be served. */
+function weigh (candidates: readonly FeasibilityCandidate[]): Weights {
+  const workOf = ({ rank }: FeasibilityCandidate): number => rank.queuedWork.cpuMillis
+  const works = candidates.map(workOf).sort((a, b) => a - b)
+  const largeWork = works[Math.floor(works.length * (1 - PROTECTED_SHARE))] ?? Infinity
+  const meanWork = Math.max(1, works.reduce((sum, work) => sum + work, 0) / Math.max(1, works.length))
+  return {
+    worthOf: (one) => (FLAT_WORTH + (1 - FLAT_WORTH) * Math.min(MAX_TIMES_MEAN, workOf(one) / meanWork)) / Math.max(1, workOf(one)),
+    isProtected: (one) => workOf(one) >= largeWork
+  }
+}
+
 const hasBegun = ({ placedShare }: StepRank): boolean => placedShare > 0
 
 /** The order of {@link compareRanks}, but for jobs that have begun, which all go first: their work is ahead of the others in any case. */
@@ -95,6 +124,6 @@
 
 /** @param work - in resources times ms @param capacity - resources @returns how long it takes, by the scarcest resource */
 function durationMs (work: Resources, capacity: Resources): number {
-  const times = RESOURCE_KINDS.map((kind) => work[kind] <= 0 ? 0 : capacity[kind] <= 0 ? Infinity : work[kind] / (capacity[kind] * USED_SHARE))
+  const times = RESOURCE_KINDS.map((kind) => work[kind] <= 0 ? 0 : capacity[kind] <= 0 ? Infinity : work[kind] / (capacity[kind] * EXPECTED_CAPACITY))
   return Math.max(...times)
 }
