--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -43,8 +43,8 @@
   readonly accountQuotaOf: AccountQuotaLookup
   /** Tells which machines are being drained and which availability zones are evacuated. */
   readonly availability: Omit<AvailabilityContext, 'nowMs'>
-  /** Jobs are postponed only while the room does not grow. */
-  readonly roomGrowth: RoomGrowth
+  /** Jobs are postponed only while the room does not grow; `undefined` if none are to be. */
+  readonly roomGrowth: RoomGrowth | undefined
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -121,6 +121,7 @@
   /** Marks the steps of jobs that there is no room for in time. Jobs of which everything ready runs count, too, with their later steps. */
   #postponeInfeasible (waiting: readonly WaitingStep[]): WaitingStep[] {
     const { jobs, runTimes, workerViews, roomGrowth, nowMs, wallMs } = this.#options
+    if (roomGrowth === undefined) return [...waiting]
     const room = measureFeasibilityRoom(workerViews.filter((workerView) => this.#isAvailable(workerView)), runTimes, nowMs)
     if (!roomGrowth.isSettled(room.capacity.cpuMillis, nowMs)) return [...waiting]
     const ranks = new Map<string, StepRank>()
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -46,7 +46,7 @@
   readonly #registry: JobRegistry
   readonly #log: EventLog
   readonly #runTimes = new RunTimeEstimator()
-  readonly #roomGrowth = new RoomGrowth()
+  readonly #roomGrowth: RoomGrowth | undefined
   readonly #adviceCache: PlacementAdviceCache
   readonly #drainer: MachineDrainer
   readonly #availability: Omit<AvailabilityContext, 'nowMs'> = {
@@ -82,6 +82,7 @@
     setMaxListeners(0, this.#stop.signal)
     const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock)
+    this.#roomGrowth = options.managesPressure ? new RoomGrowth() : undefined
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
--- a/packages/scheduler/src/lib/pressure/BacklogPublisher.ts
+++ b/packages/scheduler/src/lib/pressure/BacklogPublisher.ts
@@ -14,6 +14,8 @@
 export interface BacklogPublisherOptions extends Pick<BacklogSources, 'limitOf' | 'isEvacuated'> {
   readonly service: string
   readonly fencingToken: number
+  /** Whether jobs are refused under pressure; otherwise nothing is published. */
+  readonly managesPressure: boolean
   readonly log: EventLog
   readonly runTimes: RunTimeEstimator
   readonly configuration: () => FleetConfiguration | undefined
@@ -59,7 +61,7 @@
    * @param wallMs - current wall-clock time
    */
   write (jobs: readonly Job[], workerViews: BacklogSources['workerViews'], nowMs: number, wallMs: number): void {
-    if (nowMs - this.#computedMs < COMPUTE_INTERVAL_MS) return
+    if (!this.#options.managesPressure || nowMs - this.#computedMs < COMPUTE_INTERVAL_MS) return
     this.#computedMs = nowMs
     const { configuration } = this.#options
     const queues = new Map(configuration()?.queues.map((queue) => [queue.name, queue]))
--- a/packages/scheduler/src/test/BacklogPublisher.test.ts
+++ b/packages/scheduler/src/test/BacklogPublisher.test.ts
@@ -41,6 +41,7 @@
   readonly #publisher = new BacklogPublisher({
     service: SERVICE,
     fencingToken: 3,
+    managesPressure: true,
     log: new TestLog(),
     runTimes: new RunTimeEstimator(),
     configuration: () => ({ version: 1, maxBodyBytes: 1, services: [], queues: [queue, { ...queue, name: 'low', priority: 1 }] }),
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -298,6 +298,7 @@
       records: this.records,
       configuration: () => this.configuration,
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
+      managesPressure: true,
       evacuations: this.requests,
       evacuationKey,
       workersPrefix: WORKERS_PREFIX,
