--- a/packages/policy/src/test/PressurePlay.ts
+++ b/packages/policy/src/test/PressurePlay.ts
@@ -12,8 +12,7 @@
 import type { Backlog } from '../lib/pressure/Backlog.js'
 import { computeBacklog } from '../lib/pressure/computeBacklog.js'
 import { decideAdmission } from '../lib/pressure/decideAdmission.js'
-import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
-import type { WorkerView } from '../lib/placement/WorkerView.js'
+import { createTestWorker } from './createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 /** The queue of jobs that may wait for seconds. */
@@ -48,23 +47,6 @@
   endedMs: number
 }
 
-/** @param cpuMillis - capacity @returns a worker without runs */
-export function createTestWorker (cpuMillis: number): WorkerView & { readonly runs: Map<string, Run> } {
-  return {
-    instance: {
-      instanceId: 'w', machineId: 'm', service: 's', address: '', port: 80, availabilityZone: 'z', state: 'ready', labels: [], capacity: { cpuMillis, memoryMb: 1e9, gpus: 0 }
-    },
-    acceptsRuns: true,
-    runs: new Map(),
-    clock: { isKnown: true },
-    health: new WorkerHealth(),
-    refusingUntilMs: -Infinity,
-    coldUntilMs: -Infinity,
-    isRecordedSilent: false,
-    isAnswering: () => true
-  }
-}
-
 /** @param task - a task @param startedMs - monotonic start @returns a run of it, which is added to the task */
 export function createTestRun (task: Task, startedMs: number): Run {
   const run = { task, taskKey: task.key, runNumber: 1, instanceId: 'w', phase: 'running', placedMs: startedMs, startedMs } as unknown as Run
--- a/packages/policy/src/test/shortagePatterns.test.ts
+++ b/packages/policy/src/test/shortagePatterns.test.ts
@@ -6,8 +6,8 @@
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { PlacementRound } from '../lib/placement/PlacementRound.js'
 import { RoomGrowth } from '../lib/placement/RoomGrowth.js'
-import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
+import { createTestWorker } from './createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 const WORKERS = 10
@@ -69,33 +69,11 @@
   return handed
 }
 
-const workerOf = (instanceId: string): WorkerView & { readonly runs: Map<string, Run> } => ({
-  instance: {
-    instanceId,
-    machineId: instanceId,
-    service: 's',
-    address: '10.0.0.1',
-    port: 80,
-    availabilityZone: 'z',
-    state: 'ready',
-    labels: [],
-    capacity: { cpuMillis: CPU_MILLIS, memoryMb: 1e6, gpus: 0 }
-  },
-  acceptsRuns: true,
-  runs: new Map(),
-  clock: { isKnown: true },
-  health: new WorkerHealth(),
-  refusingUntilMs: -Infinity,
-  coldUntilMs: -Infinity,
-  isRecordedSilent: false,
-  isAnswering: () => true
-})
-
 /** Plays a pattern on one service. */
 function play (pattern: Pattern): Handed[] {
   const handed = drawJobs(pattern)
   const random = new SeededRandom(3)
-  const workers = new Map(Array.from({ length: WORKERS }, (_, at) => [`w${at}`, workerOf(`w${at}`)]))
+  const workers = new Map(Array.from({ length: WORKERS }, (_, at) => [`w${at}`, createTestWorker(CPU_MILLIS, `w${at}`)]))
   const ends = new Map<Run, number>()
   const roomGrowth = new RoomGrowth()
   for (let nowMs = 0; nowMs < LENGTH_MS + FINISH_MS; nowMs += TICK_MS) {
