--- a/packages/bench/src/lib/policy/SimulatedService.ts
+++ b/packages/bench/src/lib/policy/SimulatedService.ts
@@ -5,7 +5,7 @@
  */
 import type { FleetConfiguration } from '@quillscale/ports'
 import {
-  createJob, computeServiceDemand, hasEnded, isJobDone, planDrain, PlacementRound, RoomGrowth, RunTimeEstimator, stepOf,
+  createJob, computeServiceDemand, hasEnded, isJobDone, planDrain, PlacementRound, RunTimeEstimator, stepOf,
   type Job, type JobSpec, type Run, type ServiceDemand, type Task
 } from '@quillscale/policy'
 import type { DrawnJob } from './drawJobs.js'
@@ -31,7 +31,6 @@
   readonly #startMs: number
   readonly #held = new Map<string, HeldJob>()
   readonly #times = new RunTimeEstimator()
-  readonly #roomGrowth = new RoomGrowth()
   readonly #stopping: Array<{ readonly run: Run, readonly atMs: number }> = []
 
   /** @param name - of the service @param configuration - with its queues @param load - its times until a start and until a silent worker's runs are over */
@@ -113,7 +112,6 @@
       runTimes: this.#times,
       advice: NO_TICKETS,
       accountQuotaOf: () => undefined,
-      roomGrowth: this.#roomGrowth,
       availability: { isMachineDraining: (machineId) => this.vacating.has(machineId), isEvacuated: () => false },
       nowMs,
       wallMs: nowMs
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,9 +16,6 @@
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
-export {
-  selectFeasible, type FeasibilityCandidate, type FeasibilityRoom, type FeasibilitySelection
-} from './lib/jobs/selectFeasible.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
 export { dutyClaimDelayMs, type DutyCandidate } from './lib/duties/dutyClaimDelayMs.js'
 export { computeServiceDemand, type DemandSources } from './lib/machines/computeServiceDemand.js'
@@ -29,7 +26,6 @@
 export { countOthersAway, isReportedReady, isDisruptionAllowed, planLeavingWorkerDrain, planDrain } from './lib/machines/planDrain.js'
 export { planWave, type WavePlanningInput } from './lib/machines/planWave.js'
 export { NEED_WINDOW_MS, MachineNeedTracker } from './lib/machines/MachineNeedTracker.js'
-export { RoomGrowth } from './lib/placement/RoomGrowth.js'
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
 export { createWorkerRoom } from './lib/placement/createWorkerRoom.js'
 export { cpuDemandOf, findRoomFor, occupy, placeTasks, type Placement } from './lib/placement/placeTasks.js'
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -2,21 +2,17 @@
  * Orders waiting steps by which should be placed first.
  *
  * Under overload (peak load of a service, a partitioned zone, recovery after an outage), earliest deadline first starts every job and finishes
- * most of them too late. Jobs that have made the most progress therefore go first, which also lets more of the largest jobs finish in time,
- * and jobs without room in time are postponed.
+ * most of them too late. Jobs that have made the most progress therefore go first, which also lets more of the largest jobs finish in time.
  *
  * @module
  */
 import type { QueueConfiguration } from '@quillscale/ports'
-import { mapResources, NO_RESOURCES, type Resources } from '../quotas/resources.js'
 import { dueMs, stepOf, type Job, type Task } from './JobState.js'
 import { criticalPathMs } from './criticalPathMs.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
 /** A job still has some value up to this multiple of its objective. @public */
 export const LATE_FACTOR = 3
-/** Share of the work of steps that wait for others which counts as queued: they start while jobs behind theirs wait, but not at once. */
-const LATER_STEP_SHARE = 0.5
 
 /**
  * Tier of a step; lower goes first: lasting tasks, lasting fillers, jobs that can finish in time, late jobs of some value, jobs beyond their
@@ -36,16 +32,8 @@
   readonly placedShare: number
   /** Remaining work of the job, in thousandths of a core times ms. */
   readonly workLeft: number
-  /** Work that the job asks room for before a job behind it starts, in resources times ms. */
-  readonly queuedWork: Resources
-  /** Length of what is left of its critical path. */
-  readonly leftMs: number
   /** Latest start that still meets the objective. */
   readonly startByMs: number
-  /** Latest start at which the job is still of some value. */
-  readonly useByMs: number
-  /** There is no room for it in time, so jobs for which there is go first. */
-  readonly isPostponed: boolean
 }
 
 const isStepDone = (tasks: readonly Task[] | undefined): boolean => tasks?.every(({ isDone }) => isDone) === true
@@ -58,17 +46,6 @@
   }, 0)
 }
 
-/** Sums the work that a job still asks room for; steps that wait for others count in part. */
-function sumQueuedWork (job: Job, steps: readonly Task[][], runTimes: RunTimeEstimator): Resources {
-  const isDone = steps.map((tasks) => tasks.every((task) => task.isDone))
-  const weights = job.spec.steps.map((step, index) => {
-    const tasks = steps[index]?.filter((task) => !task.isDone && task.runs.length === 0).length ?? step.taskCount
-    const share = step.dependsOn.every((earlier) => isDone[earlier] === true) ? 1 : LATER_STEP_SHARE
-    return step.isLasting ? 0 : tasks * share * runTimes.expectedMs(step)
-  })
-  return mapResources((kind) => job.spec.steps.reduce((sum, step, index) => sum + step[kind] * (weights[index] ?? 0), 0))
-}
-
 /**
  * Ranks a step.
  *
@@ -84,10 +61,7 @@
   const step = stepOf(task)
   const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER
   const startMs = dueMs(job, task.occurrence)
-  if (step.isLasting) {
-    const tier = step.isFiller ? RANK_TIERS.filler : RANK_TIERS.lasting
-    return { tier, priority, placedShare: 0, workLeft: 0, queuedWork: NO_RESOURCES, leftMs: 0, startByMs: startMs, useByMs: startMs, isPostponed: false }
-  }
+  if (step.isLasting) return { tier: step.isFiller ? RANK_TIERS.filler : RANK_TIERS.lasting, priority, placedShare: 0, workLeft: 0, startByMs: startMs }
   const steps = job.occurrences.get(task.occurrence) ?? []
   const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)) + (queue?.targetLatencyMs ?? 0)
   const leftMs = criticalPathMs(job.spec.steps, (each, index) => isStepDone(steps[index]) ? 0 : runTimes.expectedMs(each))
@@ -99,11 +73,7 @@
     priority,
     placedShare,
     workLeft,
-    queuedWork: sumQueuedWork(job, steps, runTimes),
-    leftMs,
-    startByMs: startMs + objectiveMs - leftMs,
-    useByMs: startMs + LATE_FACTOR * objectiveMs - leftMs,
-    isPostponed: false
+    startByMs: startMs + objectiveMs - leftMs
   }
 }
 
@@ -122,6 +92,6 @@
  * @public
  */
 export function compareRanks (a: StepRank, b: StepRank): number {
-  return a.tier - b.tier || a.priority - b.priority || Number(a.isPostponed) - Number(b.isPostponed) ||
+  return a.tier - b.tier || a.priority - b.priority ||
     (a.tier === RANK_TIERS.pastUse ? a.workLeft - b.workLeft : b.placedShare - a.placedShare) || a.startByMs - b.startByMs
 }
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -10,12 +10,9 @@
 import { ISOLATION_WAIT_MS } from './isolation.js'
 import { type AvailabilityContext, findUnavailability } from './unavailability.js'
 import { createWorkerRoom } from './createWorkerRoom.js'
-import { measureFeasibilityRoom } from './measureFeasibilityRoom.js'
 import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
-import type { RoomGrowth } from './RoomGrowth.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
-import { selectFeasible, type FeasibilitySelection } from '../jobs/selectFeasible.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
 
@@ -43,8 +40,6 @@
   readonly accountQuotaOf: AccountQuotaLookup
   /** Tells which machines are being drained and which availability zones are evacuated. */
   readonly availability: Omit<AvailabilityContext, 'nowMs'>
-  /** Jobs are postponed only while the room does not grow; `undefined` if none are to be. */
-  readonly roomGrowth: RoomGrowth | undefined
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -61,10 +56,6 @@
 
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
-/** Tiers of finite jobs that are still of use. */
-const FEASIBILITY_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.inTime, RANK_TIERS.late, RANK_TIERS.overShare])
-
-const occurrenceKeyOf = ({ job, occurrence }: Task): string => `${job.spec.jobId}.${occurrence}`
 
 interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueConfiguration | undefined }
 
@@ -76,8 +67,6 @@
   readonly tasksToGiveUp: Task[] = []
   /** Quota admission of this round, with the shortages that it found. */
   readonly quota: QuotaAdmission
-  /** Which jobs have no room in time; `undefined` while the room grows. */
-  feasibility: FeasibilitySelection | undefined
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
 
@@ -115,30 +104,7 @@
         waiting.push({ tasks, queue, rank: rankStep(first, queue, this.#options.runTimes, this.#options.wallMs) })
       }
     }
-    return this.#postponeInfeasible(waiting).sort((a, b) => compareRanks(a.rank, b.rank))
-  }
-
-  /** Marks the steps of jobs that there is no room for in time. Jobs of which everything ready runs count, too, with their later steps. */
-  #postponeInfeasible (waiting: readonly WaitingStep[]): WaitingStep[] {
-    const { jobs, runTimes, workerViews, roomGrowth, nowMs, wallMs } = this.#options
-    if (roomGrowth === undefined) return [...waiting]
-    const room = measureFeasibilityRoom(workerViews.filter((workerView) => this.#isAvailable(workerView)), runTimes, nowMs)
-    if (!roomGrowth.isSettled(room.capacity.cpuMillis, nowMs)) return [...waiting]
-    const ranks = new Map<string, StepRank>()
-    const add = (task: Task, rank: StepRank): void => { if (FEASIBILITY_TIERS.has(rank.tier)) ranks.set(occurrenceKeyOf(task), rank) }
-    for (const { tasks: [first], rank } of waiting) if (first !== undefined) add(first, rank)
-    for (const job of jobs) {
-      const ready = hasEnded(job) ? [] : listReadySteps(job, wallMs)
-      for (const [first] of ready) {
-        if (first !== undefined && !ranks.has(occurrenceKeyOf(first))) add(first, rankStep(first, this.#queues.get(job.spec.queue), runTimes, wallMs))
-      }
-    }
-    this.feasibility = selectFeasible([...ranks].map(([key, rank]) => ({ key, rank })), room, wallMs)
-    const { postponed } = this.feasibility
-    return waiting.map(({ tasks, rank, queue }) => {
-      const isPostponed = FEASIBILITY_TIERS.has(rank.tier) && postponed.has(occurrenceKeyOf(tasks[0] as Task))
-      return { tasks, queue, rank: { ...rank, isPostponed } }
-    })
+    return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
   }
 
   /** Selects the placeable tasks of a step. Members of a gang are placed only together, so none may still have a run. */
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -4,7 +4,6 @@
 import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
-import { RoomGrowth } from '../lib/placement/RoomGrowth.js'
 import { PlacementRound } from '../lib/placement/PlacementRound.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
@@ -46,7 +45,6 @@
     runTimes,
     advice: { ticketsFor: () => undefined },
     accountQuotaOf: () => undefined,
-    roomGrowth: new RoomGrowth(),
     availability: { isMachineDraining: () => false, isEvacuated: () => false },
     nowMs: NOW_MS,
     wallMs: NOW_MS
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, hasEnded, type Job, PlacementRound, RoomGrowth, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -27,7 +27,6 @@
 import { RunStarter } from '../jobs/RunStarter.js'
 import { RunTracker } from '../jobs/RunTracker.js'
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
-import { ShortageMonitor } from '../jobs/ShortageMonitor.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
 import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
@@ -46,7 +45,6 @@
   readonly #registry: JobRegistry
   readonly #log: EventLog
   readonly #runTimes = new RunTimeEstimator()
-  readonly #roomGrowth: RoomGrowth | undefined
   readonly #adviceCache: PlacementAdviceCache
   readonly #drainer: MachineDrainer
   readonly #availability: Omit<AvailabilityContext, 'nowMs'> = {
@@ -60,7 +58,6 @@
   readonly #crashTracker: CrashTracker
   readonly #starter: RunStarter
   readonly #statusWriter: StatusWriter
-  readonly #shortageMonitor: ShortageMonitor
   readonly #registrations: WorkerRegistrations
   readonly #registrationReplica: PrefixReplica
   readonly #inboxReader: InboxReader
@@ -82,12 +79,11 @@
     setMaxListeners(0, this.#stop.signal)
     const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock)
-    this.#roomGrowth = options.managesPressure ? new RoomGrowth() : undefined
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
       runTimes: this.#runTimes,
-      maxAttemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts,
+      maxAttemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts ?? DEFAULT_ATTEMPTS,
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
@@ -120,7 +116,6 @@
       limitOf: (account) => accountsOf(configuration()).limitOf(account)
     })
     this.#adviceCache = new PlacementAdviceCache({ advice: options.advice, clock, log: options.log, onAdvice: () => this.#pacer.request() })
-    this.#shortageMonitor = new ShortageMonitor({ service, log: options.log, count: (name, by) => options.metrics.count(name, service, by) })
     this.#drainer = new MachineDrainer({ service, clock, log: options.log, put, stop: (run) => { void this.#starter.evict(run) } })
     this.#registrations = new WorkerRegistrations({
       ...options, prefix: options.workersPrefix, isServiceConfigured: (name) => configuration()?.services.some((named) => named.name === name) === true
@@ -342,7 +337,8 @@
   }
 
   #placeTasks (nowMs: number): void {
-    const configuration = this.#options.holdsDuty() ? this.#options.configuration() : undefined
+    if (!this.#options.holdsDuty()) return
+    const configuration = this.#options.configuration()
     if (configuration === undefined) return
     const round = new PlacementRound({
       configuration,
@@ -352,12 +348,10 @@
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
       availability: this.#availability,
-      roomGrowth: this.#roomGrowth,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
-    this.#shortageMonitor.observe(round.feasibility, nowMs)
     for (const run of runs) this.#trackRun(run)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
     this.#ledger.warnOversized(round.quota.oversized)
@@ -393,3 +387,6 @@
     }
   }
 }
+
+/** Attempts for jobs of a queue that was removed from the configuration; the value that most queues have. */
+const DEFAULT_ATTEMPTS = 3
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -46,7 +46,7 @@
   readonly workersPrefix: string
   /** Decodes the registration of a worker. */
   readonly decodeWorker: (item: KeyValue) => Result<WorkerInstance, RecordProblem>
-  /** Whether jobs without room in time are postponed, and the backlog is published so that hosts refuse jobs of no use. */
+  /** Whether the backlog is published, so that hosts refuse jobs that can be of no use. */
   readonly managesPressure: boolean
   /** Tells whether the store has a record of the service's backlog, as far as this host knows; without it, a former holder's record stays. */
   readonly hasBacklogRecord?: (() => boolean) | undefined
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -9,9 +9,6 @@
 import type { EventLog } from '../duties/EventLog.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
-/** Attempts for jobs of a queue that was removed from the configuration; the value that most queues have. */
-const DEFAULT_ATTEMPTS = 3
-
 /** How a run ended: as its worker reported, or as the scheduler concluded without a report. @public */
 export type RunOutcome = RunEnd | 'not-started' | 'lost'
 
@@ -39,8 +36,8 @@
   readonly clock: Clock
   readonly log: EventLog
   readonly runTimes: RunTimeEstimator
-  /** Returns the number of failed runs of one task after which its job fails, `undefined` if its queue was removed. */
-  readonly maxAttemptsOf: (job: Job) => number | undefined
+  /** Returns the number of failed runs of one task after which its job fails. */
+  readonly maxAttemptsOf: (job: Job) => number
   /** Returns the link to the worker on which a run was placed. */
   readonly linkOf: (run: Run) => WorkerLink | undefined
   /** Called for each job whose progress record has to be written. */
@@ -156,7 +153,7 @@
     if (outcome === 'failed' && !step.isLasting) {
       task.failures++
       const failures = step.isGang ? Math.max(...this.#gangMembers(task).map((member) => member.failures)) : task.failures
-      if (failures >= (this.#options.maxAttemptsOf(job) ?? DEFAULT_ATTEMPTS)) {
+      if (failures >= this.#options.maxAttemptsOf(job)) {
         job.failure = { reason: 'attempts', taskKey: task.key }
         return this.endJob(job, 'failed')
       }
