Log lines and job records tell by which configuration a job was taken and placed

Cause: the logs of a CONFIG report could not tell whether a holder placed a job by an older configuration than the one under which another host had accepted it; that had to be pieced together from lines of all hosts. Ruled out: a line of its own for each such case: the version in both lines tells it for each job, at the same number of lines. Change: a job's record holds the version by which it was accepted (configurationVersion, optional: records of earlier program versions lack it, and those versions ignore it); job taken in and tasks placed have version. No decision depends on it yet.

--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -70,6 +70,8 @@
   steps: z.array(stepSpecSchema).min(1),
   /** Milliseconds since 1970 on the clock of the accepting host. */
   submittedMs: z.number(),
+  /** Version of the configuration by which the job was accepted; `undefined` if the accepting host runs a program version that does not record it. */
+  configurationVersion: count.optional(),
   /** Runs of the whole job: the first at `firstRunMs`, then every `intervalMs`; `undefined` for one run at once. */
   schedule: z.object({ runs: count.min(1), firstRunMs: z.number(), intervalMs: z.number() }).optional()
 })
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -365,7 +365,7 @@
     this.#evacuator.addPlacements(runs)
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const jobRuns = runs.filter(({ task }) => task.job === job)
-      this.#log.info({ jobId: job.spec.jobId, runs: jobRuns.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
+      this.#log.info({ jobId: job.spec.jobId, version: configuration.version, runs: jobRuns.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
       this.#saveProgress(job, true)
     }
     void this.#starter.start(runs)
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -84,7 +84,8 @@
     if (refused !== undefined) return refused
     const written = await this.#writeJob(spec, service, deadlineMs)
     const outcome = this.#submitOutcome(spec, service, written)
-    const fields = { jobId: spec.jobId, queue: spec.queue, service, account: spec.owner?.account, outcome, tries: written.tries }
+    const { jobId, queue: queueName, owner, configurationVersion: version } = spec
+    const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome, tries: written.tries }
     if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
     else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.map(describeStep) }, 'job taken in')
