--- /dev/null
+++ b/packages/scheduler/src/test/configurationOrder.test.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai'
+import { delay } from '@quillscale/utils'
+import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
+import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
+
+const EXISTING_QUEUE: QueueConfiguration = {
+  name: QUEUE, host: 'h', pathPrefix: '/q/', service: SERVICE, priority: 0, attempts: 2, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000
+}
+
+/** Several times the interval of placement rounds without a request. */
+const SEVERAL_ROUNDS_MS = 700
+const OLDER_VERSION = 1
+const NEWER_VERSION = 2
+const [JOB_ID, TASK_KEY] = [testJobId(1), `${testJobId(1)}.0.0.0`]
+
+/** Configurations of the holder and of another host that knows a newer one already, and the queue of a job that the other host accepts. */
+const changes: ReadonlyArray<{
+  readonly name: string, readonly queue: string, readonly older: Partial<FleetConfiguration>, readonly newer: Partial<FleetConfiguration>
+}> = [
+  { name: 'adds the queue', queue: 'added', older: {}, newer: { queues: [{ ...EXISTING_QUEUE, name: 'added', pathPrefix: '/added/' }] } },
+  { name: 'moves the queue to this service', queue: QUEUE, older: { queues: [{ ...EXISTING_QUEUE, service: 'other' }] }, newer: { queues: [EXISTING_QUEUE] } }
+]
+
+// A host started jobs of a queue for which it answered 404 (kc-quill-now-grown: went back from a version).
+describe('a host does not act on a job before it knows the configuration by which the job was accepted', () => {
+  let service: TestService
+  beforeEach(() => { service = new TestService(2) })
+  afterEach(() => service.close())
+
+  /** Stores a job as a host does that accepted it by a version of the configuration. */
+  function accept (queue: string, configurationVersion: number | undefined): void {
+    const spec = { jobId: JOB_ID, queue, command: '{"runMs":10}', submittedMs: Date.now(), configurationVersion, steps: [{ taskCount: 1, cpuMillis: 1000 }] }
+    service.write(`inbox/${SERVICE}/${JOB_ID}`, JSON.stringify(spec))
+  }
+
+  for (const { name, queue, older, newer } of changes) {
+    it(`when a newer version ${name}`, async () => {
+      service.configuration = { ...service.configuration, ...older, version: OLDER_VERSION }
+      await service.takeOver()
+      accept(queue, NEWER_VERSION)
+      await delay(SEVERAL_ROUNDS_MS)
+      expect(service.runs.records).to.deep.equal([])
+      service.configuration = { ...service.configuration, ...newer, version: NEWER_VERSION }
+      await service.until('the job is done', () => service.doneRuns(TASK_KEY) === 1)
+    })
+  }
+
+  const startable = [
+    { name: 'the same version', version: OLDER_VERSION },
+    { name: 'an older version', version: OLDER_VERSION - 1 },
+    { name: 'an unknown version', version: undefined }
+  ]
+  for (const { name, version } of startable) {
+    it(`but starts a job that was accepted by ${name}`, async () => {
+      await service.takeOver()
+      accept(QUEUE, version)
+      await service.until('the job is done', () => service.doneRuns(TASK_KEY) === 1)
+    })
+  }
+})
