CONFIG: a job is placed once its holder knows the configuration by which it was accepted

What callers saw: a host whose orders had started jobs of a queue that was just added answered 404 for that queue: it went back from a version. Cause: the inbox of a service and the operators' records are watched separately. The holder placed a job as soon as the inbox brought it, while its own configuration lacked the job's queue or account. Ruled out: one watch for both (every host would be sent every job); holding back jobs of unknown queues (those of a queue that was taken away have to go on, a moved queue is not noticed); a condition on the configuration's revision in each placement (refuses all while any change is under way). Change: ConfigurationGate keeps a job out of the rounds while its record names a newer version than the holder knows, and has the configuration read, at most ten times a second. Jobs of records without a version, by hosts of an earlier program version, wait for nothing, as before. Jobs by the same, an older or an unknown version start without a read. ConfigurationWatcher.test.ts: none or one read a call. Conclusion: a host's configuration only rises, and no order of it concerns a newer one, so none of its later answers can be older than what a worker saw.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -17,6 +17,7 @@
 import type { FencedBatchWriter, RecordEncoder } from '../records/FencedBatchWriter.js'
 import { createReplica } from '../records/createReplica.js'
 import type { EventLog } from './EventLog.js'
+import { ConfigurationGate } from '../jobs/ConfigurationGate.js'
 import { CrashTracker } from '../jobs/CrashTracker.js'
 import { InboxReader } from '../jobs/InboxReader.js'
 import { encodeProgress } from '../jobs/jobProgress.js'
@@ -56,6 +57,7 @@
   readonly #workers: WorkerTracker
   readonly #tracker: RunTracker
   readonly #crashTracker: CrashTracker
+  readonly #configurationGate: ConfigurationGate
   readonly #starter: RunStarter
   readonly #statusWriter: StatusWriter
   readonly #registrations: WorkerRegistrations
@@ -67,7 +69,6 @@
   readonly #evacuator: ZoneEvacuator
   /** Set once the store has answered in {@link ServiceScheduler.run}. */
   #writer!: FencedBatchWriter
-  #startedMs = 0
   /** Whether the first list of jobs was read; workers are connected only after it. */
   #hasListedInbox = false
 
@@ -104,6 +105,7 @@
     this.#crashTracker = new CrashTracker({
       log: options.log, count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#saveProgress(job)
     })
+    this.#configurationGate = new ConfigurationGate({ ...options, onKnown: () => this.#pacer.request() })
     const put = (key: string, source: RecordEncoder, isUrgent: boolean): void => this.#writer.put(key, source, isUrgent)
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
@@ -233,11 +235,11 @@
   /** Schedules jobs until closed or deposed. */
   async run (): Promise<void> {
     const { clock, service, fencingToken } = this.#options
-    this.#startedMs = clock.monotonicMs()
+    const startedMs = clock.monotonicMs()
     this.#ledger.start(this.#stop.signal)
     const registrationsDone = this.#registrationReplica.run(this.#stop.signal)
     if (!await this.#recover()) return
-    this.#log.info({ service, fencingToken, jobs: this.#registry.jobs.size, tookMs: clock.monotonicMs() - this.#startedMs }, 'scheduling begins')
+    this.#log.info({ service, fencingToken, jobs: this.#registry.jobs.size, tookMs: clock.monotonicMs() - startedMs }, 'scheduling begins')
     const roundsDone = this.#pacer.run(() => this.#runRound(), this.#stop.signal)
     await Promise.all([
       this.#writer.run(), this.#inboxReplica.run(this.#stop.signal), registrationsDone, this.#silentWorkers.watchTimers(this.#stop.signal), roundsDone
@@ -342,7 +344,7 @@
     if (configuration === undefined) return
     const round = new PlacementRound({
       configuration,
-      jobs: [...this.#registry.jobs.values()],
+      jobs: this.#configurationGate.admit(this.#registry.jobs.values(), configuration, nowMs),
       workerViews: this.#workers.links,
       runTimes: this.#runTimes,
       advice: this.#adviceCache,
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -38,6 +38,8 @@
   readonly metrics: SchedulerMetrics
   readonly records: RecordReader
   readonly configuration: () => FleetConfiguration | undefined
+  /** Reads the configuration if it is older than a version, and resolves with whether that version is known then. */
+  readonly requireConfiguration: (version: number) => Promise<boolean>
   readonly bounds: () => SchedulerBounds
   readonly evacuations: EvacuationSource
   /** Key of the request to evacuate an availability zone; `undefined` where operators do not evacuate zones. */
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -26,6 +26,8 @@
 const WATCH_TIMEOUT_MS = 1000
 /** Events that a watch missed are found within this time. */
 const RELIST_INTERVAL_MS = 5000
+/** Minimum time between the starts of two reads for a version that is known to exist; a store at its rate limit may take some time to answer one. */
+const REQUIRED_READ_INTERVAL_MS = 100
 
 /** Holds the current configuration and the other open requests of operators. @public */
 export class ConfigurationWatcher {
@@ -101,9 +103,30 @@
    * @param maxAgeMs - the oldest acceptable age
    */
   async ensureFresh (nowMs: number, maxAgeMs: number): Promise<void> {
+    if (this.ageMs(nowMs) > maxAgeMs) await this.#refreshAfter(nowMs, maxAgeMs)
+  }
+
+  /**
+   * Reads the configuration again if it is older than a version that is known to exist. Concurrent callers share one read.
+   *
+   * @param version - the version, as recorded by a host that knew it
+   * @param nowMs - the current monotonic time
+   * @returns whether that version or a newer one is known now
+   */
+  async requireVersion (version: number, nowMs: number): Promise<boolean> {
+    if (!this.#isKnown(version)) await this.#refreshAfter(nowMs, REQUIRED_READ_INTERVAL_MS)
+    return this.#isKnown(version)
+  }
+
+  #isKnown (version: number): boolean {
+    return this.#configuration !== undefined && this.#configuration.version >= version
+  }
+
+  /** Joins a pending read, or starts one unless the last one started within an interval. */
+  async #refreshAfter (nowMs: number, minIntervalMs: number): Promise<void> {
     // While the store is unresponsive, callers are refused at once instead of after a timeout.
-    if (this.ageMs(nowMs) <= maxAgeMs || this.#options.store.isUnresponsive(nowMs)) return
-    if (this.#pendingRefresh === undefined && nowMs - this.#lastReadStartMs <= maxAgeMs) return
+    if (this.#options.store.isUnresponsive(nowMs)) return
+    if (this.#pendingRefresh === undefined && nowMs - this.#lastReadStartMs <= minIntervalMs) return
     if (this.#pendingRefresh === undefined) this.#lastReadStartMs = nowMs
     const startMs = this.#lastReadStartMs
     if (await this.refresh()) this.#lastAnsweredReadStartMs = startMs
--- /dev/null
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -0,0 +1,68 @@
+import { expect } from 'chai'
+import { Ok, systemClock } from '@quillscale/utils'
+import type { FleetConfiguration } from '@quillscale/ports'
+import { ConfigurationWatcher } from '../lib/records/ConfigurationWatcher.js'
+import { MonitoredStore } from '../lib/records/MonitoredStore.js'
+import { RecordReader } from '../lib/records/RecordReader.js'
+import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
+import { FaultyStore, TestLog } from './TestService.js'
+
+const KEY = 'op/config'
+const NOW_MS = 10_000
+
+class CountingStore extends FaultyStore {
+  reads = 0
+  override async get (key: string): ReturnType<FaultyStore['get']> {
+    this.reads++
+    return await super.get(key)
+  }
+}
+
+describe('ConfigurationWatcher', () => {
+  let store: CountingStore
+  let watcher: ConfigurationWatcher
+  beforeEach(async () => {
+    store = new CountingStore()
+    const log = new TestLog()
+    watcher = new ConfigurationWatcher({
+      store: new MonitoredStore(store, systemClock),
+      clock: systemClock,
+      log,
+      records: new RecordReader(log, new SchedulerMetrics()),
+      prefix: 'op/',
+      configurationKey: KEY,
+      decodeConfiguration: (text) => Ok<FleetConfiguration>({ version: Number(text), maxBodyBytes: 1, services: [], queues: [] }),
+      decodeWave: () => undefined,
+      decodeEvacuation: () => undefined,
+      onChange: () => {}
+    })
+    await write(2)
+    await watcher.refresh()
+    store.reads = 0
+  })
+
+  const write = (version: number): ReturnType<FaultyStore['transact']> => store.transact({ conditions: [], puts: [{ key: KEY, value: String(version) }], removals: [] })
+
+  const cases = [
+    { name: 'a known version', stored: 2, required: 2, isKnown: true, reads: 0 },
+    { name: 'an older version', stored: 3, required: 1, isKnown: true, reads: 0 },
+    { name: 'a newer version', stored: 3, required: 3, isKnown: true, reads: 1 },
+    { name: 'a version that a later one replaced', stored: 5, required: 3, isKnown: true, reads: 1 },
+    { name: 'a version that the store does not have', stored: 2, required: 3, isKnown: false, reads: 1 }
+  ]
+  for (const { name, stored, required, isKnown, reads } of cases) {
+    it(`reads the configuration ${reads} times for ${name}`, async () => {
+      await write(stored)
+      expect(await watcher.requireVersion(required, NOW_MS)).to.equal(isKnown)
+      expect(store.reads).to.equal(reads)
+    })
+  }
+
+  it('shares one read among concurrent callers, and does not read again at once', async () => {
+    await Promise.all([watcher.requireVersion(3, NOW_MS), watcher.requireVersion(4, NOW_MS)])
+    await watcher.requireVersion(3, NOW_MS + 50)
+    expect(store.reads).to.equal(1)
+    await watcher.requireVersion(3, NOW_MS + 150)
+    expect(store.reads).to.equal(2)
+  })
+})
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -137,6 +137,8 @@
   readonly jobApiStore: MonitoredStore
   readonly jobApi: JobApi
   readonly tenures: Tenure[] = []
+  /** Versions of the configuration that schedulers asked for. */
+  readonly requiredVersions: number[] = []
   /** Evacuations as this host's watch knows them; {@link TestService.evacuate} keeps it up to date unless the watch is cut off. */
   readonly requests = new OperatorRequests({
     clock: systemClock,
@@ -297,6 +299,10 @@
       metrics: this.metrics,
       records: this.records,
       configuration: () => this.configuration,
+      requireConfiguration: async (version) => {
+        this.requiredVersions.push(version)
+        return this.configuration.version >= version
+      },
       bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
       managesPressure: true,
       evacuations: this.requests,
--- a/packages/scheduler/src/test/configurationOrder.test.ts
+++ b/packages/scheduler/src/test/configurationOrder.test.ts
@@ -1,12 +1,13 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
-import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
+import type { AccountName, ClientAccount, FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
 
 const EXISTING_QUEUE: QueueConfiguration = {
   name: QUEUE, host: 'h', pathPrefix: '/q/', service: SERVICE, priority: 0, attempts: 2, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000
 }
 
+const ADDED_ACCOUNT: ClientAccount = { name: 'added' as AccountName, keyHashes: [], weight: 1, limit: { cpuMillis: 0, memoryMb: 0, gpus: 0 } }
 /** Several times the interval of placement rounds without a request. */
 const SEVERAL_ROUNDS_MS = 700
 const OLDER_VERSION = 1
@@ -18,7 +19,8 @@
   readonly name: string, readonly queue: string, readonly older: Partial<FleetConfiguration>, readonly newer: Partial<FleetConfiguration>
 }> = [
   { name: 'adds the queue', queue: 'added', older: {}, newer: { queues: [{ ...EXISTING_QUEUE, name: 'added', pathPrefix: '/added/' }] } },
-  { name: 'moves the queue to this service', queue: QUEUE, older: { queues: [{ ...EXISTING_QUEUE, service: 'other' }] }, newer: { queues: [EXISTING_QUEUE] } }
+  { name: 'moves the queue to this service', queue: QUEUE, older: { queues: [{ ...EXISTING_QUEUE, service: 'other' }] }, newer: { queues: [EXISTING_QUEUE] } },
+  { name: 'adds the account', queue: QUEUE, older: { accounts: [] }, newer: { accounts: [ADDED_ACCOUNT] } }
 ]
 
 // A host started jobs of a queue for which it answered 404 (kc-quill-now-grown: went back from a version).
@@ -40,6 +42,7 @@
       accept(queue, NEWER_VERSION)
       await delay(SEVERAL_ROUNDS_MS)
       expect(service.runs.records).to.deep.equal([])
+      expect(service.requiredVersions).to.include(NEWER_VERSION)
       service.configuration = { ...service.configuration, ...newer, version: NEWER_VERSION }
       await service.until('the job is done', () => service.doneRuns(TASK_KEY) === 1)
     })
@@ -55,6 +58,14 @@
       await service.takeOver()
       accept(QUEUE, version)
       await service.until('the job is done', () => service.doneRuns(TASK_KEY) === 1)
+      expect(service.requiredVersions).to.deep.equal([])
     })
   }
+
+  it('while other jobs go on', async () => {
+    await service.takeOver()
+    accept(QUEUE, NEWER_VERSION)
+    await service.untilStatus(await service.submit(2, { runMs: 10 }), 'succeeded')
+    expect(service.doneRuns(TASK_KEY)).to.equal(0)
+  })
 })
