Soak: a host knows the queues of the jobs that it starts

Cause: the soak asked hosts for a queue that comes and goes, but sent it no jobs, and judged only undisturbed hosts against what may be in force after 3 s. A host that denied a queue after it had started a job of it was not seen. Ruled out: more of the existing fault (configuration changes): its hosts learn of a change within some milliseconds, and read it before they refuse. Change: a fault in which watches of the operators' records are answered up to 1 s late and other readings of them are refused, jobs for the added queue, lookups of it by all hosts, and a promise with the users' slack of 250 ms. Runs record the token of their order, the soak which host held it.

--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -27,6 +27,8 @@
   isCancelSent: boolean
   /** Times of the queries that were answered with "no such job". */
   readonly unknownAtMs: number[]
+  /** When it was first sent to the queue that configuration changes add and remove; `undefined` for a job of a permanent queue. */
+  readonly sentToExtraQueueMs: number | undefined
   /** The state reported after all faults had ended; empty if no host reported one. */
   finalState: string
 }
@@ -53,6 +55,15 @@
   readonly status: number
 }
 
+/** An answer of any host, disturbed or not, to a request for that queue. @public */
+export interface QueueLookup { readonly hostName: string, readonly sentMs: number, readonly answeredMs: number, readonly status: number }
+
+/** The addition or removal of that queue. @public */
+export interface ExtraQueueChange { readonly atMs: number, readonly exists: boolean }
+
+/** A host that held the duty of a service, by the token of its orders. @public */
+export interface DutyTenure { readonly fencingToken: number, readonly hostName: string }
+
 /** A request to an undisturbed host with a key that is valid, was revoked, or never existed. @public */
 export interface KeyProbe {
   readonly hostName: string
@@ -75,6 +86,9 @@
   readonly ends: readonly ProcessEnd[]
   readonly broken: readonly BrokenRequest[]
   readonly probes: readonly ConfigurationProbe[]
+  readonly lookups: readonly QueueLookup[]
+  readonly extraQueueChanges: readonly ExtraQueueChange[]
+  readonly tenures: readonly DutyTenure[]
   readonly keyProbes: readonly KeyProbe[]
   /** The limits of the limited account, in order of time. */
   readonly limits: readonly LimitChange[]
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -8,7 +8,7 @@
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { callEntryHost, decodeJobState, encodeSubmission, type CallerStep, type CallOutcome } from '@quillscale/platform-fleet'
 import type { EntryProcess } from './EntryProcess.js'
-import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, SubmitOutcome } from './History.js'
+import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, QueueLookup, SubmitOutcome } from './History.js'
 import { ACCOUNTS, APPLY_MS, TASK_CPU_MILLIS, type SoakAccount } from './SoakAccounts.js'
 import { EXTRA_QUEUE_PATH, QUEUE_HOST, SERVICES, type SoakEnvironment } from './SoakEnvironment.js'
 
@@ -26,6 +26,8 @@
 const ONE_STEP_SHARE = 0.5
 const LASTING_TASK_COUNT = 3
 const PROBE_INTERVAL_MS = 250
+/** While jobs go to a queue that was just added, hosts differ for some hundred milliseconds only. */
+const SHORT_PROBE_INTERVAL_MS = 20
 /** Time since the last disturbance after which a host counts as undisturbed, as at the users' sites. */
 const UNDISTURBED_MS = 3000
 const RETRY_PAUSE_MS = 200
@@ -39,6 +41,7 @@
   readonly jobs: JobView[] = []
   readonly broken: BrokenRequest[] = []
   readonly probes: ConfigurationProbe[] = []
+  readonly lookups: QueueLookup[] = []
   readonly keyProbes: KeyProbe[] = []
   readonly #environment: SoakEnvironment
   readonly #random: SeededRandom
@@ -103,13 +106,26 @@
     const jobId = (this.#nextJobNumber++).toString(16).padStart(16, '0')
     const crashesWorkers = runMs > 0 && this.#environment.remainingCrashingJobs > 0
     if (crashesWorkers) this.#environment.remainingCrashingJobs--
+    const isForExtraQueue = runMs > 0 && !crashesWorkers && this.#environment.remainingExtraJobs > 0
+    if (isForExtraQueue) this.#environment.remainingExtraJobs--
     // Lasting jobs and jobs that crash workers would use up the account's limit for a long time.
     const account = runMs > 0 && !crashesWorkers && this.#nextJobNumber % 2 === 0 ? ACCOUNTS[0] : ACCOUNTS[1]
     const job: JobView = {
-      jobId, steps, account, crashesWorkers, submitted: 'unknown', acceptedMs: undefined, cancelAcknowledgedMs: undefined, isCancelSent: false, unknownAtMs: [], finalState: ''
+      jobId,
+      steps,
+      account,
+      crashesWorkers,
+      sentToExtraQueueMs: isForExtraQueue ? this.#nowMs() : undefined,
+      submitted: 'unknown',
+      acceptedMs: undefined,
+      cancelAcknowledgedMs: undefined,
+      isCancelSent: false,
+      unknownAtMs: [],
+      finalState: ''
     }
     this.jobs.push(job)
-    this.#paths.set(jobId, `/${service}/${jobId}`)
+    // The extra queue may be removed before the job has ended; its service has a permanent queue, by which the job is found too.
+    this.#paths.set(jobId, `/${isForExtraQueue ? SERVICES[0] : service}/${jobId}`)
     const command = crashesWorkers ? { runMs, crashesAfterMs: CRASH_DELAY_MS } : { runMs }
     this.#pending.push(this.#trackJob(job, encodeSubmission(JSON.stringify(command), steps, TASK_CPU_MILLIS)))
   }
@@ -132,7 +148,7 @@
   async #submit (job: JobView, body: unknown): Promise<SubmitOutcome> {
     let isUncertain = false
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
-      const { outcome } = await this.#callAnyHost('POST', job, body)
+      const { outcome } = await this.#callAnyHost('POST', job, body, job.sentToExtraQueueMs === undefined ? undefined : `${EXTRA_QUEUE_PATH}${job.jobId}`)
       if (outcome.kind === 'answer' && outcome.status === 200) return 'accepted'
       const isRefused = outcome.kind === 'not-connected' || (outcome.kind === 'answer' && [401, 404, 429, 503].includes(outcome.status))
       if (!isRefused) isUncertain = true
@@ -155,8 +171,8 @@
     }
   }
 
-  async #callAnyHost (method: 'POST' | 'GET' | 'DELETE', job: JobView, body?: unknown): Promise<HostAnswer> {
-    return await this.#callHost(this.#random.pick(this.#environment.hosts), method, this.#paths.get(job.jobId) ?? '', this.#currentKey(job.account), body)
+  async #callAnyHost (method: 'POST' | 'GET' | 'DELETE', job: JobView, body?: unknown, path = this.#paths.get(job.jobId) ?? ''): Promise<HostAnswer> {
+    return await this.#callHost(this.#random.pick(this.#environment.hosts), method, path, this.#currentKey(job.account), body)
   }
 
   #currentKey (account: SoakAccount): string {
@@ -176,13 +192,14 @@
   }
 
   async #probeConfiguration (): Promise<void> {
-    while (await delay(PROBE_INTERVAL_MS, this.#stop.signal)) {
+    while (await delay(this.#environment.remainingExtraJobs > 0 ? SHORT_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS, this.#stop.signal)) {
       const host = this.#random.pick(this.#environment.hosts)
       const sentMs = this.#nowMs()
       const wasUndisturbed = this.#environment.isUndisturbed(host, UNDISTURBED_MS)
       const { outcome } = await this.#callHost(host, 'GET', EXTRA_QUEUE_PATH, this.#currentKey(ACCOUNTS[1]))
-      if (!wasUndisturbed || !this.#environment.isUndisturbed(host, UNDISTURBED_MS) || outcome.kind !== 'answer') continue
       const doneMs = this.#nowMs()
+      if (outcome.kind === 'answer') this.lookups.push({ hostName: host.hostSettings.hostName, sentMs, answeredMs: doneMs, status: outcome.status })
+      if (!wasUndisturbed || !this.#environment.isUndisturbed(host, UNDISTURBED_MS) || outcome.kind !== 'answer') continue
       const possiblyInForce = this.#environment.extraQueueChanges.filter(({ atMs }, index, all) =>
         atMs <= doneMs && (all[index + 1]?.atMs ?? Infinity) > sentMs - APPLY_MS)
       const mayExist = possiblyInForce.some(({ exists }) => exists)
--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -8,7 +8,7 @@
 import { encodeConfiguration, encodeEvacuationRequest, encodeWaveRequest, StandInWireFleet, StandInWireStore, type QueueSettings } from '@quillscale/platform-fleet'
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
-import type { Evacuation } from './History.js'
+import type { DutyTenure, Evacuation, ExtraQueueChange } from './History.js'
 import { SoakAccounts } from './SoakAccounts.js'
 
 /** The number of hosts and machines of a run. @public */
@@ -24,6 +24,11 @@
 /** The path of the queue that configuration changes add and remove. @public */
 export const EXTRA_QUEUE_PATH = '/extra/'
 const EXTRA_QUEUE: QueueSettings = { host: QUEUE_HOST, pathPrefix: EXTRA_QUEUE_PATH, service: SERVICES[0] }
+const DUTY_PREFIX = 'duty/service/'
+const CONFIGURATION_PREFIX = 'op/'
+/** With this delay, a version is still in force within the bound of the users' sites. */
+const MAX_CONFIGURATION_DELAY_MS = 1000
+const DUTY_WATCH_MS = 1000
 /** CPU of each machine, enough for six tasks. */
 const MACHINE_CPU_MILLIS = 6000
 const MAX_CLOCK_OFFSET_MS = 400
@@ -35,9 +40,6 @@
   '', '{', '7', '[]', JSON.stringify({ Service: SERVICES[0], Address: '127.0.0.1:9', State: 'ready' }), JSON.stringify({ Service: 7, Address: '127.0.0.1:99999', State: 'x' })
 ]
 
-/** The addition or removal of the extra queue. @public */
-export interface ExtraQueueChange { readonly atMs: number, readonly exists: boolean }
-
 /** Starts, disturbs and stops everything that a run consists of. @public */
 export class SoakEnvironment {
   readonly clock: Clock
@@ -51,13 +53,17 @@
   readonly machineLinks = new Map<string, FaultProxy>()
   readonly extraQueueChanges: ExtraQueueChange[] = []
   readonly evacuations: Evacuation[] = []
+  readonly tenures: DutyTenure[] = []
   readonly accounts = new SoakAccounts()
   /** How many of the next jobs crash the workers that start them. */
   remainingCrashingJobs = 0
+  /** How many of the next jobs are sent to the extra queue. */
+  remainingExtraJobs = 0
   /** Time of the last store fault; `Infinity` while one is active. */
   storeLastDisturbedMs = -Infinity
   #configurationVersion = 0
   #lastWave = 0
+  readonly #stop = new AbortController()
 
   /** @param clock - the clock of all stand-ins and records @param size - the number of hosts and machines */
   constructor (clock: Clock, size: SoakSize) {
@@ -99,6 +105,19 @@
       this.hosts.push(new EntryProcess(hostSettings, directory, () => this.clock.monotonicMs(), Math.round((random.next() * 2 - 1) * MAX_CLOCK_OFFSET_MS)))
     }
     for (const host of this.hosts) host.start()
+    void this.#recordTenures()
+  }
+
+  /** Records which host held which duty, by the revision of its key, which is the token of its orders. */
+  async #recordTenures (): Promise<void> {
+    for (let revision = 0; !this.#stop.signal.aborted;) {
+      const watched = (await this.memory.watch(DUTY_PREFIX, revision, DUTY_WATCH_MS)).unwrap()
+      revision = watched.revision
+      for (const { value, modRevision } of watched.events) {
+        // The value is the name of the host and the number of its claim.
+        if (value !== undefined) this.tenures.push({ fencingToken: modRevision, hostName: value.split('#')[0] ?? '' })
+      }
+    }
   }
 
   /** Whether a host has been free of faults, planned stops aside. @param host - the host @param forMs - the required time without faults */
@@ -119,6 +138,18 @@
     await this.#write(encodeConfiguration(++this.#configurationVersion, queues, SERVICES, this.accounts.accountSettings))
   }
 
+  /** Lets hosts learn of configurations at different times, and refuses them any other reading. @param random - draws the delays */
+  delayConfiguration (random: SeededRandom): void {
+    this.store.watchDelayMs = (prefix) => prefix === CONFIGURATION_PREFIX ? random.next() * MAX_CONFIGURATION_DELAY_MS : 0
+    this.store.refusesRead = (key) => key.startsWith(CONFIGURATION_PREFIX)
+  }
+
+  /** Ends {@link delayConfiguration}. */
+  restoreConfiguration (): void {
+    this.store.watchDelayMs = () => 0
+    this.store.refusesRead = () => false
+  }
+
   /** Requests a maintenance wave. @param machineIds - the machines that are due */
   async requestMaintenanceWave (machineIds: readonly string[]): Promise<void> {
     await this.#write(encodeWaveRequest(++this.#lastWave, machineIds, MAX_IN_MAINTENANCE))
@@ -159,6 +190,7 @@
     this.store.forcedStatus = undefined
     this.store.losesAnswers = false
     this.store.latencyMs = 0
+    this.restoreConfiguration()
     for (const link of [...this.storeLinks, ...this.machineLinks.values()]) link.set('none')
     for (const host of this.hosts) host.thaw()
     for (const zone of ZONES) void this.withdrawEvacuation(zone)
@@ -170,6 +202,7 @@
 
   /** Stops all hosts, proxies and stand-ins. */
   async close (): Promise<void> {
+    this.#stop.abort()
     await Promise.all(this.hosts.map((host) => host.close()))
     for (const link of [...this.storeLinks, ...this.machineLinks.values()]) link.close()
     this.fleet.close()
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -17,6 +17,8 @@
 const CANCEL_START_MS = 3000
 const CANCEL_STOP_MS = 1000
 const JOB_VISIBLE_MS = 3000
+/** Bound as at the users' sites: time after a worker saw the effect of a version from which the host behind it answers by no older one. */
+const ROLLBACK_SLACK_MS = 250
 /** Minimum time between orders of two duty holders for one machine. */
 const MIN_HOLDER_CHANGE_MS = 3000
 /** A request whose connection breaks within this time may not have been read by the host, and does not count as aborted. */
@@ -157,6 +159,22 @@
     .map(({ hostName, status, sentMs }) => `${hostName} answered ${status} at ${sentMs}, contrary to the configuration in force`)
 }
 
+/** Finds hosts that answered that there is no such queue after a worker had started a job of it by their order, while the queue existed all the time. */
+function findHostsGoneBack ({ jobs, runs, lookups, extraQueueChanges, tenures, ends }: History): string[] {
+  const hosts = new Map(tenures.map(({ fencingToken, hostName }) => [fencingToken, hostName]))
+  const sentMs = new Map(jobs.map((job) => [job.jobId, job.sentToExtraQueueMs]))
+  const removals = extraQueueChanges.filter(({ exists }) => !exists)
+  return runs.flatMap(({ taskKey, fencingToken, startedMs }) => {
+    const hostName = hosts.get(fencingToken)
+    const jobSentMs = sentMs.get(jobIdOf(taskKey))
+    if (jobSentMs === undefined) return []
+    const denial = lookups.find((lookup) => lookup.hostName === hostName && lookup.status === 404 && lookup.sentMs > startedMs + ROLLBACK_SLACK_MS &&
+      !removals.some(({ atMs }) => atMs > jobSentMs - APPLY_MS && atMs <= lookup.answeredMs) &&
+      !ends.some((end) => end.hostName === hostName && end.atMs > startedMs && end.atMs < lookup.answeredMs))
+    return denial === undefined ? [] : [`${hostName} denied the queue of ${taskKey} at ${denial.sentMs}, although it had started the task at ${startedMs}`]
+  })
+}
+
 /** Finds tasks that were started too often after the third worker had crashed under them. */
 function findUnboundedCrashes ({ jobs, runs }: History): string[] {
   const crashing = new Set(jobs.filter(({ crashesWorkers }) => crashesWorkers).map(({ jobId }) => jobId))
@@ -213,6 +231,7 @@
   'a planned stop cuts nothing off': findAbortedRequests,
   'processes end only when told': findUnexpectedExits,
   'configuration holds and never goes back': findConfigurationViolations,
+  'a host knows the queues of the jobs that it starts': findHostsGoneBack,
   'a task that crashes workers is given up': findUnboundedCrashes,
   'no worker is overloaded': findOverloads,
   'keys hold': findKeyViolations,
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -23,6 +23,7 @@
 /** Longest restart of a worker, shorter than its registration lasts. */
 const MAX_RESTART_MS = 500
 const RESTART_SHARE = 0.3
+const JOBS_FOR_ADDED_QUEUE = 10
 /** An evacuation lasts longer than the bound from which no run may start in its zone. */
 const MIN_EVACUATION_MS = 5500
 /** A worker whose capacity shrinks keeps less than this share of it. */
@@ -166,6 +167,12 @@
     void environment.requestEvacuation(zone)
     setTimeout(() => { void environment.withdrawEvacuation(zone) }, MIN_EVACUATION_MS + forMs)
     return undefined
+  },
+  'a queue is added while hosts learn of it late': (environment, random) => {
+    environment.delayConfiguration(random)
+    void environment.setExtraQueue(true)
+    environment.remainingExtraJobs = JOBS_FOR_ADDED_QUEUE
+    return () => environment.restoreConfiguration()
   }
 }
 
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import type { FleetRunRecord, MachineOrderRecord } from '@quillscale/platform-fleet'
 import { checkPromises, PROMISES } from '../lib/checkPromises.js'
-import type { History, JobView } from '../lib/History.js'
+import type { History, JobView, QueueLookup } from '../lib/History.js'
 
 const job = (changes: Partial<JobView> = {}): JobView => ({
   jobId: 'a',
@@ -12,12 +12,13 @@
   cancelAcknowledgedMs: undefined,
   isCancelSent: false,
   crashesWorkers: false,
+  sentToExtraQueueMs: undefined,
   unknownAtMs: [],
   finalState: 'succeeded',
   ...changes
 })
 const runOf = (changes: Partial<FleetRunRecord> = {}): FleetRunRecord => ({
-  taskKey: 'a.0.0.0', runNumber: 1, instanceId: 'w1', command: '', startedMs: 200, endedMs: 300, end: 'done', isAcknowledged: true, availabilityZone: 'z0', endedByOrder: false, ...changes
+  taskKey: 'a.0.0.0', runNumber: 1, instanceId: 'w1', command: '', fencingToken: 7, startedMs: 200, endedMs: 300, end: 'done', isAcknowledged: true, availabilityZone: 'z0', endedByOrder: false, ...changes
 })
 const order = (changes: Partial<MachineOrderRecord> = {}): MachineOrderRecord =>
   ({ machineId: 'm', holder: 'host-0', fencingToken: 5, kind: 'upkeep', wave: 1, atMs: 1000, inUpkeep: 1, ...changes })
@@ -30,6 +31,9 @@
     ends: [],
     broken: [],
     probes: [],
+    lookups: [],
+    extraQueueChanges: [],
+    tenures: [{ fencingToken: 7, hostName: 'host-0' }],
     keyProbes: [],
     limits: [{ atMs: -Infinity, tasks: 1 }],
     evacuations: [],
@@ -37,6 +41,14 @@
     ...changes
   })
 
+/** A job of a queue that was added at 50 and removed at 900, and a host that answers that there is no such queue. */
+const goneBack = (denial: Omit<QueueLookup, 'status'>, changes: Partial<History> = {}): Partial<History> => ({
+  jobs: [job({ sentToExtraQueueMs: 90 })],
+  lookups: [{ ...denial, status: 404 }],
+  extraQueueChanges: [{ atMs: -9000, exists: false }, { atMs: 50, exists: true }, { atMs: 900, exists: false }],
+  ...changes
+})
+
 const evacuations = [{ availabilityZone: 'z0', acknowledgedMs: 1000, withdrawnMs: 9000 }]
 const twoSteps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }, { taskCount: 1, dependsOn: [0], isLasting: false, maxAway: undefined }]
 const lasting = job({ steps: [{ taskCount: 2, dependsOn: [], isLasting: true, maxAway: 1 }], finalState: 'running' })
@@ -95,6 +107,11 @@
       how: 'a configured queue is not found',
       seen: history({ probes: [{ hostName: 'host-0', sentMs: 100, mayExist: true, mayBeMissing: false, status: 404 }] })
     },
+    {
+      promise: 'a host knows the queues of the jobs that it starts',
+      how: 'it denies the queue 300 ms later',
+      seen: history(goneBack({ hostName: 'host-0', sentMs: 500, answeredMs: 510 }))
+    },
     {
       promise: 'a task that crashes workers is given up',
       how: 'it is started three more times',
@@ -118,6 +135,13 @@
     { name: 'a run that is lost with its worker and repeated', seen: history({ runs: [runOf({ end: undefined, isAcknowledged: false }), runOf({ runNumber: 2, startedMs: 300, endedMs: 400 })] }) },
     ...[{ where: 'an evacuated zone within the bound', startedMs: 5900 }, { where: 'a zone after the withdrawal', startedMs: 9100 }, { where: 'another zone', startedMs: 7000, availabilityZone: 'z1' }]
       .map(({ where, ...start }) => ({ name: `a start in ${where}`, seen: history({ evacuations, runs: [runOf({ ...start, endedMs: start.startedMs + 100 })] }) })),
+    { name: 'a host that denies an added queue within the slack', seen: history(goneBack({ hostName: 'host-0', sentMs: 440, answeredMs: 450 })) },
+    { name: 'another host that denies an added queue', seen: history(goneBack({ hostName: 'host-1', sentMs: 500, answeredMs: 510 })) },
+    { name: 'a host that denies a queue as it is removed', seen: history(goneBack({ hostName: 'host-0', sentMs: 890, answeredMs: 910 })) },
+    {
+      name: 'the next process of a host that denies an added queue',
+      seen: history(goneBack({ hostName: 'host-0', sentMs: 500, answeredMs: 510 }, { ends: [{ hostName: 'host-0', signal: 'SIGKILL', exitCode: null, atMs: 400 }] }))
+    },
     { name: 'a job whose submission has an unknown outcome', seen: history({ jobs: [job({ submitted: 'unknown', finalState: '' })] }) },
     { name: 'a new holder that orders 4 s after the previous one', seen: history({ orders: [order(), order({ holder: 'host-1', fencingToken: 6, atMs: 5000 })] }) },
     {
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -26,6 +26,8 @@
 export interface RunRecord extends RunRef {
   readonly instanceId: string
   readonly command: string
+  /** Token of the order that started it. */
+  readonly fencingToken: number
   readonly startedMs: number
   endedMs: number | undefined
   end: RunEnd | undefined
@@ -162,6 +164,7 @@
       runNumber: order.runNumber,
       instanceId: this.instance.instanceId,
       command: order.command,
+      fencingToken: order.fencingToken,
       startedMs: nowMs,
       endedMs: undefined,
       end: undefined,
