--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -88,10 +88,18 @@
     const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome, tries: written.tries }
     if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
-    else log.info({ ...fields, isRepeat: !written.result.val.committed, steps: spec.steps.map(describeStep) }, 'job taken in')
+    else log.info({ ...fields, ...this.#describeRecord(spec, service, written.result.val), steps: spec.steps.map(describeStep) }, 'job taken in')
     return outcome
   }
 
+  /** Describes the record of an accepted job for the log: the revision at which it was written, and for a repeat the version by which it was accepted first. */
+  #describeRecord ({ jobId }: JobSpec, service: string, outcome: TransactionOutcome): object {
+    if (outcome.committed) return { isRepeat: false, revision: outcome.modRevision }
+    const record = outcome.current.find(({ key }) => key === jobKey(service, jobId))
+    const existingSpec = record === undefined ? undefined : this.#readJob(record)
+    return { isRepeat: true, revision: record?.modRevision, recordVersion: existingSpec?.configurationVersion }
+  }
+
   /** Refuses a job that would be of no use, unless it was accepted before: that is a promise, and its repeat is handled as always. */
   async #refuse (spec: JobSpec, service: string, deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
     const { admission, store, log } = this.#options
