CONFIG: a job is accepted only by the configuration that the store holds

What callers saw: a host that had acted on a version started a job accepted later, on another host, by a key (or queue) that this version takes away; to them the first host went back to an older version. A repeat of a submission got 200 by such a key too. Cause: acceptances and versions had no common order. A host accepts by the configuration that it knows, up to 1.2 s behind while watches hear nothing; the transaction that wrote the job did not name it. ConfigurationGate sees only jobs of versions newer than its own. Ruled out: holding such jobs back at the holder (their callers were told that they are kept); reading the configuration before each acceptance (not atomic, and a call more); a small key of our own as the fence (every version would wait for a write before it may be in force). Change: the transaction requires the revision of the configuration record that its host read last. A job that this request wrote itself stays accepted. A record that cannot be decoded counts as read, since the configuration before it stays in force. Why it works: the store orders the write of a job and of each version. A job is sent before it is written, and written before the version that takes its key away, so nobody can have acted on that version before the job was sent. Conclusion: holds among hosts of this build; hosts of the former one go on accepting by what they know until they are upgraded.

--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export { MAX_TRANSACTION_ENTRIES } from './lib/KeyValueStore.js'
-export type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from './lib/KeyValueStore.js'
+export type { CompareAndSwap, KeyValue, KeyValueStore, PlatformError, RevisionCondition, SwapOutcome, Transaction, TransactionOutcome, WatchEvents } from './lib/KeyValueStore.js'
 export type { AccountName, PlacementAdviceSettings, ClientAccount, FleetConfiguration, KeyHash, QueueConfiguration, ServiceConfiguration, WaveRequest } from './lib/FleetConfiguration.js'
 export type { EvacuationRequest } from './lib/EvacuationRequest.js'
 export type { PlacementAdvice, AdvisedWorker, StepAdvice } from './lib/PlacementAdvice.js'
--- a/packages/ports/src/lib/KeyValueStore.ts
+++ b/packages/ports/src/lib/KeyValueStore.ts
@@ -43,10 +43,12 @@
   | { readonly swapped: true, readonly modRevision: number }
   | { readonly swapped: false, readonly current: KeyValue | undefined }
 
+/** The expected `modRevision` of a key; 0 expects that the key does not exist. @public */
+export interface RevisionCondition { readonly key: string, readonly modRevision: number }
+
 /** An atomic, conditional write of several keys. @public */
 export interface Transaction {
-  /** The expected `modRevision` of each key; 0 expects that the key does not exist. */
-  readonly conditions: ReadonlyArray<{ readonly key: string, readonly modRevision: number }>
+  readonly conditions: readonly RevisionCondition[]
   readonly puts: ReadonlyArray<{ readonly key: string, readonly value: string, readonly leaseId?: string | undefined }>
   readonly removals: readonly string[]
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { JobApi, type JobApiOptions, type OverloadedOutcome, type SubmitOutcome, type StatusOutcome, type CancelOutcome, type WaitingOutcome } from './lib/jobs/JobApi.js'
+export { JobApi, type JobApiOptions, type OutdatedOutcome, type OverloadedOutcome, type SubmissionTerms, type SubmitOutcome, type StatusOutcome, type CancelOutcome, type WaitingOutcome } from './lib/jobs/JobApi.js'
 export type { EventLog } from './lib/duties/EventLog.js'
 export { SchedulerMetrics } from './lib/duties/SchedulerMetrics.js'
 export { MonitoredStore } from './lib/records/MonitoredStore.js'
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { decodeJson, delay, Err, type Clock, type Result } from '@quillscale/utils'
-import type { KeyValue, PlatformError, QueueConfiguration, TransactionOutcome } from '@quillscale/ports'
+import type { KeyValue, PlatformError, QueueConfiguration, RevisionCondition, TransactionOutcome } from '@quillscale/ports'
 import { isOwnedBy, jobSpecSchema, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
@@ -32,9 +32,18 @@
  *
  * @public
  */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | OverloadedOutcome
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | OverloadedOutcome | OutdatedOutcome
 /** This request has not written the job and never will, since the job would end too late to be of use. @public */
 export interface OverloadedOutcome { readonly kind: 'overloaded', readonly retryAfterMs: number }
+/** This request has not written the job and never will, since the configuration has changed; `record` is the present one, if there is any. @public */
+export interface OutdatedOutcome { readonly kind: 'outdated', readonly record: KeyValue | undefined }
+/** What the acceptance of a job depends on. @public */
+export interface SubmissionTerms {
+  /** The queue by whose objective the job may be refused; without it, the job is not refused. */
+  readonly queue?: QueueConfiguration
+  /** The configuration that admits the job: it is accepted only while the store holds this revision. Without it, any will do. */
+  readonly configuration?: RevisionCondition
+}
 /** Status of a job. `unavailable`: the store did not answer in time, or its record of the job cannot be decoded. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
 /** Outcome of a cancellation; `unavailable` as in {@link StatusOutcome}. @public */
@@ -74,19 +83,20 @@
    * @param spec - the job
    * @param service - the service whose workers run the job
    * @param deadlineMs - monotonic time at which the client stops waiting
-   * @param queue - the queue by whose objective a job may be refused; without it, the job is accepted
+   * @param terms - what its acceptance depends on
    * @returns the outcome
    */
-  async submit (spec: JobSpec, service: string, deadlineMs: number, queue?: QueueConfiguration): Promise<SubmitOutcome> {
+  async submit (spec: JobSpec, service: string, deadlineMs: number, { queue, configuration }: SubmissionTerms = {}): Promise<SubmitOutcome> {
     const { log, admission } = this.#options
     const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
     const refused = refusal === undefined ? undefined : await this.#refuse(spec, service, deadlineMs, refusal)
     if (refused !== undefined) return refused
-    const written = await this.#writeJob(spec, service, deadlineMs)
-    const outcome = this.#submitOutcome(spec, service, written)
+    const written = await this.#writeJob(spec, service, deadlineMs, configuration)
+    const outcome = this.#submitOutcome(spec, service, written, configuration)
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
-    const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome, tries: written.tries }
-    if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
+    const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries }
+    if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: outcome.record?.modRevision }, 'job not taken in: the configuration has changed')
+    else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
     else log.info({ ...fields, ...this.#describeRecord(spec, service, written.result.val), steps: spec.steps.map(describeStep) }, 'job taken in')
     return outcome
@@ -113,24 +123,33 @@
     return { kind: 'overloaded', retryAfterMs: refusal.retryAfterMs }
   }
 
-  #submitOutcome ({ jobId, owner }: JobSpec, service: string, { result, mayHaveEffect }: RetryResult<TransactionOutcome>): SubmitOutcome {
+  #submitOutcome (
+    { jobId, owner }: JobSpec, service: string, { result, mayHaveEffect }: RetryResult<TransactionOutcome>, configuration: RevisionCondition | undefined
+  ): Exclude<SubmitOutcome, OverloadedOutcome> {
     if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
     const item = result.val.committed ? undefined : result.val.current.find(({ key }) => key === jobKey(service, jobId))
     const existingSpec = item === undefined ? undefined : this.#readJob(item)
+    // An attempt of this request whose answer was lost may have written the existing job, by the configuration of that time.
+    const isOwnWrite = existingSpec !== undefined && mayHaveEffect
+    if (configuration !== undefined && !isOwnWrite && hasChanged(configuration, result.val)) {
+      return { kind: 'outdated', record: result.val.committed ? undefined : result.val.current.find(({ key }) => key === configuration.key) }
+    }
     return existingSpec === undefined || isOwnedBy(restrictedOwner(existingSpec), owner) ? 'accepted' : 'taken'
   }
 
-  async #writeJob (spec: JobSpec, service: string, deadlineMs: number): Promise<RetryResult<TransactionOutcome>> {
+  async #writeJob (spec: JobSpec, service: string, deadlineMs: number, configuration: RevisionCondition | undefined): Promise<RetryResult<TransactionOutcome>> {
     const { store } = this.#options
     const key = jobKey(service, spec.jobId)
+    const terms = configuration === undefined ? [] : [configuration]
     const put = (modRevision: number): Promise<RetryResult<TransactionOutcome>> => this.#retry(deadlineMs, () =>
-      store.transact({ conditions: [{ key, modRevision }], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }))
+      store.transact({ conditions: [{ key, modRevision }, ...terms], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }))
     const written = await put(0)
     if (written.result.err || written.result.val.committed) return written
     const existing = written.result.val.current.find((item) => item.key === key)
     if (existing === undefined || this.#readJob(existing) !== undefined) return written
     const replacement = await put(existing.modRevision)
     if (replacement.result.err || replacement.result.val.committed) return replacement
+    if (configuration !== undefined && hasChanged(configuration, replacement.result.val)) return replacement
     const hasReadableJob = replacement.result.val.current.some((item) => item.key === key && this.#readJob(item) !== undefined)
     return hasReadableJob ? replacement : { ...replacement, result: Err(RECORD_UNREADABLE), mayHaveEffect: true }
   }
@@ -278,6 +297,11 @@
   }
 }
 
+/** Whether a transaction failed because a record no longer has the expected revision. */
+function hasChanged ({ key, modRevision }: RevisionCondition, outcome: TransactionOutcome): boolean {
+  return !outcome.committed && (outcome.current.find((item) => item.key === key)?.modRevision ?? 0) !== modRevision
+}
+
 /** Returns the only client account that may access a job; `undefined` if every account may. */
 const restrictedOwner = ({ owner, isPublic }: JobSpec): JobOwner | undefined => isPublic ? undefined : owner
 
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Result } from '@quillscale/utils'
-import type { FleetConfiguration, KeyValue } from '@quillscale/ports'
+import type { FleetConfiguration, KeyValue, RevisionCondition } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
 import type { MonitoredStore } from './MonitoredStore.js'
 import { OperatorRequests, type OperatorRequestsOptions } from './OperatorRequests.js'
@@ -34,6 +34,8 @@
   /** Requests besides the configuration. */
   readonly requests: OperatorRequests
   #configuration: FleetConfiguration | undefined
+  /** Revision of the newest record that was read; 0 if there is none. */
+  #recordRevision = 0
   readonly #options: ConfigurationWatcherOptions
   readonly #replica: PrefixReplica
   #pendingRefresh: Promise<boolean> | undefined
@@ -66,6 +68,26 @@
     return this.#configuration
   }
 
+  /**
+   * The condition under which a transaction takes effect only while no other configuration has been written than the one that was read last. A record
+   * that cannot be decoded counts as read: it leaves {@link ConfigurationWatcher.current} in force.
+   */
+  get condition (): RevisionCondition {
+    return { key: this.#options.configurationKey, modRevision: this.#recordRevision }
+  }
+
+  /**
+   * Takes over the record that the store returned because {@link ConfigurationWatcher.condition} did not hold.
+   *
+   * @param record - the record, `undefined` if it was deleted
+   * @param askedMs - monotonic time at which the transaction was sent
+   */
+  acceptConflict (record: KeyValue | undefined, askedMs: number): void {
+    if (record === undefined) this.#recordRevision = 0
+    else this.#applyConfiguration(record)
+    this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
+  }
+
   /**
    * Computes how stale the configuration may be.
    *
@@ -153,6 +175,7 @@
   /** Puts a configuration into force if it is valid and newer than the current one. */
   #applyConfiguration (item: KeyValue): void {
     const { decodeConfiguration, records, log } = this.#options
+    this.#recordRevision = Math.max(this.#recordRevision, item.modRevision)
     // A malformed configuration leaves the current one in force.
     const next = records.read(item, decodeConfiguration)
     if (next === undefined || (this.#configuration !== undefined && next.version <= this.#configuration.version)) return
--- a/packages/scheduler/src/test/admission.test.ts
+++ b/packages/scheduler/src/test/admission.test.ts
@@ -27,7 +27,7 @@
     const backlogs = { backlogOf: () => isUnderPressure ? { backlog: BACKLOG, ageMs: 10 } : undefined }
     const admission = new JobAdmission({ backlogs, log, metrics, random: () => 0.5 })
     const jobApi = new JobApi({ store, clock: systemClock, log, records, admission })
-    return jobApi.submit(SPEC, SERVICE, performance.now() + 2000, service.configuration.queues[0])
+    return jobApi.submit(SPEC, SERVICE, performance.now() + 2000, { queue: service.configuration.queues[0] })
   }
 
   it('writes nothing of a refused job, and logs and counts it', async () => {
@@ -83,7 +83,7 @@
     const admission = new JobAdmission({ backlogs: watcher, log, metrics, random: () => 0.5 })
     const jobApi = new JobApi({ store, clock: systemClock, log, records, admission })
     const submitLow = (number: number): Promise<SubmitOutcome> =>
-      jobApi.submit({ ...SPEC, jobId: testJobId(number), queue: 'low', submittedMs: Date.now() }, SERVICE, performance.now() + 2000, low)
+      jobApi.submit({ ...SPEC, jobId: testJobId(number), queue: 'low', submittedMs: Date.now() }, SERVICE, performance.now() + 2000, { queue: low })
 
     const tenure = await service.takeOver()
     for (let number = 1; number <= 3; number++) await service.submit(number, { runMs: 60_000 }, [{ taskCount: 10, cpuMillis: 100, estimateMs: 60_000 }])
