--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -26,8 +26,8 @@
 const WATCH_TIMEOUT_MS = 1000
 /** Events that a watch missed are found within this time. */
 const RELIST_INTERVAL_MS = 5000
-/** Minimum time between the starts of two reads for a version that is known to exist; a store at its rate limit may take some time to answer one. */
-const REQUIRED_READ_INTERVAL_MS = 100
+/** Minimum time between the starts of two extra reads; a store at its rate limit may take some time to answer one. */
+const MIN_READ_INTERVAL_MS = 100
 
 /** Holds the current configuration and the other open requests of operators. @public */
 export class ConfigurationWatcher {
@@ -118,15 +118,15 @@
   }
 
   /**
-   * Reads the configuration again if it is older than a limit. Concurrent callers share one read, and the next read begins no sooner than
-   * that limit after the last: however many callers ask for something that does not exist, the store is read only a few times a second.
+   * Reads the configuration again if it is older than a limit. Concurrent callers share one read, an answered read serves all callers within that
+   * limit, and the next read after a failed one waits for {@link MIN_READ_INTERVAL_MS}: however many callers ask, the store is read only a few times a second.
    *
    * @param nowMs - the current monotonic time
    * @param maxAgeMs - the oldest acceptable age
    * @returns whether it was recent enough or has been read again
    */
   async ensureFresh (nowMs: number, maxAgeMs: number): Promise<boolean> {
-    return this.ageMs(nowMs) <= maxAgeMs || await this.#refreshAfter(nowMs, maxAgeMs)
+    return this.ageMs(nowMs) <= maxAgeMs || await this.#readAgain(nowMs)
   }
 
   /**
@@ -137,7 +137,7 @@
    * @returns whether that version or a newer one is known now
    */
   async requireVersion (version: number, nowMs: number): Promise<boolean> {
-    if (!this.#isKnown(version)) await this.#refreshAfter(nowMs, REQUIRED_READ_INTERVAL_MS)
+    if (!this.#isKnown(version)) await this.#readAgain(nowMs)
     return this.#isKnown(version)
   }
 
@@ -145,11 +145,11 @@
     return this.#configuration !== undefined && this.#configuration.version >= version
   }
 
-  /** Joins a pending read, or starts one unless the last one started within an interval. Returns whether the store answered it. */
-  async #refreshAfter (nowMs: number, minIntervalMs: number): Promise<boolean> {
+  /** Joins a pending read, or starts one unless the last one has just started. Returns whether the store answered it. */
+  async #readAgain (nowMs: number): Promise<boolean> {
     // While the store is unresponsive, callers are refused at once instead of after a timeout.
     if (this.#options.store.isUnresponsive(nowMs)) return false
-    if (this.#pendingRefresh === undefined && nowMs - this.#lastReadStartMs <= minIntervalMs) return false
+    if (this.#pendingRefresh === undefined && nowMs - this.#lastReadStartMs <= MIN_READ_INTERVAL_MS) return false
     if (this.#pendingRefresh === undefined) this.#lastReadStartMs = nowMs
     const startMs = this.#lastReadStartMs
     if (!await this.refresh()) return false
