CONFIG: a shared reading counts as fresh only for the calls within its age limit

What callers saw: could see 404 or 401 by a reading that had begun up to 0.9 s (a slow or retried call to the store) before their call, where 0.3 s are promised: a queue or key added in between was denied for good. Cause: callers share a pending reading; whoever joined it late took its answer for fresh, whenever it had begun. Evidence: ConfigurationWatcher.test.ts, a call that joins a reading begun 400 ms before it: red before (true instead of false). Ruled out: a reading of its own for each late caller (a flood of unknown keys on a slow store would double its readings). Figures: the two new cases green; 79 tests of the watcher, caller server and accounts pass.

--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -123,10 +123,10 @@
    *
    * @param nowMs - the current monotonic time
    * @param maxAgeMs - the oldest acceptable age
-   * @returns whether it was recent enough or has been read again
+   * @returns whether it is recent enough now; a shared read may have begun earlier than the limit allows
    */
   async ensureFresh (nowMs: number, maxAgeMs: number): Promise<boolean> {
-    return this.ageMs(nowMs) <= maxAgeMs || await this.#readAgain(nowMs)
+    return this.ageMs(nowMs) <= maxAgeMs || (await this.#readAgain(nowMs) && this.ageMs(nowMs) <= maxAgeMs)
   }
 
   /**
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { Ok, systemClock } from '@quillscale/utils'
+import { delay, Ok, systemClock } from '@quillscale/utils'
 import type { FleetConfiguration } from '@quillscale/ports'
 import { ConfigurationWatcher } from '../lib/records/ConfigurationWatcher.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
@@ -12,9 +12,12 @@
 
 class CountingStore extends FaultyStore {
   reads = 0
+  readDelayMs = 0
   override async get (key: string): ReturnType<FaultyStore['get']> {
     this.reads++
-    return await super.get(key)
+    const item = await super.get(key)
+    await delay(this.readDelayMs)
+    return item
   }
 }
 
@@ -65,4 +68,18 @@
     await watcher.requireVersion(3, NOW_MS + 150)
     expect(store.reads).to.equal(2)
   })
+
+  // A caller was told that there is no such queue by a reading that had begun long before its call (harjulahti-sato-grown: older than it may be).
+  const joined = [
+    { name: 'within the age limit', sinceMs: 200, isFresh: true },
+    { name: 'before the age limit', sinceMs: 400, isFresh: false }
+  ]
+  for (const { name, sinceMs, isFresh } of joined) {
+    it(`takes a shared read that began ${name} for ${isFresh ? 'fresh' : 'outdated'}`, async () => {
+      store.readDelayMs = 20
+      const [first, second] = await Promise.all([watcher.ensureFresh(NOW_MS, 300), watcher.ensureFresh(NOW_MS + sinceMs, 300)])
+      expect([first, second]).to.deep.equal([true, isFresh])
+      expect(store.reads).to.equal(1)
+    })
+  }
 })
