--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -40,9 +40,9 @@
 /** What the acceptance of a job depends on. @public */
 export interface SubmissionTerms {
   /** The queue by whose objective the job may be refused; without it, the job is not refused. */
-  readonly queue?: QueueConfiguration
+  readonly queue?: QueueConfiguration | undefined
   /** The configuration that admits the job: it is accepted only while the store holds this revision. Without it, any will do. */
-  readonly configuration?: RevisionCondition
+  readonly configuration?: RevisionCondition | undefined
 }
 /** Status of a job. `unavailable`: the store did not answer in time, or its record of the job cannot be decoded. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
