--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -10,15 +10,18 @@
 /** One of 20 is a share of 0.05; the small deployments have at most 0.064. They come within 3 s. */
 const LASTING_JOBS = 20
 const HOPELESS_AT = 10
-const LASTING_GAP_MS = 100
+const LASTING_GAP_MS = 60
 /** How many work units a job that lasts has on the small deployments. */
 const HOPELESS_UNITS = 5
 const JOBS = ['00000000000000d1', '00000000000000d2', '00000000000000d3']
 const UNITS = 3
 const UNIT_CPU = 1000
 const RUN_MS = 1000
-const WATCH_MS = 25_000
+/** How long after the last job the rule is checked, in the 3 s before the jobs are asked for; `finish_s` is 14. */
+const FINISH_MS = 20_000
 const IDLE_MS = 3000
+const LOOK_MS = 100
+const UNIT_MEM_MB = 256
 const route = (name, { host, prefix }) => ({
   Name: name, Host: host, PathPrefix: prefix, Service: SERVICES[0], Priority: 0, Attempts: 3, Stretch: 2, TargetLatencyMs: 600, TimeoutMs: 3000
 })
@@ -46,20 +49,41 @@
   }
   await sleep(1000)
   const handedInMs = record.lines.at(-1).atMs
-  const ordinary = { Count: UNITS, Cpu: UNIT_CPU, MemMb: 256, EstimateMs: RUN_MS }
+  const ordinary = { Count: UNITS, Cpu: UNIT_CPU, MemMb: UNIT_MEM_MB, EstimateMs: RUN_MS }
   for (const [at, id] of JOBS.entries()) await submit(at % deployment.hostCount, SHORT, id, RUN_MS, ordinary)
-  await sleep(WATCH_MS)
+  await sleep(FINISH_MS)
+  const idleSince = await watchIdle(deployment, record)
   for (const id of JOBS) await deployment.client(0, 'GET', SHORT.host, `${SHORT.prefix}${id}`)
-  const endMs = record.lines.at(-1).atMs
-  const waits = JOBS.map((id) => ({ id, waitedMs: (record.of('run begun').find(({ unit }) => unit.startsWith(id))?.atMs ?? endMs) - handedInMs }))
-  const workers = deployment.fleet.workersOf(SERVICES[0])
-  const capacity = workers.length * CPU
-  const used = workers.reduce((sum, worker) => sum + worker.usedCpu, 0)
-  record.write('seen', { waits, workers, capacity, used, wantedByEach: UNITS * UNIT_CPU })
-  const hasCapacity = capacity - used >= 2 * UNITS * UNIT_CPU && used < capacity / 2
-  if (!hasCapacity && waits.some(({ waitedMs }) => waitedMs > IDLE_MS)) throw new Error('the service has no capacity for the jobs')
-  return waits.filter(({ waitedMs }) => waitedMs > IDLE_MS).map((wait) =>
-    ({ rule: 'LOST', why: 'the job has nothing running although its turn has come and most of the service\'s capacity is free', ...wait }))
+  const firstBegun = JOBS.map((id) => record.of('run begun').find(({ unit }) => unit.startsWith(id))?.atMs)
+  record.write('seen', { handedInMs, firstBegun, idleSince, workers: deployment.fleet.workersOf(SERVICES[0]) })
+  return idleSince.flatMap(({ id, heldMs }) => heldMs < IDLE_MS
+    ? []
+    : [{ rule: 'LOST', why: 'for 3 s the job has nothing running; room for it exists twice over, and under half of the capacity is in use', id, heldMs }])
+}
+
+/** For each job, how long on end it has had nothing running and not ended, while the service had room for it twice over and was under half in use. */
+async function watchIdle (deployment, record) {
+  const sinceMs = new Map()
+  const longestMs = new Map(JOBS.map((id) => [id, 0]))
+  for (let look = 0; look <= (IDLE_MS + 1000) / LOOK_MS; look++) {
+    const nowMs = performance.now()
+    const hasRoom = hasRoomTwice(deployment.fleet.workersOf(SERVICES[0]))
+    for (const id of JOBS) {
+      const hasBegun = record.of('run begun').some(({ unit }) => unit.startsWith(id))
+      if (hasBegun || !hasRoom) sinceMs.delete(id)
+      else if (!sinceMs.has(id)) sinceMs.set(id, nowMs)
+      if (sinceMs.has(id)) longestMs.set(id, Math.max(longestMs.get(id), Math.round(nowMs - sinceMs.get(id))))
+    }
+    await sleep(LOOK_MS)
+  }
+  return [...longestMs].map(([id, heldMs]) => ({ id, heldMs }))
+}
+
+function hasRoomTwice (workers) {
+  const fitting = workers.reduce((sum, { usedCpu, usedMemMb }) =>
+    sum + Math.min(Math.floor((CPU - usedCpu) / UNIT_CPU), Math.floor((MEM_MB - usedMemMb) / UNIT_MEM_MB)), 0)
+  const usedShare = (field, capacity) => workers.reduce((sum, worker) => sum + worker[field], 0) / (workers.length * capacity)
+  return fitting >= 2 * UNITS && usedShare('usedCpu', CPU) < 0.5 && usedShare('usedMemMb', MEM_MB) < 0.5
 }
 
 await runCase(import.meta.url, { services: SERVICES, spare: SPARE, machinesPerPool: 8, cpu: CPU }, CONFIGURATION, play)
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,4 +1,4 @@
-// A queue is moved to another service by a change of the configuration; clients then send jobs once more whose 2xx they have had seconds before.
+// A route is removed, and added again with another service. Clients then send jobs once more whose 2xx they have had seconds before.
 import { CONFIG_APPLY_MS, runCase, sleep } from '../lib/deployment.mjs'
 
 const ROUTE_HOST = 'grids.example'
@@ -9,8 +9,9 @@
 const route = (service) => ({
   Name: 'grid-build', Host: ROUTE_HOST, PathPrefix: PREFIX, Service: service, Priority: 0, Attempts: 3, Stretch: 2, TargetLatencyMs: 600, TimeoutMs: 3000
 })
-const configuration = (service) => ({
-  Routes: [route(service)], Services: SERVICES.map((name) => ({ Name: name, HealthPath: '/health', RejectsOverload: true }))
+const OTHER = { ...route(SERVICES[1]), Name: 'index', Host: 'index.example', PathPrefix: '/index/' }
+const configuration = (...routes) => ({
+  Routes: [OTHER, ...routes], Services: SERVICES.map((name) => ({ Name: name, HealthPath: '/health', RejectsOverload: true }))
 })
 const JOBS = [
   { id: '00000000000000a1', runMs: LONG_MS },
@@ -29,8 +30,10 @@
   const accepted = []
   for (const [at] of JOBS.entries()) accepted.push((await submit(at, at % deployment.hostCount)).status === 200)
   if (accepted.includes(false)) throw new Error('a job was not accepted before the disruption')
-  await sleep(4000)
-  if (isDisrupted) deployment.configure(configuration(SERVICES[1]))
+  await sleep(2000)
+  if (isDisrupted) deployment.configure(configuration())
+  await sleep(CONFIG_APPLY_MS)
+  if (isDisrupted) deployment.configure(configuration(route(SERVICES[1])))
   await sleep(CONFIG_APPLY_MS + 1000)
   // Now and then a client sends the same id again seconds after its 2xx, to any node: it remains one job.
   for (const [at] of JOBS.entries()) await submit(at, (at + 1) % deployment.hostCount)
@@ -59,4 +62,4 @@
   return breaches
 }
 
-await runCase(import.meta.url, { services: SERVICES, machinesPerPool: 4, cpu: 16_000 }, configuration(SERVICES[0]), play)
+await runCase(import.meta.url, { services: SERVICES, machinesPerPool: 4, cpu: 16_000 }, configuration(route(SERVICES[0])), play)
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -138,7 +138,7 @@
       holdMaxMs: BOUNDS.HoldMaxMs,
       migrateMs: BOUNDS.MigrateS * 1000,
       upkeepMs: BOUNDS.MaintenanceS * 1000,
-      stepOf: (unit) => this.#steps.get(unit.split('.')[0])?.[Number(unit.split('.')[2])] ?? { cpu: 0, needsTicket: false }
+      stepOf: (unit) => this.#steps.get(unit.split('.')[0])?.[Number(unit.split('.')[2])] ?? { cpu: 0, memMb: 0, needsTicket: false }
     })
   }
 
@@ -231,7 +231,7 @@
 
   /** Remembers what the client asked for the work units of a job. */
   expect (jobId, steps, needsTicket = false) {
-    this.#steps.set(jobId, steps.map(({ Cpu: cpu = 0 }) => ({ cpu, needsTicket })))
+    this.#steps.set(jobId, steps.map(({ Cpu: cpu = 0, MemMb: memMb = 0 }) => ({ cpu, memMb, needsTicket })))
   }
 
   /** A call of a client to one host, recorded with its answer. */
--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -246,15 +246,17 @@
     if (untilMs <= this.clockMs) return refuse('late')
     const step = this.options.stepOf(task)
     if (step.needsTicket && ticket !== this.options.ticketOf(task, this.id)) return refuse('ticket')
-    const used = this.runs.reduce((sum, run) => sum + run.cpu, 0)
-    if (used + step.cpu > this.options.cpu) {
+    const usedCpu = this.runs.reduce((sum, run) => sum + run.cpu, 0)
+    const usedMemMb = this.runs.reduce((sum, run) => sum + run.memMb, 0)
+    if (usedCpu + step.cpu > this.options.cpu || usedMemMb + step.memMb > this.options.memMb) {
       this.#extend(untilMs)
       return refuse('room')
     }
     this.#extend(untilMs)
     // A work unit without a time runs until it is stopped, and is at work after a short start.
     const { runMs, fails = 0 } = JSON.parse(text)
-    const run = { task, runId, text, fence, cpu: step.cpu, fails: runId <= fails, beganMs: this.clockMs, endsMs: this.clockMs + (runMs ?? Infinity), runMs }
+    const { cpu, memMb } = step
+    const run = { task, runId, text, fence, cpu, memMb, fails: runId <= fails, beganMs: this.clockMs, endsMs: this.clockMs + (runMs ?? Infinity), runMs }
     this.#running.set(task, run)
     this.options.onStart(this, run)
     return [200, { ClockMs: this.clockMs }]
@@ -298,7 +300,8 @@
 /**
  * The machines, the life of a worker on each, and the calls that list, move and maintain machines.
  *
- * Options: store, record, pools (names), machinesPerPool, zones, cpu, memMb, holdMaxMs, migrateMs, upkeepMs, stepOf (of a work unit: cpu and needsTicket).
+ * Options: store, record, pools (names), machinesPerPool, zones, cpu, memMb, holdMaxMs, migrateMs, upkeepMs, and stepOf, which gives cpu, memMb and
+ * needsTicket of a work unit.
  */
 export class Fleet {
   #options
@@ -340,12 +343,13 @@
   }
 
   #bringUp (machine) {
-    const { record, cpu, holdMaxMs, stepOf } = this.#options
+    const { record, cpu, memMb, holdMaxMs, stepOf } = this.#options
     machine.state = 'up'
     const where = (life, run) => ({ unit: run.task, run: run.runId, worker: life.id, machine: machine.name, service: life.service })
     const id = `i-${(++this.#lives).toString(16).padStart(8, '0')}`
     machine.life = new WorkerLife(id, machine.name, {
       cpu,
+      memMb,
       holdMaxMs,
       stepOf,
       ticketOf,
@@ -379,7 +383,7 @@
 
   async #callWorker ({ life }, request, url, body) {
     if (life === undefined) return undefined
-    if (request.headers['x-expect-instance'] !== life.id) return [421, {}]
+    if (request.headers['x-expect-instance'] !== life.id) return [421, { ClockMs: life.clockMs }]
     const answer = await life.answer(url.pathname.split('/').at(-1), body)
     return life.isOver ? undefined : answer
   }
@@ -387,7 +391,11 @@
   /** The workers of a service, and how much of their processors runs take. */
   workersOf (service) {
     const lives = [...this.#machines.values()].flatMap(({ life }) => life?.service === service ? [life] : [])
-    return lives.map((life) => ({ worker: life.id, usedCpu: life.runs.reduce((sum, run) => sum + run.cpu, 0) }))
+    return lives.map((life) => ({
+      worker: life.id,
+      usedCpu: life.runs.reduce((sum, run) => sum + run.cpu, 0),
+      usedMemMb: life.runs.reduce((sum, run) => sum + run.memMb, 0)
+    }))
   }
 
   /** The machine on which a work unit runs, if any. */
