A job id is one job, whatever service its queue has when it is sent again

Cause: the accepting transaction required only that the present service of the queue has no record of the id. The service of an accepted job was derived again from the present configuration instead of being kept with its record. Status and cancellation searched the services configured now, and the count of waiting jobs looked at the present service alone.

Ruled out: a lagging host (all hosts had the new version), a lost answer (the 2xx had come), the second holder (it starts what its inbox has), asking the one former service (a queue moves more than once, and a host need not know the former one).

Change: JobRecorder writes the service under the id alone (job-service/ID) in the accepting transaction, on condition that there is none, and that no other configured service has a record of the id, for records of earlier builds. The key goes with the job's records. Status and cancellation try the queue's service, then the recorded one, then the others; counts add up the services. The admission under pressure looks for the id in all of them before it refuses. Retrying moved from JobApi to CallRetrier.

Conclusion: the store decides whether an id was accepted. Open: hosts of an earlier build write no such key and accept the id again until upgraded.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -30,7 +30,7 @@
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
-import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
+import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, jobServiceKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { retryUntilAnswered } from '../records/retryUntilAnswered.js'
 import { WorkerRegistrations } from '../workers/WorkerRegistrations.js'
 import { WorkerTracker, type WorkerTrackerOptions } from '../workers/WorkerTracker.js'
@@ -385,7 +385,8 @@
     for (const [jobId, job] of this.#registry.jobs) {
       if (job.endedMs === undefined || job.endedMs > cutoffMs) continue
       this.#registry.jobs.delete(jobId)
-      for (const key of [jobKey(service, jobId), cancelKey(service, jobId), progressKey(service, jobId)]) this.#writer.put(key, () => undefined)
+      const keys = [jobKey(service, jobId), jobServiceKey(jobId), cancelKey(service, jobId), progressKey(service, jobId)]
+      for (const key of keys) this.#writer.put(key, () => undefined)
     }
   }
 }
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -5,8 +5,8 @@
  *
  * @module
  */
-import { decodeJson, delay, Err, type Clock, type Result } from '@quillscale/utils'
-import type { KeyValue, PlatformError, QueueConfiguration, RevisionCondition, TransactionOutcome } from '@quillscale/ports'
+import { decodeJson, type Clock } from '@quillscale/utils'
+import type { KeyValue, PlatformError, QueueConfiguration, RevisionCondition } from '@quillscale/ports'
 import { isOwnedBy, jobSpecSchema, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
@@ -14,7 +14,9 @@
 import type { AdmissionRefusal, JobAdmission } from '../pressure/JobAdmission.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
-import { CANCEL_VALUE, cancelKey, inboxPrefix, jobKey, parseInboxKey, progressKey, progressPrefix, waitingKey } from '../records/storeKeys.js'
+import { CallRetrier } from '../records/CallRetrier.js'
+import { CANCEL_VALUE, cancelKey, inboxPrefix, jobKey, jobServiceKey, parseInboxKey, progressKey, progressPrefix, WAITING_PREFIX, waitingKey } from '../records/storeKeys.js'
+import { hasChanged, JobRecorder, RECORD_UNREADABLE, type RecordingOutcome } from './JobRecorder.js'
 
 /** Dependencies of a {@link JobApi}. @public */
 export interface JobApiOptions {
@@ -43,6 +45,8 @@
   readonly queue?: QueueConfiguration | undefined
   /** The configuration that admits the job: it is accepted only while the store holds this revision. Without it, any will do. */
   readonly configuration?: RevisionCondition | undefined
+  /** The other services, which may have accepted the job before its queue moved. */
+  readonly otherServices?: readonly string[] | undefined
 }
 /** Status of a job. `unavailable`: the store did not answer in time, or its record of the job cannot be decoded. @public */
 export type StatusOutcome = JobStatus | 'no-such-job' | 'unavailable'
@@ -51,34 +55,26 @@
 /** Number of waiting jobs; `unavailable` if the store did not answer in time. @public */
 export type WaitingOutcome = number | 'unavailable'
 
-/** Time left before the deadline of the client, so that the answer still arrives. */
-const DEADLINE_MARGIN_MS = 150
-/** How long a request is retried while the store rejects it without effect; an overload that lasts longer is unlikely to pass in time. */
-const REFUSED_RETRY_LIMIT_MS = 400
-const FIRST_RETRY_DELAY_MS = 40
-/** After so many lost answers the request fails, since another host may do better. */
-const MAX_LOST_ANSWERS = 2
-const MAX_RETRY_DELAY_MS = 250
 /** Older counts are recomputed from the job records: the scheduler that publishes them is being replaced. */
 const MAX_COUNT_AGE_MS = 2500
 
-const STORE_UNRESPONSIVE: PlatformError = { kind: 'unavailable', detail: 'the store has not answered for a while and was not asked' }
-
-const RECORD_UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'the record of the job in the store cannot be decoded' }
-
 const waitingSchema = z.object({ atMs: z.number(), counts: z.record(z.string(), z.number()) })
 
 /** Submits, cancels, looks up and counts jobs for clients. @public */
 export class JobApi {
   readonly #options: JobApiOptions
+  readonly #calls: CallRetrier
+  readonly #recorder: JobRecorder
 
   /** @param options - dependencies */
   constructor (options: JobApiOptions) {
     this.#options = options
+    this.#calls = new CallRetrier(options)
+    this.#recorder = new JobRecorder({ ...options, calls: this.#calls })
   }
 
   /**
-   * Submits a job. Submitting it again is idempotent: the job is written only if it does not exist. A record that cannot be decoded is replaced.
+   * Submits a job. Submitting it again is idempotent: the job is written only if no service has it. A record that cannot be decoded is replaced.
    *
    * @param spec - the job
    * @param service - the service whose workers run the job
@@ -86,74 +82,39 @@
    * @param terms - what its acceptance depends on
    * @returns the outcome
    */
-  async submit (spec: JobSpec, service: string, deadlineMs: number, { queue, configuration }: SubmissionTerms = {}): Promise<SubmitOutcome> {
+  async submit (spec: JobSpec, service: string, deadlineMs: number, terms: SubmissionTerms = {}): Promise<SubmitOutcome> {
     const { log, admission } = this.#options
+    const { queue, configuration, otherServices = [] } = terms
     const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
-    const refused = refusal === undefined ? undefined : await this.#refuse(spec, service, deadlineMs, refusal)
+    const refused = refusal === undefined ? undefined : await this.#refuse(spec, [service, ...otherServices], deadlineMs, refusal)
     if (refused !== undefined) return refused
-    const written = await this.#writeJob(spec, service, deadlineMs, configuration)
-    const outcome = this.#submitOutcome(spec, service, written, configuration)
+    const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
+    const outcome = submitOutcomeOf(spec, written, configuration)
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
     const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries }
     if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: outcome.record?.modRevision }, 'job not taken in: the configuration has changed')
     else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
-    else log.info({ ...fields, ...this.#describeRecord(spec, service, written.result.val), steps: spec.steps.map(describeStep) }, 'job taken in')
+    else log.info({ ...fields, ...describeRecord(written), steps: spec.steps.map(describeStep) }, 'job taken in')
     return outcome
   }
 
-  /** Describes the record of an accepted job for the log: the revision at which it was written, and for a repeat the version by which it was accepted first. */
-  #describeRecord ({ jobId }: JobSpec, service: string, outcome: TransactionOutcome): object {
-    if (outcome.committed) return { isRepeat: false, revision: outcome.modRevision }
-    const record = outcome.current.find(({ key }) => key === jobKey(service, jobId))
-    const existingSpec = record === undefined ? undefined : this.#readJob(record)
-    return { isRepeat: true, revision: record?.modRevision, recordVersion: existingSpec?.configurationVersion }
-  }
-
   /** Refuses a job that would be of no use, unless it was accepted before: that is a promise, and its repeat is handled as always. */
-  async #refuse (spec: JobSpec, service: string, deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
+  async #refuse (spec: JobSpec, services: readonly string[], deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
     const { admission, store, log } = this.#options
-    const earlier = await this.#retry(deadlineMs, () => store.get(jobKey(service, spec.jobId)))
-    if (earlier.result.err) {
-      log.warn({ jobId: spec.jobId, queue: spec.queue, service, outcome: 'refused', tries: earlier.tries, error: earlier.result.val }, 'job not taken in')
+    const keys = [jobServiceKey(spec.jobId), ...services.map((service) => jobKey(service, spec.jobId))]
+    const reads = await Promise.all(keys.map((key) => this.#calls.retry(deadlineMs, () => store.get(key))))
+    const [service = ''] = services
+    for (const { result, tries } of reads) {
+      if (result.ok) continue
+      log.warn({ jobId: spec.jobId, queue: spec.queue, service, outcome: 'refused', tries, error: result.val }, 'job not taken in')
       return 'refused'
     }
-    if (earlier.result.val !== undefined) return undefined
+    if (reads.some(({ result }) => result.ok && result.val !== undefined)) return undefined
     admission?.report(spec, service, refusal)
     return { kind: 'overloaded', retryAfterMs: refusal.retryAfterMs }
   }
 
-  #submitOutcome (
-    { jobId, owner }: JobSpec, service: string, { result, mayHaveEffect }: RetryResult<TransactionOutcome>, configuration: RevisionCondition | undefined
-  ): Exclude<SubmitOutcome, OverloadedOutcome> {
-    if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
-    const item = result.val.committed ? undefined : result.val.current.find(({ key }) => key === jobKey(service, jobId))
-    const existingSpec = item === undefined ? undefined : this.#readJob(item)
-    // An attempt of this request whose answer was lost may have written the existing job, by the configuration of that time.
-    const isOwnWrite = existingSpec !== undefined && mayHaveEffect
-    if (configuration !== undefined && !isOwnWrite && hasChanged(configuration, result.val)) {
-      return { kind: 'outdated', record: result.val.committed ? undefined : result.val.current.find(({ key }) => key === configuration.key) }
-    }
-    return existingSpec === undefined || isOwnedBy(restrictedOwner(existingSpec), owner) ? 'accepted' : 'taken'
-  }
-
-  async #writeJob (spec: JobSpec, service: string, deadlineMs: number, configuration: RevisionCondition | undefined): Promise<RetryResult<TransactionOutcome>> {
-    const { store } = this.#options
-    const key = jobKey(service, spec.jobId)
-    const terms = configuration === undefined ? [] : [configuration]
-    const put = (modRevision: number): Promise<RetryResult<TransactionOutcome>> => this.#retry(deadlineMs, () =>
-      store.transact({ conditions: [{ key, modRevision }, ...terms], puts: [{ key, value: JSON.stringify(spec) }], removals: [] }))
-    const written = await put(0)
-    if (written.result.err || written.result.val.committed) return written
-    const existing = written.result.val.current.find((item) => item.key === key)
-    if (existing === undefined || this.#readJob(existing) !== undefined) return written
-    const replacement = await put(existing.modRevision)
-    if (replacement.result.err || replacement.result.val.committed) return replacement
-    if (configuration !== undefined && hasChanged(configuration, replacement.result.val)) return replacement
-    const hasReadableJob = replacement.result.val.current.some((item) => item.key === key && this.#readJob(item) !== undefined)
-    return hasReadableJob ? replacement : { ...replacement, result: Err(RECORD_UNREADABLE), mayHaveEffect: true }
-  }
-
   #readJob (item: KeyValue): JobSpec | undefined {
     return this.#options.records.read(item, (text) => decodeJson(jobSpecSchema, text))
   }
@@ -168,25 +129,41 @@
    * @returns the status, or why there is none
    */
   async status (jobId: JobId, services: readonly string[], deadlineMs: number, caller?: JobOwner): Promise<StatusOutcome> {
-    const [mostLikely, ...others] = services
-    for (const service of mostLikely === undefined ? [] : [mostLikely, ...others]) {
-      const status = await this.#statusIn(jobId, service, deadlineMs, caller)
-      if (status !== 'no-such-job') return status
+    const status = await this.#search<StatusOutcome>(jobId, services, deadlineMs, (service) => this.#statusIn(jobId, service, deadlineMs, caller))
+    if (status === 'no-such-job') this.#options.log.info({ jobId, services }, 'no such job')
+    return status
+  }
+
+  /**
+   * Looks for a job in its services: in the most likely one first, then in the one that its acceptance recorded, then in the others, where a job may be
+   * whose acceptance recorded none.
+   */
+  async #search<T> (
+    jobId: JobId, [mostLikely, ...others]: readonly string[], deadlineMs: number, find: (service: string) => Promise<T | 'no-such-job'>
+  ): Promise<T | 'no-such-job' | 'unavailable'> {
+    const found = mostLikely === undefined ? 'no-such-job' : await find(mostLikely)
+    if (found !== 'no-such-job') return found
+    const recorded = await this.#calls.retry(deadlineMs, () => this.#options.store.get(jobServiceKey(jobId)))
+    if (recorded.result.err) return this.#reportUnavailable(jobId, recorded.result.val)
+    const services = new Set(recorded.result.val === undefined ? others : [recorded.result.val.value, ...others])
+    if (mostLikely !== undefined) services.delete(mostLikely)
+    for (const service of services) {
+      const outcome = await find(service)
+      if (outcome !== 'no-such-job') return outcome
     }
-    this.#options.log.info({ jobId, services }, 'no such job')
     return 'no-such-job'
   }
 
   async #statusIn (jobId: JobId, service: string, deadlineMs: number, caller: JobOwner | undefined): Promise<StatusOutcome> {
     const { store, records } = this.#options
-    const recorded = await this.#retry(deadlineMs, () => store.get(progressKey(service, jobId)))
+    const recorded = await this.#calls.retry(deadlineMs, () => store.get(progressKey(service, jobId)))
     if (recorded.result.err) return this.#reportUnavailable(jobId, recorded.result.val)
     if (recorded.result.val !== undefined) {
       const progress = records.read(recorded.result.val, decodeProgress)
       if (progress === undefined) return this.#reportUnavailable(jobId, RECORD_UNREADABLE)
       return isOwnedBy(progress.owner, caller) ? progress.status : this.#reportNotOwned(jobId, caller)
     }
-    const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
+    const job = await this.#calls.retry(deadlineMs, () => store.get(jobKey(service, jobId)))
     if (job.result.err) return this.#reportUnavailable(jobId, job.result.val)
     if (job.result.val === undefined) return 'no-such-job'
     const spec = this.#readJob(job.result.val)
@@ -214,26 +191,28 @@
    * @returns the outcome
    */
   async cancel (jobId: JobId, services: readonly string[], deadlineMs: number, caller?: JobOwner): Promise<CancelOutcome> {
+    const outcome = await this.#search<CancelOutcome>(jobId, services, deadlineMs, (service) => this.#cancelIn(jobId, service, deadlineMs, caller))
+    if (outcome === 'no-such-job') this.#options.log.info({ jobId, services }, 'job cancellation refused: no such job')
+    return outcome
+  }
+
+  async #cancelIn (jobId: JobId, service: string, deadlineMs: number, caller: JobOwner | undefined): Promise<CancelOutcome> {
     const { store, log } = this.#options
-    for (const service of services) {
-      const job = await this.#retry(deadlineMs, () => store.get(jobKey(service, jobId)))
-      if (job.result.err) return this.#reportUnavailable(jobId, job.result.val)
-      if (job.result.val === undefined) continue
-      const spec = this.#readJob(job.result.val)
-      // The owner of an undecodable job is unknown, so any caller may cancel it; otherwise nobody could stop it.
-      if (spec !== undefined && !isOwnedBy(restrictedOwner(spec), caller)) return this.#reportNotOwned(jobId, caller)
-      const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: CANCEL_VALUE }], removals: [] }
-      const written = await this.#retry(deadlineMs, () => store.transact(put))
-      if (written.result.err) return this.#reportUnavailable(jobId, written.result.val)
-      log.info({ jobId, service }, 'job cancellation accepted')
-      return 'accepted'
-    }
-    log.info({ jobId, services }, 'job cancellation refused: no such job')
-    return 'no-such-job'
+    const job = await this.#calls.retry(deadlineMs, () => store.get(jobKey(service, jobId)))
+    if (job.result.err) return this.#reportUnavailable(jobId, job.result.val)
+    if (job.result.val === undefined) return 'no-such-job'
+    const spec = this.#readJob(job.result.val)
+    // The owner of an undecodable job is unknown, so any caller may cancel it; otherwise nobody could stop it.
+    if (spec !== undefined && !isOwnedBy(restrictedOwner(spec), caller)) return this.#reportNotOwned(jobId, caller)
+    const put = { conditions: [], puts: [{ key: cancelKey(service, jobId), value: CANCEL_VALUE }], removals: [] }
+    const written = await this.#calls.retry(deadlineMs, () => store.transact(put))
+    if (written.result.err) return this.#reportUnavailable(jobId, written.result.val)
+    log.info({ jobId, service }, 'job cancellation accepted')
+    return 'accepted'
   }
 
   /**
-   * Counts the jobs of a queue of which no worker has started a run yet; jobs with a schedule are not counted.
+   * Counts the jobs of a queue of which no worker has started a run yet, in all services that the queue has had; jobs with a schedule are not counted.
    *
    * @param queue - name of the queue
    * @param service - the service of the queue
@@ -241,21 +220,35 @@
    * @returns the number of waiting jobs, or `unavailable`
    */
   async countWaiting (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
-    const { store, clock, log, records } = this.#options
-    const read = await this.#retry(deadlineMs, () => store.get(waitingKey(service)))
+    const { store, log } = this.#options
+    const read = await this.#calls.retry(deadlineMs, () => store.list(WAITING_PREFIX))
     if (read.result.err) {
-      log.warn({ queue, error: read.result.val }, 'reading the published count of waiting jobs failed')
+      log.warn({ queue, error: read.result.val }, 'reading the published counts of waiting jobs failed')
       return 'unavailable'
     }
-    const counts = read.result.val === undefined ? undefined : records.read(read.result.val, (text) => decodeJson(waitingSchema, text))
-    if (counts !== undefined && Math.abs(clock.wallMs() - counts.atMs) < MAX_COUNT_AGE_MS) return counts.counts[queue] ?? 0
-    return this.#countFromRecords(queue, service, deadlineMs)
+    const records = new Map(read.result.val.items.map((item) => [item.key, item]))
+    const ownKey = waitingKey(service)
+    const own = this.#publishedCount(queue, records.get(ownKey))
+    records.delete(ownKey)
+    // Schedulers do not refresh a count of zero, so an old one is trusted for the services that the queue may have had before.
+    const others = [...records].map(([key, record]) => ({ service: key.slice(WAITING_PREFIX.length), ...this.#publishedCount(queue, record) }))
+    const former = others.filter(({ count }) => count > 0)
+    const counts = await Promise.all([{ service, ...own }, ...former].map(async ({ service: counted, isRecent, count }) =>
+      isRecent ? count : await this.#countFromRecords(queue, counted, deadlineMs)))
+    return counts.reduce<WaitingOutcome>((sum, count) => sum === 'unavailable' || count === 'unavailable' ? 'unavailable' : sum + count, 0)
+  }
+
+  #publishedCount (queue: string, record: KeyValue | undefined): { readonly isRecent: boolean, readonly count: number } {
+    const { clock, records } = this.#options
+    const published = record === undefined ? undefined : records.read(record, (text) => decodeJson(waitingSchema, text))
+    if (published === undefined) return { isRecent: false, count: 0 }
+    return { isRecent: Math.abs(clock.wallMs() - published.atMs) < MAX_COUNT_AGE_MS, count: published.counts[queue] ?? 0 }
   }
 
   async #countFromRecords (queue: string, service: string, deadlineMs: number): Promise<WaitingOutcome> {
     const { store, log, records } = this.#options
     const [inbox, progress] = await Promise.all([
-      this.#retry(deadlineMs, () => store.list(inboxPrefix(service))), this.#retry(deadlineMs, () => store.list(progressPrefix(service)))
+      this.#calls.retry(deadlineMs, () => store.list(inboxPrefix(service))), this.#calls.retry(deadlineMs, () => store.list(progressPrefix(service)))
     ])
     if (inbox.result.err || progress.result.err) {
       log.warn({ queue, service }, 'counting waiting jobs from their records failed')
@@ -271,35 +264,26 @@
       return spec?.queue === queue && spec.schedule === undefined
     }).length
   }
+}
 
-  /**
-   * Calls the store and retries until it answers or time runs out. A store known to be unresponsive is not called: the request fails at once, so that
-   * the client can retry on another host. After a lost answer the call is repeated once, then the request fails for the same reason.
-   */
-  async #retry<T> (deadlineMs: number, call: () => Promise<Result<T, PlatformError>>): Promise<RetryResult<T>> {
-    const { clock, store } = this.#options
-    const startMs = clock.monotonicMs()
-    if (store.isUnresponsive(startMs)) return { result: Err(STORE_UNRESPONSIVE), mayHaveEffect: false, tries: 0 }
-    let lost = 0
-    let delayMs = FIRST_RETRY_DELAY_MS
-    for (let tries = 1; ; tries++) {
-      const result = await call()
-      const mayHaveEffect = lost > 0
-      if (result.ok) return { result, mayHaveEffect, tries }
-      if (result.val.kind === 'unknown-effect') lost++
-      const nowMs = clock.monotonicMs()
-      const retryUntilMs = lost > 0 ? deadlineMs - DEADLINE_MARGIN_MS : startMs + REFUSED_RETRY_LIMIT_MS
-      const isLastTry = lost >= MAX_LOST_ANSWERS || store.isUnresponsive(nowMs) || nowMs + delayMs >= Math.min(retryUntilMs, deadlineMs - DEADLINE_MARGIN_MS)
-      if (isLastTry) return { result, mayHaveEffect: lost > 0, tries }
-      await delay(delayMs)
-      delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2)
-    }
+/** Returns the outcome of a submission from the outcome of its recording. */
+function submitOutcomeOf (
+  { owner }: JobSpec, { result, mayHaveEffect, existing }: RecordingOutcome, configuration: RevisionCondition | undefined
+): Exclude<SubmitOutcome, OverloadedOutcome> {
+  if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
+  // An attempt of this request whose answer was lost may have written the existing job, by the configuration of that time.
+  const isOwnWrite = existing !== undefined && mayHaveEffect
+  if (configuration !== undefined && !isOwnWrite && hasChanged(configuration, result.val)) {
+    return { kind: 'outdated', record: result.val.committed ? undefined : result.val.current.find(({ key }) => key === configuration.key) }
   }
+  return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
 }
 
-/** Whether a transaction failed because a record no longer has the expected revision. */
-function hasChanged ({ key, modRevision }: RevisionCondition, outcome: TransactionOutcome): boolean {
-  return !outcome.committed && (outcome.current.find((item) => item.key === key)?.modRevision ?? 0) !== modRevision
+/** Describes the record of an accepted job for the log: its service and revision, and for a repeat the version by which it was accepted first. */
+function describeRecord ({ result, existing }: RecordingOutcome): object {
+  if (existing === undefined) return { isRepeat: false, revision: result.ok && result.val.committed ? result.val.modRevision : undefined }
+  const { record, service, spec } = existing
+  return { isRepeat: true, recordService: service, revision: record.modRevision, recordVersion: spec.configurationVersion }
 }
 
 /** Returns the only client account that may access a job; `undefined` if every account may. */
@@ -315,6 +299,3 @@
   ].filter((trait) => trait !== '')
   return [`${step.taskCount} x ${step.cpuMillis} mcpu ${step.memoryMb} MB ${step.estimateMs} ms`, ...traits].join(', ')
 }
-
-/** Result of a call that may have been retried; `mayHaveEffect` is true if an attempt without an answer may have taken effect. */
-interface RetryResult<T> { readonly result: Result<T, PlatformError>, readonly mayHaveEffect: boolean, readonly tries: number }
--- /dev/null
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -0,0 +1,123 @@
+/**
+ * Records accepted jobs in the store, each id once.
+ *
+ * A job is recorded in the inbox of its service, and its service under its id alone, in one transaction. Its queue may move to another service
+ * later, also to one that this host does not know, so the second record tells whether and where the id was accepted before. Program versions that do
+ * not write it may have accepted the id too, so the transaction also requires that no other service has a job of that id.
+ *
+ * @module
+ */
+import { decodeJson, Err } from '@quillscale/utils'
+import { MAX_TRANSACTION_ENTRIES, type KeyValue, type PlatformError, type RevisionCondition, type TransactionOutcome } from '@quillscale/ports'
+import { jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
+import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
+import type { MonitoredStore } from '../records/MonitoredStore.js'
+import type { RecordReader } from '../records/RecordReader.js'
+import { jobKey, jobServiceKey } from '../records/storeKeys.js'
+
+/** Dependencies of a {@link JobRecorder}. @public */
+export interface JobRecorderOptions {
+  readonly store: MonitoredStore
+  readonly records: RecordReader
+  readonly calls: CallRetrier
+}
+
+/** Where a job is to be recorded. @public */
+export interface RecordingTarget {
+  /** The present service of its queue. */
+  readonly service: string
+  /** The other services of the configuration. */
+  readonly otherServices: readonly string[]
+  /** The job is recorded only while this holds. */
+  readonly configuration: RevisionCondition | undefined
+}
+
+/** A job that an earlier request recorded. @public */
+export interface RecordedJob { readonly service: string, readonly record: KeyValue, readonly spec: JobSpec }
+
+/** Outcome of the recording; `existing` is set if the id was accepted before. @public */
+export interface RecordingOutcome extends RetryResult<TransactionOutcome> { readonly existing?: RecordedJob | undefined }
+
+/** Reported when the record of a job in the store cannot be decoded. @public */
+export const RECORD_UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'the record of the job in the store cannot be decoded' }
+
+/** Entries of the transaction besides the conditions on job records: the recorded service and the configuration, and the two puts. */
+const OVERHEAD_ENTRIES = 4
+const MAX_SERVICES = MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES
+/** Enough to learn the recorded service, then its undecodable record, and to replace both. */
+const MAX_ROUNDS = 4
+/** Keeps the keys made from a recorded service name within the limits of the store. */
+const SERVICE_NAME_PATTERN = /^[^/]{1,120}$/
+
+/** Records jobs, unless their id was accepted before by any service. @public */
+export class JobRecorder {
+  readonly #options: JobRecorderOptions
+
+  /** @param options - dependencies */
+  constructor (options: JobRecorderOptions) {
+    this.#options = options
+  }
+
+  /**
+   * Records a job. Records that cannot be decoded are replaced, and so is a recorded service that has no job of this id.
+   *
+   * @param spec - the job
+   * @param target - its service, and what its acceptance depends on
+   * @param deadlineMs - monotonic time at which the client stops waiting
+   * @returns the outcome of the last transaction
+   */
+  async record (spec: JobSpec, { service, otherServices, configuration }: RecordingTarget, deadlineMs: number): Promise<RecordingOutcome> {
+    const { jobId } = spec
+    let services = [...new Set([service, ...otherServices])].slice(0, MAX_SERVICES)
+    let replaced: readonly KeyValue[] = []
+    let home = service
+    let mayHaveEffect = false
+    let tries = 0
+    for (let round = 1; ; round++) {
+      const attempt = await this.#transact(spec, home, services, configuration, replaced, deadlineMs)
+      mayHaveEffect ||= attempt.mayHaveEffect
+      tries += attempt.tries
+      const outcome = { result: attempt.result, mayHaveEffect, tries }
+      if (outcome.result.err || outcome.result.val.committed) return outcome
+      const { current } = outcome.result.val
+      const existing = this.#findJob(jobId, services, current)
+      if (existing !== undefined || (configuration !== undefined && hasChanged(configuration, outcome.result.val))) return { ...outcome, existing }
+      if (round === MAX_ROUNDS) return { result: Err(RECORD_UNREADABLE), mayHaveEffect: true, tries }
+      replaced = current
+      const recorded = current.find(({ key }) => key === jobServiceKey(jobId))?.value
+      if (recorded === undefined || !SERVICE_NAME_PATTERN.test(recorded)) continue
+      if (!services.includes(recorded)) services = [recorded, ...services].slice(0, MAX_SERVICES)
+      home = current.some(({ key }) => key === jobKey(recorded, jobId)) ? recorded : service
+    }
+  }
+
+  /** Writes the job, provided that no records of its id exist but those that it replaces. */
+  #transact (
+    spec: JobSpec, home: string, services: readonly string[], configuration: RevisionCondition | undefined, replaced: readonly KeyValue[], deadlineMs: number
+  ): Promise<RetryResult<TransactionOutcome>> {
+    const { store, calls } = this.#options
+    const { jobId } = spec
+    const keys = [jobServiceKey(jobId), ...services.map((service) => jobKey(service, jobId))]
+    const conditions = keys.map((key) => ({ key, modRevision: replaced.find((item) => item.key === key)?.modRevision ?? 0 }))
+    return calls.retry(deadlineMs, () => store.transact({
+      conditions: configuration === undefined ? conditions : [...conditions, configuration],
+      puts: [{ key: jobKey(home, jobId), value: JSON.stringify(spec) }, { key: jobServiceKey(jobId), value: home }],
+      removals: []
+    }))
+  }
+
+  /** Returns the job of an id that was recorded first; there can be several of program versions that looked at one service only. */
+  #findJob (jobId: JobId, services: readonly string[], current: readonly KeyValue[]): RecordedJob | undefined {
+    const found = services.flatMap((service): RecordedJob[] => {
+      const record = current.find(({ key }) => key === jobKey(service, jobId))
+      const spec = record === undefined ? undefined : this.#options.records.read(record, (text) => decodeJson(jobSpecSchema, text))
+      return record === undefined || spec === undefined ? [] : [{ service, record, spec }]
+    })
+    return found.sort((a, b) => a.record.modRevision - b.record.modRevision)[0]
+  }
+}
+
+/** Whether a transaction failed because a record no longer has the expected revision. @public */
+export function hasChanged ({ key, modRevision }: RevisionCondition, outcome: TransactionOutcome): boolean {
+  return !outcome.committed && (outcome.current.find((item) => item.key === key)?.modRevision ?? 0) !== modRevision
+}
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -12,6 +12,13 @@
 export const jobKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}`
 /** Value of a cancellation; any other value cancels nothing. @public */
 export const CANCEL_VALUE = '1'
+/**
+ * Key of the service that a job belongs to, by the id of the job alone; written together with the job. It keeps the job with that service when its queue
+ * moves to another one. It lies outside the inboxes, so that no scheduler lists or watches it.
+ *
+ * @public
+ */
+export const jobServiceKey = (jobId: JobId): string => `job-service/${jobId}`
 /** Key of the cancellation of a job. @public */
 export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
 /** Prefix of the requests to drain machines of a service. @public */
@@ -32,8 +39,10 @@
 export const progressKey = (service: string, jobId: JobId): string => `progress/${service}/${jobId}`
 /** Key of the number of the scheduler's last transaction. @public */
 export const chainKey = (service: string): string => `chain/${service}`
+/** Prefix of the numbers of waiting jobs in all services. @public */
+export const WAITING_PREFIX = 'waiting/'
 /** Key of the number of waiting jobs in each queue; written by the scheduler. @public */
-export const waitingKey = (service: string): string => `waiting/${service}`
+export const waitingKey = (service: string): string => `${WAITING_PREFIX}${service}`
 /** Prefix of the confirmations that machines are drained; written by the schedulers. @public */
 export const VACATED_PREFIX = 'vacated/'
 /**
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -153,6 +153,8 @@
   /** What operators are told. */
   readonly report = new FleetReport(this.store, { evacuationPrefix: EVACUATION_PREFIX, decodeEvacuation, workersPrefix: WORKERS_PREFIX, decodeWorker })
   maxLeaseMs = 1000
+  /** For how long ended jobs are kept. */
+  keepEndedMs = 60_000
   configuration: FleetConfiguration = {
     version: 1,
     maxBodyBytes: 10_000,
@@ -303,7 +305,7 @@
         this.requiredVersions.push(version)
         return this.configuration.version >= version
       },
-      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: 60_000, minTtlMs: 100 }),
+      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: this.keepEndedMs, minTtlMs: 100 }),
       managesPressure: true,
       evacuations: this.requests,
       evacuationKey,
