A job keeps the terms of its queue: its attempts do not fall to three while its queue is away

Ruled out: a holder with an outdated configuration (the route was away in the newest one); remembering removed queues on the host (the next holder would not know them).

Change: queueTerms in the job's record; effectiveTerms says which apply. Priority and objective stay those of the present queue while there is one, as operators adjust them for waiting jobs.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,6 +15,7 @@
   allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, listReadySteps, stepOf, tasksOf, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
+export { effectiveTerms, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
 export { dutyClaimDelayMs, type DutyCandidate } from './lib/duties/dutyClaimDelayMs.js'
--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -58,6 +58,14 @@
   keyTag: z.string()
 })
 
+const queueTermsSchema = z.object({
+  priority: z.number(),
+  attempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  advice: z.object({ decisionMs: z.number(), perWorkerMs: z.number(), validMs: z.number() }).optional()
+})
+
 /** Validates a stored job. @public */
 export const jobSpecSchema = z.object({
   jobId: z.custom<JobId>(isJobId),
@@ -72,6 +80,8 @@
   submittedMs: z.number(),
   /** Version of the configuration by which the job was accepted; `undefined` if the accepting host runs a program version that does not record it. */
   configurationVersion: count.optional(),
+  /** What its queue laid down when the job was accepted; `undefined` if the accepting host runs a program version that does not record it. */
+  queueTerms: queueTermsSchema.optional(),
   /** Runs of the whole job: the first at `firstRunMs`, then every `intervalMs`; `undefined` for one run at once. */
   schedule: z.object({ runs: count.min(1), firstRunMs: z.number(), intervalMs: z.number() }).optional()
 })
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -6,9 +6,9 @@
  *
  * @module
  */
-import type { QueueConfiguration } from '@quillscale/ports'
 import { dueMs, stepOf, type Job, type Task } from './JobState.js'
 import { criticalPathMs } from './criticalPathMs.js'
+import type { QueueTerms } from './QueueTerms.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
 /** A job still has some value up to this multiple of its objective. @public */
@@ -50,13 +50,13 @@
  * Ranks a step.
  *
  * @param task - a waiting task of the step
- * @param queue - the job's queue, `undefined` if it was removed
+ * @param queue - the terms of the job's queue, `undefined` if they are not known
  * @param runTimes - learned run times
  * @param wallMs - current wall-clock time
  * @returns the rank of the step
  * @public
  */
-export function rankStep (task: Task, queue: QueueConfiguration | undefined, runTimes: RunTimeEstimator, wallMs: number): StepRank {
+export function rankStep (task: Task, queue: QueueTerms | undefined, runTimes: RunTimeEstimator, wallMs: number): StepRank {
   const { job } = task
   const step = stepOf(task)
   const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -12,6 +12,7 @@
 import { createWorkerRoom } from './createWorkerRoom.js'
 import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
+import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
@@ -57,7 +58,7 @@
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
 
-interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueConfiguration | undefined }
+interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueTerms | undefined }
 
 /** Places the waiting tasks of a service once. @public */
 export class PlacementRound {
@@ -95,7 +96,7 @@
     const waiting: WaitingStep[] = []
     for (const job of this.#options.jobs) {
       if (hasEnded(job)) continue
-      const queue = this.#queues.get(job.spec.queue)
+      const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
       for (const step of listReadySteps(job, this.#options.wallMs)) {
         const tasks = this.#selectPlaceable(step)
         const first = tasks[0]
--- a/packages/policy/src/lib/pressure/computeBacklog.ts
+++ b/packages/policy/src/lib/pressure/computeBacklog.ts
@@ -6,9 +6,10 @@
  *
  * @module
  */
-import type { AccountName, QueueConfiguration } from '@quillscale/ports'
+import type { AccountName } from '@quillscale/ports'
 import { hasEnded, listReadySteps, stepOf, type Job, type Run } from '../jobs/JobState.js'
 import type { StepSpec } from '../jobs/JobSpec.js'
+import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { rankStep, RANK_TIERS } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import { createWorkerRoom } from '../placement/createWorkerRoom.js'
@@ -24,7 +25,7 @@
   readonly workerViews: readonly WorkerView[]
   readonly runTimes: RunTimeEstimator
   /** Returns the queue of a job, `undefined` if it was removed. */
-  readonly queueOf: (name: string) => QueueConfiguration | undefined
+  readonly queueOf: (name: string) => QueueTerms | undefined
   /** Returns the limit of an account, `undefined` if it has none. */
   readonly limitOf: (account: AccountName) => Resources | undefined
   readonly isEvacuated: (availabilityZone: string) => boolean
@@ -87,7 +88,7 @@
 }
 
 function waitingJobOf (job: Job, { runTimes, queueOf, wallMs }: BacklogSources): WaitingJob | undefined {
-  const queue = queueOf(job.spec.queue)
+  const queue = effectiveTerms(job.spec, queueOf(job.spec.queue))
   if (hasEnded(job) || queue === undefined || queue.advice !== undefined) return undefined
   const waiting = listReadySteps(job, wallMs).flat().filter((task) => !task.isDone && task.runs.length === 0 && waitsForCpu(stepOf(task)))
   const first = waiting[0]
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -4,7 +4,7 @@
 import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
-import { PlacementRound } from '../lib/placement/PlacementRound.js'
+import { PlacementRound, type PlacementRoundOptions } from '../lib/placement/PlacementRound.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
 import { testJobId } from './testJobId.js'
@@ -37,7 +37,9 @@
   }
 }
 
-function roundOf (jobs: readonly Job[], links: readonly WorkerView[], runTimes = new RunTimeEstimator()): PlacementRound {
+function roundOf (
+  jobs: readonly Job[], links: readonly WorkerView[], runTimes = new RunTimeEstimator(), overrides: Partial<PlacementRoundOptions> = {}
+): PlacementRound {
   return new PlacementRound({
     configuration,
     jobs,
@@ -47,7 +49,8 @@
     accountQuotaOf: () => undefined,
     availability: { isMachineDraining: () => false, isEvacuated: () => false },
     nowMs: NOW_MS,
-    wallMs: NOW_MS
+    wallMs: NOW_MS,
+    ...overrides
   })
 }
 
@@ -139,3 +142,22 @@
     })
   }
 })
+
+/** Tickets for worker `w1` of two, and where the task of a job goes whose queue was removed; its record tells whether the queue needed tickets. */
+const removedQueues = [
+  { name: 'that needed tickets: with a ticket', advice: { decisionMs: 5, perWorkerMs: 1, validMs: 3000 }, expected: ['w1 ticket'] },
+  { name: 'that needed none: without', advice: undefined, expected: ['w0 undefined'] }
+]
+
+// A job got no tickets any more, and its later steps could not start, because its queue had been removed (review report).
+describe('PlacementRound, with a job whose queue was removed', () => {
+  for (const { name, advice, expected } of removedQueues) {
+    it(`places a task of a queue ${name}`, () => {
+      const job = jobOf(1, [{ taskCount: 1 }], NOW_MS)
+      Object.assign(job.spec, { queueTerms: { priority: 0, attempts: 3, stretch: 2, targetLatencyMs: 100, advice } })
+      const source = { ticketsFor: () => new Map([['w1', 'ticket']]) }
+      const runs = roundOf([job], [workerOf('w0'), workerOf('w1')], undefined, { advice: source, configuration: { ...configuration, queues: [] } }).place()
+      expect(runs.map(({ instanceId, ticket }) => `${instanceId} ${ticket}`)).to.deep.equal(expected)
+    })
+  }
+})
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, effectiveTerms, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -84,7 +84,7 @@
       clock,
       log: options.log,
       runTimes: this.#runTimes,
-      maxAttemptsOf: (job) => configuration()?.queues.find(({ name }) => name === job.spec.queue)?.attempts ?? DEFAULT_ATTEMPTS,
+      maxAttemptsOf: ({ spec }) => effectiveTerms(spec, configuration()?.queues.find(({ name }) => name === spec.queue))?.attempts ?? DEFAULT_ATTEMPTS,
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
@@ -391,5 +391,5 @@
   }
 }
 
-/** Attempts for jobs of a queue that was removed from the configuration; the value that most queues have. */
+/** Attempts for jobs of a removed queue whose record does not tell them; the value that most queues have. */
 const DEFAULT_ATTEMPTS = 3
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -155,6 +155,8 @@
   maxLeaseMs = 1000
   /** For how long ended jobs are kept. */
   keepEndedMs = 60_000
+  /** What hosts record of the queue with its jobs; `undefined` as by program versions that record nothing. */
+  recordedTerms: JobSpec['queueTerms']
   configuration: FleetConfiguration = {
     version: 1,
     maxBodyBytes: 10_000,
@@ -333,6 +335,7 @@
     const spec = jobSpecSchema.parse({
       jobId,
       queue: QUEUE,
+      queueTerms: this.recordedTerms,
       command: JSON.stringify(command),
       submittedMs: Date.now(),
       schedule,
