Workers are reserved only for tasks that can run there once their finite runs have ended

Cause: reserveLargestRoom took the worker with the most free CPU, if its label and whole CPU suited. Memory, GPUs and what never ends there were not looked at, so a reservation could stand for good and leave less than nothing of a worker, in each round before all other jobs. reserveForSuspects took the emptiest worker for a suspect job without asking whether its tasks can run there. Steps that no worker can run also claimed quota and advice.

Ruled out: the need of machines (the job would reserve further ones), quotas (none there), a slow holder (a sound job in its place: all begin).

Change: WorkerRoom.reservable is what lasting runs and earlier reservations leave; reservations.ts reserves by it, by all resources, label, ticket, spread and isolation, and picks the worker that has most of the scarcest resource. CapacityCheck leaves steps out of a round that no worker could run if it were empty, gangs by all workers together. suitability.ts has the conditions, which were private to placeTasks.

--- a/packages/policy/src/lib/machines/computeServiceDemand.ts
+++ b/packages/policy/src/lib/machines/computeServiceDemand.ts
@@ -5,7 +5,7 @@
  */
 import type { AccountName } from '@quillscale/ports'
 import { hasEnded, listReadySteps, stepOf, type Job, type Task } from '../jobs/JobState.js'
-import { cpuDemandOf } from '../placement/placeTasks.js'
+import { cpuDemandOf } from '../placement/suitability.js'
 import { NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, type Resources } from '../quotas/resources.js'
 import { LASTING_RUN_WEIGHT, type ServiceDemand } from './planPools.js'
 import { type AvailabilityContext, countsAsCapacity } from '../placement/unavailability.js'
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -10,7 +10,9 @@
 import { ISOLATION_WAIT_MS } from './isolation.js'
 import { type AvailabilityContext, findUnavailability } from './unavailability.js'
 import { createWorkerRoom } from './createWorkerRoom.js'
-import { cpuDemandOf, placeTasks, type Placement } from './placeTasks.js'
+import { CapacityCheck } from './CapacityCheck.js'
+import { placeTasks, type Placement } from './placeTasks.js'
+import { cpuDemandOf } from './suitability.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
@@ -84,7 +86,9 @@
     const waiting = this.#listWaitingSteps()
     // Runs placed for a job that ends in this round would be lost from its state, yet keep occupying workers.
     const givenUp = new Set(this.tasksToGiveUp.map(({ job }) => job))
-    const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job))
+    const capacity = new CapacityCheck(this.#options.workerViews)
+    // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
+    const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
     const placements = placeTasks(groups, rooms, this.quota)
     this.#preemptForLastingTask(groups, placements)
--- a/packages/policy/src/lib/placement/WorkerRoom.ts
+++ b/packages/policy/src/lib/placement/WorkerRoom.ts
@@ -5,6 +5,7 @@
  */
 import type { WorkerCapacity } from '@quillscale/ports'
 import type { Job, Task } from '../jobs/JobState.js'
+import type { Resources } from '../quotas/resources.js'
 
 /** A worker with its remaining capacity, which shrinks as tasks are placed. @public */
 export interface WorkerRoom {
@@ -17,6 +18,8 @@
   cpuMillis: number
   memoryMb: number
   gpus: number
+  /** Capacity without lasting runs and reservations: what is free at the latest when the finite runs have ended. */
+  reservable: Resources
   /** Lasting tasks on the worker with a latency target. */
   latencySensitiveTasks: number
   fillers: number
--- a/packages/policy/src/lib/placement/createWorkerRoom.ts
+++ b/packages/policy/src/lib/placement/createWorkerRoom.ts
@@ -26,6 +26,7 @@
     cpuMillis: capacity.cpuMillis,
     memoryMb: capacity.memoryMb,
     gpus: capacity.gpus,
+    reservable: capacity,
     latencySensitiveTasks: 0,
     fillers: 0,
     runsByStep: new Map(),
--- a/packages/policy/src/lib/placement/isolation.ts
+++ b/packages/policy/src/lib/placement/isolation.ts
@@ -13,10 +13,6 @@
 
 /** Most workers finish their short tasks within 1 to 2 s; users allow 3 s until a task runs if there is capacity. */
 export const ISOLATION_WAIT_MS = 1500
-/** Largest share of workers reserved for suspect jobs; at least one may be. */
-const MAX_RESERVED_SHARE = 0.5
-/** Cost of a lasting run, which does not end by itself. */
-const LASTING_RUN_COST = 100
 
 /** @param room - a worker @param job - a job @returns the number of runs of other jobs on the worker */
 export function countRunsOfOtherJobs (room: WorkerRoom, job: Job): number {
@@ -31,30 +27,6 @@
   return !isCrashSuspect(task) || group.mayShareWorker === true || countRunsOfOtherJobs(room, task.job) === 0
 }
 
-/**
- * Reserves the emptiest worker for each waiting suspect job.
- *
- * @param groups - waiting steps
- * @param rooms - available workers
- */
-export function reserveForSuspects (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[]): void {
-  const jobs = new Set(groups.flatMap(({ tasks }) => tasks.filter(isCrashSuspect).map(({ job }) => job)))
-  let left = Math.max(1, Math.floor(rooms.length * MAX_RESERVED_SHARE)) - rooms.filter(({ reservedFor }) => reservedFor !== undefined).length
-  for (const job of jobs) {
-    if (left <= 0) return
-    if (rooms.some((room) => room.reservedFor === job)) continue
-    const open = rooms.filter(({ reservedFor }) => reservedFor === undefined)
-    if (open.length === 0) return
-    const emptiest = open.reduce((best, room) => isolationCost(room, job) < isolationCost(best, job) ? room : best)
-    emptiest.reservedFor = job
-    left--
-  }
-}
-
-function isolationCost (room: WorkerRoom, job: Job): number {
-  return countRunsOfOtherJobs(room, job) + LASTING_RUN_COST * room.lastingRuns
-}
-
 /** @param tasks - tasks of one step @returns suspect tasks first, since placement of the step ends at the first other task that does not fit */
 export function orderSuspectsFirst (tasks: readonly Task[]): readonly Task[] {
   if (!tasks.some(isCrashSuspect)) return tasks
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -8,7 +8,10 @@
 import { stepOf, type Task } from '../jobs/JobState.js'
 import type { QuotaAdmission } from '../quotas/QuotaAdmission.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
-import { adjustRunCounts, allowsIsolation, reserveForSuspects, countRunsOfOtherJobs, orderSuspectsFirst } from './isolation.js'
+import { minus, plus } from '../quotas/resources.js'
+import { adjustRunCounts, countRunsOfOtherJobs, orderSuspectsFirst } from './isolation.js'
+import { findReservableRoom, reserveForSuspects } from './reservations.js'
+import { cpuDemandOf, demandOf, fits, isSuitable } from './suitability.js'
 
 /** Assignment of a task to a worker. @public */
 export interface Placement {
@@ -17,9 +20,6 @@
   readonly ticket?: string | undefined
 }
 
-/** @param step - a step @returns the CPU that a task of it takes from a worker's capacity; none for fillers @public */
-export const cpuDemandOf = (step: StepSpec): number => step.isFiller ? 0 : step.cpuMillis
-
 /**
  * Places tasks in order of importance, each on the worker with the highest score.
  *
@@ -61,9 +61,10 @@
       continue
     }
     if (isCrashSuspect(task)) continue
+    const reservable = group.mayReserve ? findReservableRoom(task, group, rooms) : undefined
     // The other tasks of the step need the same resources.
-    if (!group.mayReserve) break
-    reserveLargestRoom(task, group, rooms)
+    if (reservable === undefined) break
+    adjustRoom(reservable, task, 1)
   }
   return placements
 }
@@ -85,17 +86,6 @@
   return rooms.find((room) => room.instanceId === instanceId) as WorkerRoom
 }
 
-function isSuitable (task: Task, step: StepSpec, group: PlacementGroup, room: WorkerRoom): boolean {
-  if (step.requiredLabel !== '' && !room.labels.includes(step.requiredLabel)) return false
-  if (!allowsIsolation(task, group, room)) return false
-  if (group.tickets !== undefined && !group.tickets.has(room.instanceId)) return false
-  return step.maxPerWorker === 0 || (room.runsByStep.get(task.stepKey) ?? 0) < step.maxPerWorker
-}
-
-function fits (step: StepSpec, room: WorkerRoom): boolean {
-  return room.cpuMillis >= cpuDemandOf(step) && room.memoryMb >= step.memoryMb && room.gpus >= step.gpus
-}
-
 /**
  * Scores a worker for a task; higher is better. Prefers, in this order, workers where a crash would end the fewest other runs, where the task has
  * not failed, near its data, with the least interference, with few lasting tasks of the same step, warm if the task is urgent, and the fullest,
@@ -127,7 +117,7 @@
   let best: WorkerRoom | undefined
   let bestScore = -Infinity
   for (const room of rooms) {
-    if (!fits(step, room) || !isSuitable(task, step, group, room)) continue
+    if (!fits(step, room) || !isSuitable(task, group, room)) continue
     const value = placementScore(task, step, room, group.isUrgent === true)
     if (value > bestScore) [best, bestScore] = [room, value]
   }
@@ -146,19 +136,13 @@
   return findBestRoom(task, { tasks: [task], mayReserve: false }, rooms)
 }
 
-/** Reserves capacity on the suitable worker that has the most left, so that less important tasks do not use it up piecemeal. */
-function reserveLargestRoom (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): void {
-  const step = stepOf(task)
-  const suitable = rooms.filter((room) => isSuitable(task, step, group, room) && room.capacity.cpuMillis >= step.cpuMillis)
-  const largest = suitable.reduce<WorkerRoom | undefined>((best, room) => best === undefined || room.cpuMillis > best.cpuMillis ? room : best, undefined)
-  if (largest !== undefined) adjustRoom(largest, task, 1)
-}
-
 function adjustRoom (room: WorkerRoom, task: Task, sign: 1 | -1): void {
   const step = stepOf(task)
-  room.cpuMillis -= sign * cpuDemandOf(step)
-  room.memoryMb -= sign * step.memoryMb
-  room.gpus -= sign * step.gpus
+  const demand = demandOf(step)
+  room.cpuMillis -= sign * demand.cpuMillis
+  room.memoryMb -= sign * demand.memoryMb
+  room.gpus -= sign * demand.gpus
+  if (step.isLasting) room.reservable = sign > 0 ? minus(room.reservable, demand) : plus(room.reservable, demand)
   if (step.isFiller) room.fillers += sign
   else if (step.targetTailMs > 0) room.latencySensitiveTasks += sign
   const key = task.stepKey
--- a/packages/policy/src/lib/placement/stillFits.ts
+++ b/packages/policy/src/lib/placement/stillFits.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { stepOf, type Run } from '../jobs/JobState.js'
-import { cpuDemandOf } from './placeTasks.js'
+import { cpuDemandOf } from './suitability.js'
 import type { WorkerView } from './WorkerView.js'
 
 /**
--- a/packages/policy/src/lib/pressure/decideAdmission.ts
+++ b/packages/policy/src/lib/pressure/decideAdmission.ts
@@ -9,7 +9,7 @@
 import { criticalPathMs } from '../jobs/criticalPathMs.js'
 import type { JobSpec, StepSpec } from '../jobs/JobSpec.js'
 import { LATE_FACTOR } from '../jobs/rankStep.js'
-import { cpuDemandOf } from '../placement/placeTasks.js'
+import { cpuDemandOf } from '../placement/suitability.js'
 import type { Backlog } from './Backlog.js'
 import { findRowAhead, predictWaitMs } from './predictWaitMs.js'
 
--- a/packages/policy/src/test/QuotaAdmission.test.ts
+++ b/packages/policy/src/test/QuotaAdmission.test.ts
@@ -26,6 +26,7 @@
     instanceId,
     labels: ['a', 'r1'],
     ...capacity,
+    reservable: capacity,
     capacity,
     isCold: false,
     latencySensitiveTasks: 0,
--- a/packages/policy/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import type { WorkerCapacity } from '@quillscale/ports'
 import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
 import { QuotaAdmission } from '../lib/quotas/QuotaAdmission.js'
@@ -14,6 +15,7 @@
   readonly isCold = false
   memoryMb = 32_000
   gpus = 0
+  reservable: WorkerCapacity = this.capacity
   latencySensitiveTasks = 0
   fillers = 0
   readonly runsByStep = new Map<string, number>()
