Preemption looks at all that a lasting task needs, and goes on to the next task if one can't run

Runs were stopped on workers where the waiting lasting task could not start, round after round, and one lasting task that fits nowhere kept all later ones from preempting.

Cause: preemptFor compared CPU and memory only, not GPUs, label and ticket, and the first task that might preempt ended the search also when no worker was found for it.

Ruled out: that later rounds reach the next task, since the order of the steps stays.

Change: findVictims uses the same conditions as placement and what lasting runs leave; the search ends with the first task for which victims were found.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -7,12 +7,13 @@
 import { isCrashSuspect, decidePlacement } from '../jobs/crashes.js'
 import { hasEnded, listReadySteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
+import { plus, type Resources } from '../quotas/resources.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
 import { type AvailabilityContext, findUnavailability } from './unavailability.js'
 import { createWorkerRoom } from './createWorkerRoom.js'
 import { CapacityCheck } from './CapacityCheck.js'
 import { placeTasks, type Placement } from './placeTasks.js'
-import { cpuDemandOf } from './suitability.js'
+import { demandOf, fits, meetsConditions } from './suitability.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
@@ -165,35 +166,40 @@
   /** Stops runs of other than lasting tasks, those with the least progress first, until a waiting lasting task fits. */
   #preemptForLastingTask (groups: readonly PlacementGroup[], placements: readonly Placement[]): void {
     const placed = new Set(placements.map(({ task }) => task))
-    for (const { tasks } of groups) {
-      for (const task of tasks) {
-        const step = stepOf(task)
-        const waitedMs = this.#options.nowMs - (task.waitingSinceMs ?? this.#options.nowMs)
-        if (placed.has(task) || this.quota.held.has(task) || isCrashSuspect(task) || !step.isLasting || step.isFiller || waitedMs < PREEMPT_AFTER_MS) continue
-        this.#preemptFor(task)
-        return
-      }
+    let rooms: readonly WorkerRoom[] | undefined
+    for (const group of groups) {
+      const task = group.tasks.find((each) => !placed.has(each) && this.#mayPreempt(each))
+      if (task === undefined) continue
+      rooms ??= this.#availableRooms()
+      const victims = this.#findVictims(task, group, rooms)
+      this.runsToStop.push(...victims ?? [])
+      if (victims !== undefined) return
     }
   }
 
-  #preemptFor (task: Task): void {
+  #mayPreempt (task: Task): boolean {
+    const { isLasting, isFiller } = stepOf(task)
+    const waitedMs = this.#options.nowMs - (task.waitingSinceMs ?? this.#options.nowMs)
+    return isLasting && !isFiller && waitedMs >= PREEMPT_AFTER_MS && !this.quota.held.has(task) && !isCrashSuspect(task)
+  }
+
+  /** Finds the fewest runs of one worker that have to stop so that a task fits there; `undefined` if it fits on no worker even then. */
+  #findVictims (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[]): readonly Run[] | undefined {
     const step = stepOf(task)
-    const choices = this.#options.workerViews.filter((workerView) => this.#isAvailable(workerView)).map((workerView) => {
-      const room = createWorkerRoom(workerView, this.#options.nowMs)
+    const usable = rooms.filter((room) => fits(step, room.reservable) && room.reservedFor === undefined && meetsConditions(task, group, room))
+    const choices = usable.flatMap((room) => {
+      let free: Resources = room
       const victims: Run[] = []
-      const movable = [...workerView.runs.values()].filter((run) => run.phase === 'running' && !stepOf(run.task).isLasting).sort((a, b) => a.percent - b.percent)
+      const runs = this.#options.workerViews.find(({ instance }) => instance.instanceId === room.instanceId)?.runs.values() ?? []
+      const movable = [...runs].filter((run) => run.phase === 'running' && !stepOf(run.task).isLasting).sort((a, b) => a.percent - b.percent)
       for (const run of movable) {
-        if (room.cpuMillis >= step.cpuMillis && room.memoryMb >= step.memoryMb) break
+        if (fits(step, free)) break
         victims.push(run)
-        room.cpuMillis += cpuDemandOf(stepOf(run.task))
-        room.memoryMb += stepOf(run.task).memoryMb
+        free = plus(free, demandOf(stepOf(run.task)))
       }
-      const isEnough = room.cpuMillis >= step.cpuMillis && room.memoryMb >= step.memoryMb
-      const hasPlace = step.maxPerWorker === 0 || (room.runsByStep.get(task.stepKey) ?? 0) < step.maxPerWorker
-      return { victims, isEnough: isEnough && hasPlace && room.reservedFor === undefined }
+      return fits(step, free) ? [victims] : []
     })
-    const best = choices.filter(({ isEnough }) => isEnough).sort((a, b) => a.victims.length - b.victims.length)[0]
-    if (best !== undefined) this.runsToStop.push(...best.victims)
+    return choices.sort((a, b) => a.length - b.length)[0]
   }
 
   #stopStalledRuns (): void {
--- a/packages/policy/src/test/reservations.test.ts
+++ b/packages/policy/src/test/reservations.test.ts
@@ -146,3 +146,33 @@
     })
   }
 })
+
+/** Both workers are full of finite runs, the second one has a GPU and the label `b`. */
+const preempting: ReadonlyArray<{
+  readonly name: string, readonly first?: Partial<StepSpec>, readonly step: Partial<StepSpec>, readonly expected: readonly string[]
+}> = [
+  { name: 'only on a worker with its label', step: { requiredLabel: 'b' }, expected: ['w1'] },
+  { name: 'only on a worker with the GPUs that it needs', step: { gpus: 1 }, expected: ['w1'] },
+  { name: 'on no worker if none can hold it', step: { gpus: 2 }, expected: [] },
+  { name: 'although an earlier one can run on no worker', first: { requiredLabel: 'c' }, step: {}, expected: ['w0'] },
+  { name: 'although an earlier one has no room beside lasting tasks', first: { memoryMb: 32_000 }, step: {}, expected: ['w0'] }
+]
+
+// One lasting task that could not run kept all others from preempting, and runs were stopped on workers where the waiting task could not run.
+describe('a lasting task that waits preempts', () => {
+  for (const { name, first, step, expected } of preempting) {
+    it(name, () => {
+      const workers = workersOf(2).map((worker, index): Worker => ({
+        ...worker,
+        instance: { ...worker.instance, labels: [index === 1 ? 'b' : 'a', `r${index}`], capacity: { ...CAPACITY, gpus: index } }
+      }))
+      run(jobOf(8, { taskCount: 2, isLasting: true, maxPerWorker: 1 }), workers)
+      run(jobOf(9, { taskCount: 30 }), workers)
+      const jobs = [...(first === undefined ? [] : [jobOf(1, { isLasting: true, ...first })]), jobOf(2, { isLasting: true, ...step })]
+      for (const task of jobs.flatMap(tasksOfJob)) task.waitingSinceMs = NOW_MS - 10_000
+      const round = roundOf(jobs, workers)
+      round.place()
+      expect(round.runsToStop.map(({ instanceId }) => instanceId)).to.deep.equal(expected)
+    })
+  }
+})
