The need of machines counts memory, GPUs and tasks of which few fit on one machine

Cause: computeServiceDemand summed CPU only; need = CPU / (size x 0.85). Tasks of more than half a machine were summed as fractions that no two of them can share.

Ruled out: the limits of accounts (they cap the demand as before), pool moves (planPools follows the need), leastMachines by spread (kept).

Change: MachineSizes gives the share of a machine that a task takes, by size and by how many like it fit on the service's machines; leastMachines is the largest of spread, memory, GPUs and places. The stored record is unchanged, so that an older holder of the machine duty follows it too. Tasks above the largest worker count by CPU only, as before. Labels stay out.

--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -11,7 +11,7 @@
   readonly service: string
   /** CPU, in thousandths of a core, of the running tasks and those ready to start. */
   readonly wantedMillis: number
-  /** Minimum number of machines over which its lasting tasks are spread. */
+  /** Minimum number of machines: over which its lasting tasks are spread, and which its tasks fill by memory, GPUs or their size. */
   readonly leastMachines: number
   /** Runs on each of its machines that accept work; a lasting run counts as {@link LASTING_RUN_WEIGHT}. */
   readonly runsByMachine: ReadonlyMap<string, number>
@@ -53,8 +53,8 @@
 /** Weight of a lasting run among the runs of a machine: it must be moved, which its users notice, while other runs just finish. @public */
 export const LASTING_RUN_WEIGHT = 10
 
-/** Machines are added above this utilization, since tasks do not pack without gaps. */
-const MAX_UTILIZATION = 0.85
+/** Machines are added above this utilization, since tasks do not pack without gaps. @public */
+export const MAX_UTILIZATION = 0.85
 /** A machine with more runs is not drained for another service, since that would take too long. */
 const MAX_RUNS_TO_DRAIN = 4
 
