The log says why a step waits: what each worker that takes runs lacks for it

Cause: nothing told an operator why a job is not placed beside idle workers. Ruled out: the need of machines (counts workers, not what a step lacks), explain JOB (reads records; placement is known to the holder only).

Change: listUnplaced of a round gives the steps that wait longest, and countObstacles the number of workers by the first rule that keeps the task from them; UnplacedLog writes "tasks wait for room" for steps that wait 3 s, at most 3 lines a second and each again after 30 s or when its reason changes.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,7 +15,7 @@
   allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, listReadySteps, stepOf, tasksOf, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
-export { effectiveTerms, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
+export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
 export { dutyClaimDelayMs, type DutyCandidate } from './lib/duties/dutyClaimDelayMs.js'
@@ -30,7 +30,8 @@
 export { PlacementRound, type PlacementRoundOptions, type TicketSource } from './lib/placement/PlacementRound.js'
 export { createWorkerRoom } from './lib/placement/createWorkerRoom.js'
 export { findRoomFor, occupy, placeTasks, type Placement } from './lib/placement/placeTasks.js'
-export { cpuDemandOf } from './lib/placement/suitability.js'
+export { cpuDemandOf, demandOf } from './lib/placement/suitability.js'
+export type { PlacementObstacle, UnplacedStep } from './lib/placement/explainUnplaced.js'
 export type { PlacementGroup, WorkerRoom } from './lib/placement/WorkerRoom.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
 export { isLacking, planGrant, sumGranted, type QuotaClaim, type GrantPlan, type OwnClaim } from './lib/quotas/planGrant.js'
--- a/packages/policy/src/lib/jobs/QueueTerms.ts
+++ b/packages/policy/src/lib/jobs/QueueTerms.ts
@@ -35,3 +35,16 @@
 export function queueTermsOf ({ priority, attempts, stretch, targetLatencyMs, advice }: QueueTerms): QueueTerms {
   return { priority, attempts, stretch, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
 }
+
+/** Attempts for jobs of a removed queue whose record does not tell them; the value that most queues have. */
+const DEFAULT_ATTEMPTS = 3
+
+/**
+ * Returns the number of failed runs of one task after which a job fails.
+ *
+ * @param spec - the job
+ * @param present - its queue in the present configuration, `undefined` if it was removed
+ * @returns the number of runs
+ * @public
+ */
+export const maxAttemptsOf = (spec: JobSpec, present: QueueTerms | undefined): number => effectiveTerms(spec, present)?.attempts ?? DEFAULT_ATTEMPTS
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -12,6 +12,7 @@
 import { type AvailabilityContext, findUnavailability } from './unavailability.js'
 import { createWorkerRoom } from './createWorkerRoom.js'
 import { CapacityCheck } from './CapacityCheck.js'
+import { countObstacles, type UnplacedStep } from './explainUnplaced.js'
 import { placeTasks, type Placement } from './placeTasks.js'
 import { demandOf, fits, meetsConditions } from './suitability.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
@@ -73,11 +74,14 @@
   readonly quota: QuotaAdmission
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
+  readonly #capacity: CapacityCheck
+  #waiting: readonly WaitingStep[] = []
 
   /** @param options - state of the service */
   constructor (options: PlacementRoundOptions) {
     this.#options = options
     this.quota = new QuotaAdmission(options.accountQuotaOf)
+    this.#capacity = new CapacityCheck(options.workerViews)
     this.#queues = new Map(options.configuration.queues.map((queue) => [queue.name, queue]))
   }
 
@@ -85,11 +89,11 @@
   place (): Run[] {
     const rooms = this.#availableRooms()
     const waiting = this.#listWaitingSteps()
+    this.#waiting = waiting
     // Runs placed for a job that ends in this round would be lost from its state, yet keep occupying workers.
     const givenUp = new Set(this.tasksToGiveUp.map(({ job }) => job))
-    const capacity = new CapacityCheck(this.#options.workerViews)
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
-    const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && capacity.canRun(stepOf(first)))
+    const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
     const placements = placeTasks(groups, rooms, this.quota)
     this.#preemptForLastingTask(groups, placements)
@@ -97,6 +101,34 @@
     return this.#createRuns(placements)
   }
 
+  /**
+   * Lists the steps that wait after the round.
+   *
+   * @param minWaitMs - steps that have waited for less are left out
+   * @param mostSteps - the most steps to list
+   * @returns the steps that have waited longest, and what stands in their way
+   */
+  listUnplaced (minWaitMs: number, mostSteps: number): UnplacedStep[] {
+    const unplaced = this.#waiting.flatMap(({ tasks, rank, queue }) => {
+      const open = tasks.filter(({ job, runs }) => runs.length === 0 && !hasEnded(job))
+      const waitedMs = this.#waitedMs(open)
+      return open.length > 0 && waitedMs >= minWaitMs ? [{ tasks: open, rank, queue, waitedMs }] : []
+    })
+    if (unplaced.length === 0) return []
+    const rooms = this.#availableRooms()
+    return unplaced.sort((a, b) => b.waitedMs - a.waitedMs).slice(0, mostSteps).map(({ waitedMs, ...step }) => {
+      const task = step.tasks[0] as Task
+      // Advice is not asked for a step that no worker can run.
+      const group = this.#capacity.canRun(stepOf(task)) ? this.#groupOf(step, rooms) : { tasks: step.tasks, mayReserve: false }
+      const reason = this.quota.held.has(task) ? 'quota' : group === undefined ? 'advice' : 'workers'
+      return { task, taskCount: step.tasks.length, waitedMs, reason, workers: countObstacles(task, group ?? { tasks: step.tasks, mayReserve: false }, rooms) }
+    })
+  }
+
+  #waitedMs (tasks: readonly Task[]): number {
+    return this.#options.nowMs - Math.min(...tasks.map(({ waitingSinceMs }) => waitingSinceMs ?? this.#options.nowMs))
+  }
+
   #listWaitingSteps (): WaitingStep[] {
     const waiting: WaitingStep[] = []
     for (const job of this.#options.jobs) {
@@ -144,8 +176,7 @@
 
   #groupOf ({ tasks, rank, queue }: WaitingStep, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
     const mayReserve = rank.tier === RANK_TIERS.lasting
-    const waitedMs = this.#options.nowMs - Math.min(...tasks.map(({ waitingSinceMs }) => waitingSinceMs ?? this.#options.nowMs))
-    const mayShareWorker = waitedMs >= ISOLATION_WAIT_MS
+    const mayShareWorker = this.#waitedMs(tasks) >= ISOLATION_WAIT_MS
     const isUrgent = URGENT_TIERS.has(rank.tier)
     if (queue?.advice === undefined) return { tasks, mayReserve, mayShareWorker, isUrgent }
     const byRoom = [...rooms].sort((a, b) => b.cpuMillis - a.cpuMillis).map(({ instanceId }) => instanceId)
--- a/packages/policy/src/test/reservations.test.ts
+++ b/packages/policy/src/test/reservations.test.ts
@@ -176,3 +176,29 @@
     })
   }
 })
+
+/** What keeps the workers from a task: `w0` has a GPU run that lasts, `w1` is full of finite runs. */
+const obstacles: ReadonlyArray<{ readonly name: string, readonly step: Partial<StepSpec>, readonly queue?: string, readonly expected: object }> = [
+  { name: 'its label', step: { requiredLabel: 'b' }, expected: { reason: 'workers', workers: { label: 2 } } },
+  { name: 'its memory', step: { memoryMb: 64_000 }, expected: { reason: 'workers', workers: { memory: 2 } } },
+  { name: 'lasting runs and finite ones', step: { gpus: 1, cpuMillis: 2000 }, expected: { reason: 'workers', workers: { 'lasting-runs': 1, full: 1 } } },
+  { name: 'missing tickets', step: {}, queue: ADVISED_QUEUE, expected: { reason: 'workers', workers: { ticket: 2 } } },
+  { name: 'a gang that does not fit', step: { isGang: true, taskCount: 17 }, expected: { reason: 'workers', workers: { others: 1, full: 1 } } }
+]
+
+describe('a task that waits is explained', () => {
+  for (const { name, step, queue, expected } of obstacles) {
+    it(`by ${name}`, () => {
+      const workers = workersOf(2)
+      run(jobOf(8, { isLasting: true, gpus: 1, requiredLabel: 'r0' }), workers)
+      run(jobOf(9, { taskCount: 16, requiredLabel: 'r1' }), workers)
+      const job = jobOf(1, step, queue)
+      for (const task of tasksOfJob(job)) task.waitingSinceMs = NOW_MS - 5000
+      const round = roundOf([job], workers)
+      round.place()
+      const [unplaced] = round.listUnplaced(3000, 10)
+      expect(unplaced).to.deep.include({ ...expected, waitedMs: 5000 })
+      expect(round.listUnplaced(6000, 10)).to.deep.equal([])
+    })
+  }
+})
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, effectiveTerms, hasEnded, type Job, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -30,8 +30,9 @@
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
-import { cancelKey, chainKey, goneKey, inboxPrefix, jobKey, jobServiceKey, progressKey, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
+import { chainKey, goneKey, inboxPrefix, progressKey, progressPrefix, recordKeysOf, silentWorkersKey } from '../records/storeKeys.js'
 import { retryUntilAnswered } from '../records/retryUntilAnswered.js'
+import { UnplacedLog } from '../jobs/UnplacedLog.js'
 import { WorkerRegistrations } from '../workers/WorkerRegistrations.js'
 import { WorkerTracker, type WorkerTrackerOptions } from '../workers/WorkerTracker.js'
 import { ZoneEvacuator } from '../workers/ZoneEvacuator.js'
@@ -66,6 +67,7 @@
   readonly #inboxReplica: PrefixReplica
   readonly #stop = new AbortController()
   readonly #pacer: RoundPacer
+  readonly #unplacedLog: UnplacedLog
   readonly #evacuator: ZoneEvacuator
   /** Set once the store has answered in {@link ServiceScheduler.run}. */
   #writer!: FencedBatchWriter
@@ -80,11 +82,12 @@
     setMaxListeners(0, this.#stop.signal)
     const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock)
+    this.#unplacedLog = new UnplacedLog(options.log)
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
       runTimes: this.#runTimes,
-      maxAttemptsOf: ({ spec }) => effectiveTerms(spec, configuration()?.queues.find(({ name }) => name === spec.queue))?.attempts ?? DEFAULT_ATTEMPTS,
+      maxAttemptsOf: ({ spec }) => maxAttemptsOf(spec, configuration()?.queues.find(({ name }) => name === spec.queue)),
       linkOf: (run) => this.#workers.linkOf(run),
       onChanged: (job) => this.#saveProgress(job),
       onRunClosed: (run) => this.#ledger.removeRun(run),
@@ -355,6 +358,7 @@
     })
     const runs = round.place()
     for (const run of runs) this.#trackRun(run)
+    this.#unplacedLog.write(round, nowMs)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
     this.#ledger.warnOversized(round.quota.oversized)
     for (const run of round.runsToStop) this.#tracker.stopRun(run)
@@ -385,11 +389,7 @@
     for (const [jobId, job] of this.#registry.jobs) {
       if (job.endedMs === undefined || job.endedMs > cutoffMs) continue
       this.#registry.jobs.delete(jobId)
-      const keys = [jobKey(service, jobId), jobServiceKey(jobId), cancelKey(service, jobId), progressKey(service, jobId)]
-      for (const key of keys) this.#writer.put(key, () => undefined)
+      for (const key of recordKeysOf(service, jobId)) this.#writer.put(key, () => undefined)
     }
   }
 }
-
-/** Attempts for jobs of a removed queue whose record does not tell them; the value that most queues have. */
-const DEFAULT_ATTEMPTS = 3
