Soak: a queue moves to another service while its jobs are sent again

Change: a 30th kind of fault adds the extra queue, keeps it or takes it away for a while, and brings it back with the other service; accepted jobs of it are sent again up to five times, 0.8 s apart. The promise "no task runs twice" stands as it is.

--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -31,6 +31,8 @@
 /** Time since the last disturbance after which a host counts as undisturbed, as at the users' sites. */
 const UNDISTURBED_MS = 3000
 const RETRY_PAUSE_MS = 200
+const RESENDS = 5
+const RESEND_PAUSE_MS = 800
 const MS_PER_S = 1000
 const FINAL_STATES: ReadonlySet<string> = new Set(['succeeded', 'failed', 'cancelled'])
 
@@ -136,6 +138,7 @@
     job.submitted = await this.#submit(job, body)
     if (job.submitted !== 'accepted') return
     job.acceptedMs = this.#nowMs()
+    if (job.sentToExtraQueueMs !== undefined && this.#environment.resendsExtraJobs) this.#pending.push(this.#sendAgain(job, body))
     if (isCancelled) await this.#cancel(job)
     if (!isStatusChecked) return
     await delay(UNDISTURBED_MS + CALL_TIMEOUT_MS, this.#stop.signal)
@@ -158,6 +161,13 @@
     return isUncertain ? 'unknown' : 'refused'
   }
 
+  /** Sends an accepted job again some times, as after an answer that was lost on its way; it remains one job, whatever its queue's service is by then. */
+  async #sendAgain (job: JobView, body: unknown): Promise<void> {
+    for (let tries = 0; tries < RESENDS && await delay(RESEND_PAUSE_MS, this.#stop.signal); tries++) {
+      await this.#callAnyHost('POST', job, body, `${EXTRA_QUEUE_PATH}${job.jobId}`)
+    }
+  }
+
   async #cancel (job: JobView): Promise<void> {
     await delay(this.#random.next() * MS_PER_S)
     job.isCancelSent = true
--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -25,6 +25,7 @@
 /** The path of the queue that configuration changes add and remove. @public */
 export const EXTRA_QUEUE_PATH = '/extra/'
 const EXTRA_QUEUE: QueueSettings = { host: QUEUE_HOST, pathPrefix: EXTRA_QUEUE_PATH, service: SERVICES[0] }
+const MOVED_EXTRA_QUEUE: QueueSettings = { ...EXTRA_QUEUE, service: SERVICES[1] }
 const DUTY_PREFIX = 'duty/service/'
 const EXTRA_INBOX_PREFIX = `inbox/${EXTRA_QUEUE.service}/`
 const CONFIGURATION_PREFIX = 'op/'
@@ -64,6 +65,9 @@
   remainingCrashingJobs = 0
   /** How many of the next jobs are sent to the extra queue. */
   remainingExtraJobs = 0
+  /** Whether the jobs of the extra queue are sent again after it has moved. */
+  resendsExtraJobs = false
+  #extraQueue = EXTRA_QUEUE
   /** Time of the last store fault; `Infinity` while one is active. */
   storeLastDisturbedMs = -Infinity
   #configurationVersion = 0
@@ -147,10 +151,16 @@
     await this.writeConfiguration()
   }
 
+  /** Moves the extra queue to the other service. It exists from then on. */
+  async moveExtraQueue (): Promise<void> {
+    this.#extraQueue = this.#extraQueue === EXTRA_QUEUE ? MOVED_EXTRA_QUEUE : EXTRA_QUEUE
+    await this.setExtraQueue(true)
+  }
+
   /** Writes the current configuration under the next version. */
   async writeConfiguration (): Promise<void> {
     const hasExtraQueue = this.extraQueueChanges.at(-1)?.exists === true
-    const queues = hasExtraQueue ? [...PERMANENT_QUEUES, EXTRA_QUEUE] : PERMANENT_QUEUES
+    const queues = hasExtraQueue ? [...PERMANENT_QUEUES, this.#extraQueue] : PERMANENT_QUEUES
     const revision = await this.#write(encodeConfiguration(++this.#configurationVersion, queues, SERVICES, this.accounts.accountSettings))
     this.configurations.push({ revision, writtenMs: this.clock.monotonicMs(), hasExtraQueue })
   }
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -26,6 +26,8 @@
 const JOBS_FOR_EXTRA_QUEUE = 10
 /** Time in which all undisturbed hosts learn of an added queue, before it is removed. */
 const ADDED_QUEUE_MS = 500
+/** How often a queue stays while it moves; otherwise it is away for a while. */
+const STAYING_SHARE = 0.5
 /** An evacuation lasts longer than the bound from which no run may start in its zone. */
 const MIN_EVACUATION_MS = 5500
 /** A worker whose capacity shrinks keeps less than this share of it. */
@@ -185,6 +187,14 @@
       setTimeout(() => environment.restoreConfiguration(), forMs)
     }, ADDED_QUEUE_MS)
     return undefined
+  },
+  'a queue moves to another service, and its jobs are sent again': (environment, random, forMs) => {
+    void environment.setExtraQueue(true)
+    environment.remainingExtraJobs = JOBS_FOR_EXTRA_QUEUE
+    environment.resendsExtraJobs = true
+    setTimeout(() => { void environment.setExtraQueue(random.next() < STAYING_SHARE) }, ADDED_QUEUE_MS)
+    setTimeout(() => { void environment.moveExtraQueue() }, ADDED_QUEUE_MS + forMs / 2)
+    return undefined
   }
 }
 
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -14,6 +14,7 @@
     { seed: 20_261_203, seconds: 10, cause: 'a longer run with 27 kinds of faults', kindCount: 27 },
     { seed: 29, seconds: 15, cause: 'all kinds of faults; queues are removed while hosts learn of it late', kindCount: 29 },
     { seed: 311, seconds: 15, cause: 'all kinds of faults; queues are added three times while hosts learn of them late', kindCount: 28 },
+    { seed: 132, seconds: 15, cause: 'all kinds of faults; queues move while their jobs are sent again', kindCount: 30 },
     ...FAILED_SEEDS
   ]
   for (const { seed, seconds, cause, kindCount } of cases) {
