A recorded service that can't be one is no service to look in

Cause: found by reading. Status and cancellation made keys from whatever another writer had left under a job's service key; one of 500 characters is above the store's limit of keys, so that a lookup of that id would be answered 503 for good. JobRecorder checked it, JobApi did not. Ruled out: other values; they name a service that has no such job, and the search goes on. Change: isServiceName beside the key, used by both. The in-memory store has no limit of keys, so the new case passes without the check as well: this is shown by reading only. Conclusion: no case is known in which it mattered.

--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -15,7 +15,7 @@
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import { CallRetrier } from '../records/CallRetrier.js'
-import { CANCEL_VALUE, cancelKey, inboxPrefix, jobKey, jobServiceKey, parseInboxKey, progressKey, progressPrefix, WAITING_PREFIX, waitingKey } from '../records/storeKeys.js'
+import { CANCEL_VALUE, cancelKey, inboxPrefix, isServiceName, jobKey, jobServiceKey, parseInboxKey, progressKey, progressPrefix, WAITING_PREFIX, waitingKey } from '../records/storeKeys.js'
 import { hasChanged, JobRecorder, RECORD_UNREADABLE, type RecordingOutcome } from './JobRecorder.js'
 
 /** Dependencies of a {@link JobApi}. @public */
@@ -145,7 +145,8 @@
     if (found !== 'no-such-job') return found
     const recorded = await this.#calls.retry(deadlineMs, () => this.#options.store.get(jobServiceKey(jobId)))
     if (recorded.result.err) return this.#reportUnavailable(jobId, recorded.result.val)
-    const services = new Set(recorded.result.val === undefined ? others : [recorded.result.val.value, ...others])
+    const recordedService = recorded.result.val?.value ?? ''
+    const services = new Set(isServiceName(recordedService) ? [recordedService, ...others] : others)
     if (mostLikely !== undefined) services.delete(mostLikely)
     for (const service of services) {
       const outcome = await find(service)
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -13,7 +13,7 @@
 import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
-import { jobKey, jobServiceKey } from '../records/storeKeys.js'
+import { isServiceName, jobKey, jobServiceKey } from '../records/storeKeys.js'
 
 /** Dependencies of a {@link JobRecorder}. @public */
 export interface JobRecorderOptions {
@@ -46,8 +46,6 @@
 const MAX_SERVICES = MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES
 /** Enough to learn the recorded service, then its undecodable record, and to replace both. */
 const MAX_ROUNDS = 4
-/** Keeps the keys made from a recorded service name within the limits of the store. */
-const SERVICE_NAME_PATTERN = /^[^/]{1,120}$/
 
 /** Records jobs, unless their id was accepted before by any service. @public */
 export class JobRecorder {
@@ -85,7 +83,7 @@
       if (round === MAX_ROUNDS) return { result: Err(RECORD_UNREADABLE), mayHaveEffect: true, tries }
       replaced = current
       const recorded = current.find(({ key }) => key === jobServiceKey(jobId))?.value
-      if (recorded === undefined || !SERVICE_NAME_PATTERN.test(recorded)) continue
+      if (recorded === undefined || !isServiceName(recorded)) continue
       if (!services.includes(recorded)) services = [recorded, ...services].slice(0, MAX_SERVICES)
       home = current.some(({ key }) => key === jobKey(recorded, jobId)) ? recorded : service
     }
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -19,6 +19,10 @@
  * @public
  */
 export const jobServiceKey = (jobId: JobId): string => `job-service/${jobId}`
+/** Names of services that keep the keys made from them within the limits of the store. */
+const SERVICE_NAME_PATTERN = /^[^/]{1,120}$/
+/** @param value - value of a {@link jobServiceKey} @returns whether it can name a service; another writer may have left anything there @public */
+export const isServiceName = (value: string): boolean => SERVICE_NAME_PATTERN.test(value)
 /** Key of the cancellation of a job. @public */
 export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
 /** Prefix of the requests to drain machines of a service. @public */
--- a/packages/scheduler/src/test/movedQueues.test.ts
+++ b/packages/scheduler/src/test/movedQueues.test.ts
@@ -34,6 +34,7 @@
   { name: 'and another program version has recorded the job without its service', calls: calls('t'), stored: { [jobKey('s', JOB_ID)]: RECORD }, first: 's' },
   { name: 'and its recorded service is that of a job which is gone', calls: calls('t'), stored: { [jobServiceKey(JOB_ID)]: 's' }, first: 't' },
   { name: 'and the record of its service is another writer\'s', calls: calls('t'), stored: { [jobServiceKey(JOB_ID)]: '{"a/b":' }, first: 't' },
+  { name: 'and the record of its service names none that can be', calls: calls('t'), stored: { [jobServiceKey(JOB_ID)]: 'x'.repeat(500) }, first: 't' },
   {
     name: 'and its first record cannot be decoded',
     calls: calls('t'),
