A task is not given up for workers that had survived its start, nor as fast while others are lost without it

Callers saw: an accepted lasting job whose tasks harm nobody is shown as failed, and its other tasks are stopped in that moment. Cause: each loss of a worker added points to the tasks that ran there, however long they had run, and five made a verdict that can't be taken back. Only 3 s watched by one holder cleared them, so that a series of crashes, restarts and changes of holder adds up. Class: weak evidence adds up to a final verdict. Ruled out: attempts (no run ends failed in the failing test), a state told wrongly (one process, one store). Change: a run known to have survived its start (its worker lists it in answer to a later request, or answered 0.5 s after it) clears the points of a lasting task, and those of a finite one after 3 s. While other workers are lost that the job can't have ended (5 s around the loss), 60 ms of known survival are enough, and what is not known counts 1 point, so that 5 starts are needed; so it does in the first 5 s of a holder that inherits points. A charged task's worker is asked 60 and 500 ms after the start. A start that was never confirmed proves nothing. Every start that is not shown to have survived still counts: a task that does crash its workers is started five times at most, under any number of holders. Weighed: a wait or a trial alone before the last start (it tells nothing that the probe does not, and costs room); the least of 3 losses within 0.5 s only, without survival (a worker's mean life of 1.5 s gives three such losses in a row by chance).

--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -41,6 +41,8 @@
   shouldStop: boolean
   /** Monotonic; when the worker last listed it. */
   lastListedMs: number
+  /** Monotonic; when the last report that listed it was requested. */
+  listedAskedMs?: number | undefined
   /** Last reported progress; `progressMs` is when it last grew. */
   percent: number
   progressMs: number
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -106,7 +106,7 @@
       onChanged: (job) => this.#saveProgress(job, true)
     })
     this.#crashTracker = new CrashTracker({
-      log: options.log, count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#saveProgress(job)
+      log: options.log, tookOverMs: clock.monotonicMs(), count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#saveProgress(job)
     })
     this.#configurationGate = new ConfigurationGate({ ...options, onKnown: () => this.#pacer.request() })
     const put = (key: string, source: RecordEncoder, isUrgent: boolean): void => this.#writer.put(key, source, isUrgent)
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -1,10 +1,13 @@
 /**
- * Charges tasks with penalty points for workers that ended while running them, and distinguishes crashes caused by a task from outages
- * that end several workers at once.
+ * Charges tasks with penalty points for workers that ended while running them, and distinguishes crashes caused by a task from losses that it cannot
+ * have caused: of workers that had survived its start, and of workers that are lost at a time when others are lost without it.
  *
  * @module
  */
-import { hasEnded, isCrashSuspect, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, type CrashRecord, type Job, type WorkerLossKind, type Run, type Task } from '@quillscale/policy'
+import {
+  createCrashRecord, hasEnded, hasSurvivedUntil, isCrashSuspect, knownSurvivalMs, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, START_SURVIVAL_MS, type CrashRecord,
+  type Job, type Run, type Task, type WorkerLossKind
+} from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 
 /** A worker that ended, and the runs that were lost with it. @public */
@@ -26,6 +29,8 @@
 /** Dependencies of a {@link CrashTracker}. @public */
 export interface CrashTrackerOptions {
   readonly log: EventLog
+  /** Monotonic time since which the duty has been held; losses of workers before that are unknown. */
+  readonly tookOverMs: number
   /** Counts a lost worker in the metrics. */
   readonly count: (kind: WorkerLossKind) => void
   /** Called for each job whose tasks had points taken back. */
@@ -44,6 +49,8 @@
   readonly loss: WorkerLoss
   /** Jobs with a run that had just started on the worker. */
   readonly justStartedJobs: ReadonlySet<Job>
+  /** Jobs with a run that is not known to have survived. */
+  readonly possibleCauses: ReadonlySet<Job>
 }
 
 interface Crash extends WorkerEnd {
@@ -58,6 +65,8 @@
 const SIMULTANEOUS_LOSS_MS = 1000
 /** Workers of one rack or zone that must end together to prove a common cause, such as a power loss. */
 const MIN_CORRELATED_LOSSES = 3
+/** Time around a loss in which the loss of a worker that the same job cannot have ended makes its cause uncertain. */
+const UNRELATED_LOSS_MS = 5000
 /** How long points can be taken back. A job is given up a few seconds after its first crash, so all its crashes are still known then. */
 const CRASH_RETENTION_MS = 60_000
 /** Bounds the memory used; the oldest crashes are dropped. */
@@ -70,8 +79,8 @@
 export class CrashTracker {
   readonly #options: CrashTrackerOptions
   #crashes: Crash[] = []
-  /** Recent ends of workers without runs, which prove that something else than a task ends workers. */
-  #idleEnds: WorkerEnd[] = []
+  /** Recent ends of workers that no task can have ended, which prove that something else ends workers. */
+  #unrelatedEnds: WorkerEnd[] = []
 
   /** @param options - dependencies */
   constructor (options: CrashTrackerOptions) {
@@ -85,10 +94,16 @@
    * @param nowMs - current monotonic time
    */
   recordLoss (loss: WorkerLoss, nowMs: number): void {
-    if (loss.runs.length === 0) return this.#recordIdleEnd(loss, nowMs)
-    // If the end was planned, a run that the worker is known to have survived for a while did not cause it.
-    const begun = loss.runs.filter((run) => run.phase !== 'recording' && !(loss.isPlanned && hasSurvivedStart(loss, run)))
-    if (begun.length === 0) return
+    const started = loss.runs.filter(({ phase }) => phase !== 'recording')
+    const survivors = started.filter((run) => hasSurvivedStart(loss, run))
+    const proven = new Set(survivors.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
+    const cleared = survivors.filter((run) => proven.has(run) || this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs))
+    for (const { task } of cleared) this.#clear(task)
+    // If the end was planned or has another likely cause, a run that the worker is known to have survived for a while did not cause it.
+    const innocent = new Set(loss.isPlanned || loss.isSilent ? survivors : cleared)
+    const begun = started.filter((run) => !innocent.has(run))
+    const possibleCauses = new Set(started.filter((run) => !proven.has(run)).map(({ task }) => task.job))
+    if (begun.length === 0) return this.#recordUnrelatedEnd(loss, possibleCauses, nowMs)
     const justStartedTasks = new Set(begun.filter((run) => hasJustStarted(run, nowMs)).map(({ task }) => task))
     const suspects = new Set([...justStartedTasks].filter(isCrashSuspect).map(({ job }) => job))
     const isSingleJob = new Set(begun.map(({ task }) => task.job)).size === 1
@@ -97,7 +112,7 @@
         task: run.task,
         record: run.task.crashes,
         hasSurvivedStart: hasSurvivedStart(loss, run),
-        points: CRASH_POINTS[lossKindOf(loss, run.task, justStartedTasks, suspects)]
+        points: this.#limitPoints(run.task, CRASH_POINTS[lossKindOf(loss, run.task, justStartedTasks, suspects)], nowMs)
       }))
     for (const { task, record, points } of penalties) {
       const isJustStarted = justStartedTasks.has(task)
@@ -111,25 +126,57 @@
     if (loss.isSilent) return
     const justStartedJobs = new Set([...justStartedTasks].map(({ job }) => job))
     const retained = this.#crashes.filter(({ atMs }) => nowMs - atMs < CRASH_RETENTION_MS).slice(1 - MAX_RETAINED_CRASHES)
-    this.#crashes = [...retained, { atMs: nowMs, loss, penalties, justStartedJobs, isShared: false }]
+    this.#crashes = [...retained, { atMs: nowMs, loss, penalties, justStartedJobs, possibleCauses, isShared: false }]
     this.#applyCommonCauses(nowMs)
   }
 
-  #recordIdleEnd (loss: WorkerLoss, nowMs: number): void {
+  #recordUnrelatedEnd (loss: WorkerLoss, possibleCauses: ReadonlySet<Job>, nowMs: number): void {
     if (loss.isPlanned || loss.isSilent) return
-    this.#idleEnds = [...this.#idleEnds.slice(1 - MAX_IDLE_ENDS), { atMs: nowMs, loss, justStartedJobs: new Set() }]
+    const end: WorkerEnd = { atMs: nowMs, loss, justStartedJobs: new Set(), possibleCauses }
+    this.#unrelatedEnds = [...this.#unrelatedEnds.slice(1 - MAX_IDLE_ENDS), end]
     this.#applyCommonCauses(nowMs)
   }
 
-  /** Judges the recent crashes by all recent ends of workers. Any end without runs makes the cause of each crash doubtful. */
+  #clear (task: Task): void {
+    if (task.crashes.points === 0) return
+    task.crashes = createCrashRecord()
+    this.#options.onChanged(task.job)
+  }
+
+  /** Whether another worker was lost around the given time that no task of the job can have ended. */
+  #hasUnrelatedLoss (job: Job, instanceId: string, atMs: number): boolean {
+    const ends = [...this.#crashes, ...this.#unrelatedEnds].filter((end) => Math.abs(atMs - end.atMs) < UNRELATED_LOSS_MS)
+    const related = new Set([instanceId, ...ends.filter(({ possibleCauses }) => possibleCauses.has(job)).map(({ loss }) => loss.instanceId)])
+    return ends.some(({ loss }) => !related.has(loss.instanceId))
+  }
+
+  /** Limits the points for a loss if an earlier holder charged the task and this one does not know yet whether workers are being lost without it. */
+  #limitPoints ({ crashes }: Task, points: number, nowMs: number): number {
+    const isUnknown = nowMs - this.#options.tookOverMs < UNRELATED_LOSS_MS && !crashes.hasOnlyAttributableLosses
+    return isUnknown ? Math.min(points, CRASH_POINTS.shared) : points
+  }
+
+  /** Judges the recent crashes by all recent ends of workers. Any end that no task can have caused makes the cause of each crash doubtful. */
   #applyCommonCauses (nowMs: number): void {
-    const isRecent = ({ atMs }: WorkerEnd): boolean => nowMs - atMs < SIMULTANEOUS_LOSS_MS
-    this.#idleEnds = this.#idleEnds.filter(isRecent)
-    const crashes = this.#crashes.filter(isRecent)
-    const ends = [...crashes, ...this.#idleEnds]
+    this.#unrelatedEnds = this.#unrelatedEnds.filter(({ atMs }) => nowMs - atMs < UNRELATED_LOSS_MS)
+    const isSimultaneous = ({ atMs }: WorkerEnd): boolean => nowMs - atMs < SIMULTANEOUS_LOSS_MS
+    const crashes = this.#crashes.filter(isSimultaneous)
+    const unrelatedEnds = this.#unrelatedEnds.filter(isSimultaneous)
+    const ends = [...crashes, ...unrelatedEnds]
     for (const crash of crashes) this.#applyCommonCause(crash, countUnrelatedLosses(crash, ends))
-    if (this.#idleEnds.length === 0) return
-    for (const { penalties } of crashes) for (const { record } of penalties) record.hasOnlyAttributableLosses = false
+    if (unrelatedEnds.length > 0) for (const { penalties } of crashes) for (const { record } of penalties) record.hasOnlyAttributableLosses = false
+    for (const crash of this.#crashes) if (nowMs - crash.atMs < UNRELATED_LOSS_MS) this.#reduceByUnrelatedLosses(crash)
+  }
+
+  /** Reduces the points of tasks for a crash if a worker was lost around that time that they cannot have ended. */
+  #reduceByUnrelatedLosses ({ atMs, loss, penalties }: Crash): void {
+    const pointsOf = ({ hasSurvivedStart }: Penalty): number => hasSurvivedStart ? CRASH_POINTS.cleared : CRASH_POINTS.shared
+    const uncertain = penalties.filter((penalty) => penalty.points > pointsOf(penalty) && this.#hasUnrelatedLoss(penalty.task.job, loss.instanceId, atMs))
+    for (const penalty of uncertain) {
+      this.#reducePenalty(penalty, pointsOf(penalty))
+      if (penalty.hasSurvivedStart) penalty.record.hasEarlyLoss = false
+    }
+    if (uncertain.length > 0) this.#report(loss, 'shared', uncertain)
   }
 
   /**
@@ -208,8 +255,10 @@
   return startMs !== undefined && nowMs - startMs <= EARLY_LOSS_MS
 }
 
-/** Whether the worker is known to have answered more than {@link EARLY_LOSS_MS} after the start of the run. */
-function hasSurvivedStart ({ lastAnswerMs }: WorkerLoss, run: Run): boolean {
-  const startMs = startMsOf(run)
-  return lastAnswerMs !== undefined && startMs !== undefined && lastAnswerMs - startMs > EARLY_LOSS_MS
+/** Whether the worker is known to have been alive for a while after the confirmed start of the run. */
+function hasSurvivedStart ({ lastAnswerMs = -Infinity }: WorkerLoss, run: Run): boolean {
+  // An answer may have been under way for some time, but not one to a request that was sent later.
+  return knownSurvivalMs(run, lastAnswerMs) > EARLY_LOSS_MS || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
 }
+
+const lastAliveMs = ({ lastAnswerMs = -Infinity }: WorkerLoss, { listedAskedMs = -Infinity }: Run): number => Math.max(lastAnswerMs, listedAskedMs)
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders, RunReport } from '@quillscale/ports'
-import { clearCrashRecordIfSurvived, hasEnded, type Job, type JobId, planPaces, type Run, stepOf } from '@quillscale/policy'
+import { clearCrashRecordIfSurvived, hasEnded, type Job, type JobId, planPaces, type Run, EARLY_LOSS_MS, START_SURVIVAL_MS, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import type { LossEvidence, JobRegistry } from './JobRegistry.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
@@ -51,13 +51,12 @@
    * @param askedMs - monotonic time at which the report was requested
    */
   applyReport (link: WorkerLink, report: HoldReport, askedMs: number): void {
-    const { registry, clock, log, orders, fencingToken, isSetAside } = this.#options
-    const nowMs = clock.monotonicMs()
+    const { registry, log, orders, fencingToken, isSetAside } = this.#options
     for (const end of report.ended) registry.recordEndReport(link, end)
     const running = new Map(report.running.map((run) => [runKey(run), run]))
     for (const [key, run] of [...link.runs]) {
       const listedRun = running.get(key)
-      if (listedRun !== undefined) this.#updateListedRun(link, run, listedRun, nowMs)
+      if (listedRun !== undefined) this.#updateListedRun(link, run, listedRun, askedMs)
       else if (!report.hasMoreEnds) this.#closeUnlistedRun(run, askedMs)
     }
     for (const [key, listedRun] of running) {
@@ -81,6 +80,8 @@
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
     this.#updateWorkerClockStart(run, run.startedMs)
     this.#options.count('runs_started')
+    // The worker may be lost for another reason at any time, so a charged task is shown to have survived its start as early as possible.
+    if (run.task.crashes.points > 0) for (const delayMs of [START_SURVIVAL_MS, EARLY_LOSS_MS]) this.#options.linkOf(run)?.pollAfter(delayMs)
   }
 
   /**
@@ -113,7 +114,8 @@
     if (run.phase !== 'stopping') void this.#options.linkOf(run)?.stop(run)
   }
 
-  #updateListedRun (link: WorkerLink, run: Run, { percent, load, checkpoint }: RunReport, nowMs: number): void {
+  #updateListedRun (link: WorkerLink, run: Run, { percent, load, checkpoint }: RunReport, askedMs: number): void {
+    const nowMs = this.#options.clock.monotonicMs()
     if (run.phase === 'unconfirmed') run.previousStartMs = previousStartMsOf(link, run, nowMs)
     if (run.phase === 'unconfirmed' || run.phase === 'starting') {
       if (run.phase === 'starting') this.#updateWorkerClockStart(run, nowMs)
@@ -124,9 +126,10 @@
     }
     if (percent > run.percent) run.progressMs = nowMs
     run.lastListedMs = nowMs
+    run.listedAskedMs = askedMs
     run.percent = percent
     run.load = load
-    if (clearCrashRecordIfSurvived(run, nowMs)) this.#options.onChanged(run.task.job)
+    if (clearCrashRecordIfSurvived(run, askedMs)) this.#options.onChanged(run.task.job)
     if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
   }
 
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -165,6 +165,13 @@
     if (this.isRecordedSilent) await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
   }
 
+  /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the time until then */
+  pollAfter (delayMs: number): void {
+    void delay(delayMs, this.#stop.signal).then(() => {
+      if (!this.#stop.signal.aborted) this.#pollNow()
+    })
+  }
+
   async #hold (waitMs: number): Promise<boolean> {
     const { orders, clock, fencingToken } = this.#options
     const askedMs = clock.monotonicMs()
