The early reports of charged tasks do not excuse a task that ends its workers later in the run

Cause: the report asked for 0.5 s after the start made the worker's last answer come 0.5 s after it each time. A worker that is not registered any more but answered a while ago counts as planned to end, and a planned end charges no run after whose start its worker answered for 0.5 s. Ruled out: losses of other workers (the job's runs were on each lost worker). Change: only lasting tasks get the report at 0.5 s; a planned or silent end is excused by answers as before, not by the short survival of 60 ms, which counts only while other workers are lost.

--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -95,12 +95,12 @@
    */
   recordLoss (loss: WorkerLoss, nowMs: number): void {
     const started = loss.runs.filter(({ phase }) => phase !== 'recording')
-    const survivors = started.filter((run) => hasSurvivedStart(loss, run))
-    const proven = new Set(survivors.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
-    const cleared = survivors.filter((run) => proven.has(run) || this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs))
+    const proven = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
+    const cleared = started.filter((run) => proven.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
     for (const { task } of cleared) this.#clear(task)
-    // If the end was planned or has another likely cause, a run that the worker is known to have survived for a while did not cause it.
-    const innocent = new Set(loss.isPlanned || loss.isSilent ? survivors : cleared)
+    // If the end was planned or has another likely cause, a run after whose start the worker answered for a while did not cause it.
+    const isExplained = loss.isPlanned || loss.isSilent
+    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasAnsweredAfterStart(loss, run))])
     const begun = started.filter((run) => !innocent.has(run))
     const possibleCauses = new Set(started.filter((run) => !proven.has(run)).map(({ task }) => task.job))
     if (begun.length === 0) return this.#recordUnrelatedEnd(loss, possibleCauses, nowMs)
@@ -255,10 +255,12 @@
   return startMs !== undefined && nowMs - startMs <= EARLY_LOSS_MS
 }
 
-/** Whether the worker is known to have been alive for a while after the confirmed start of the run. */
-function hasSurvivedStart ({ lastAnswerMs = -Infinity }: WorkerLoss, run: Run): boolean {
-  // An answer may have been under way for some time, but not one to a request that was sent later.
-  return knownSurvivalMs(run, lastAnswerMs) > EARLY_LOSS_MS || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
+/** Whether the worker answered more than {@link EARLY_LOSS_MS} after the confirmed start of the run. */
+const hasAnsweredAfterStart = ({ lastAnswerMs = -Infinity }: WorkerLoss, run: Run): boolean => knownSurvivalMs(run, lastAnswerMs) > EARLY_LOSS_MS
+
+/** Whether the start of the run is known not to have crashed the worker. An answer may have been under way, but not one to a later request. */
+function hasSurvivedStart (loss: WorkerLoss, run: Run): boolean {
+  return hasAnsweredAfterStart(loss, run) || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
 }
 
 const lastAliveMs = ({ lastAnswerMs = -Infinity }: WorkerLoss, { listedAskedMs = -Infinity }: Run): number => Math.max(lastAnswerMs, listedAskedMs)
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -80,8 +80,7 @@
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
     this.#updateWorkerClockStart(run, run.startedMs)
     this.#options.count('runs_started')
-    // The worker may be lost for another reason at any time, so a charged task is shown to have survived its start as early as possible.
-    if (run.task.crashes.points > 0) for (const delayMs of [START_SURVIVAL_MS, EARLY_LOSS_MS]) this.#options.linkOf(run)?.pollAfter(delayMs)
+    this.#watchStart(run)
   }
 
   /**
@@ -133,6 +132,14 @@
     if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
   }
 
+  /** Asks the worker of a charged task for early reports, since it may be lost for another reason at any time after the start. */
+  #watchStart (run: Run): void {
+    if (run.task.crashes.points === 0) return
+    const link = this.#options.linkOf(run)
+    link?.pollAfter(START_SURVIVAL_MS)
+    if (stepOf(run.task).isLasting) link?.pollAfter(EARLY_LOSS_MS)
+  }
+
   /** Replaces the time of placement by that of the start. Only a start long after its placement is worth a write of its own. */
   #updateWorkerClockStart (run: Run, startedMs: number): void {
     const placedClockMs = run.workerClockStartMs
