A lasting task that crashes its workers is given up alone

Cause: giveUpTask ended the whole job, and endJob stops every run. Giving up is allowed, the stops are not. Ruled out: stops by preemption, drains or evacuation (the test has none). Change: a lasting task is given up alone while another lasting task of its job can go on; the job fails once none can. The flag is in the progress record (isGivenUp) and is taken back when points are (another job was the cause, other workers were lost at that time). The task asks for no machine and counts as away, so that orders take no other of its step away beyond the limit: with a limit of 1, a wave waits until the job is cancelled. Gangs and finite steps fail their job as before. explain names the task, the log line says goesOn; task survived its start tells when points are taken back. Weighed: failing the job and leaving its tasks at work (a failed job that runs on tells callers something untrue); stopping the others one at a time (the limit never allows the second). A job with a finite step that is given up, or fails by its attempts, still stops its lasting steps at once.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,7 +12,7 @@
   isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, findDependencyProblem, stepSpecSchema, type JobId, type JobOwner, type JobSpec, type StepSpec
 } from './lib/jobs/JobSpec.js'
 export {
-  allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, listReadySteps, stepOf, tasksOf, occurrenceCount,
+  allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, isOpen, listReadySteps, stepOf, tasksOf, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
 export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -63,6 +63,8 @@
   /** JOB.OCCURRENCE.STEP, the prefix shared by all tasks of the step. */
   readonly stepKey: string
   isDone: boolean
+  /** It is not started any more, because it crashes its workers; other tasks of its job go on. */
+  isGivenUp: boolean
   lastRunNumber: number
   failures: number
   /** Worker losses that the task may have caused. */
@@ -135,6 +137,7 @@
     key,
     stepKey,
     isDone: false,
+    isGivenUp: false,
     lastRunNumber: 0,
     failures: 0,
     crashes: createCrashRecord(),
@@ -158,6 +161,9 @@
   return [...job.occurrences.values()].flat(2)
 }
 
+/** @param task - a task @returns whether it may be started, now or later @public */
+export const isOpen = ({ isDone, isGivenUp }: Task): boolean => !isDone && !isGivenUp
+
 /**
  * Lists the unfinished steps that are due and whose dependencies are done.
  *
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -5,7 +5,7 @@
  */
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { isCrashSuspect, decidePlacement } from '../jobs/crashes.js'
-import { hasEnded, listReadySteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import { hasEnded, isOpen, listReadySteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
 import { plus, type Resources } from '../quotas/resources.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
@@ -149,7 +149,8 @@
   #selectPlaceable (step: readonly Task[]): readonly Task[] {
     const first = step[0]
     if (first !== undefined && stepOf(first).isGang && step.some(({ runs }) => runs.length > 0)) return []
-    const open = step.filter((task) => !task.isDone && (task.runs.length === 0 || this.#needsSpeculativeCopy(task)))
+    for (const task of step) task.isGivenUp &&= decidePlacement(task, this.#options.nowMs) === 'give-up'
+    const open = step.filter((task) => isOpen(task) && (task.runs.length === 0 || this.#needsSpeculativeCopy(task)))
     const decisions = open.map((task) => decidePlacement(task, this.#options.nowMs))
     this.tasksToGiveUp.push(...open.filter((_, at) => decisions[at] === 'give-up'))
     if (first !== undefined && stepOf(first).isGang && decisions.some((decision) => decision !== 'place')) return []
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -97,7 +97,7 @@
     const started = loss.runs.filter(({ phase }) => phase !== 'recording')
     const proven = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
     const cleared = started.filter((run) => proven.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
-    for (const { task } of cleared) this.#clear(task)
+    for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
     // If the end was planned or has another likely cause, a run after whose start the worker answered for a while did not cause it.
     const isExplained = loss.isPlanned || loss.isSilent
     const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasAnsweredAfterStart(loss, run))])
@@ -137,9 +137,12 @@
     this.#applyCommonCauses(nowMs)
   }
 
-  #clear (task: Task): void {
-    if (task.crashes.points === 0) return
+  #clear (run: Run, aliveMs: number): void {
+    const { task } = run
+    const { points } = task.crashes
+    if (points === 0) return
     task.crashes = createCrashRecord()
+    this.#options.log.info({ taskKey: task.key, instanceId: run.instanceId, points, survivedMs: Math.round(knownSurvivalMs(run, aliveMs)) }, 'task survived its start')
     this.#options.onChanged(task.job)
   }
 
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -229,11 +229,14 @@
   const tasks = tasksOfStep(index, progress)
   const placed = tasks.flatMap(({ runs }) => runs ?? [])
   const failures = tasks.reduce((sum, task) => sum + (task.failures ?? 0), 0)
+  const givenUp = tasks.filter(({ isGivenUp }) => isGivenUp)
   const pendingSteps = (step?.dependsOn ?? []).filter((dependency) => !isStepDone(spec, dependency, progress))
   const instanceIds = [...new Set(placed.map(({ instanceId }) => instanceId))]
   return [
     `step ${index}: ${countDone(tasks)} of ${step?.taskCount ?? 0} done, ${placed.length} placed`, instanceIds.length === 0 ? '' : `on ${instanceIds.join(' ')}`,
-    failures === 0 ? '' : `${failures} runs failed`, pendingSteps.length === 0 ? '' : `waits for step ${pendingSteps.join(' and ')}`
+    failures === 0 ? '' : `${failures} runs failed`,
+    givenUp.length === 0 ? '' : `given up, as they ended the workers that started them: ${givenUp.map(({ key }) => key).join(' ')}`,
+    pendingSteps.length === 0 ? '' : `waits for step ${pendingSteps.join(' and ')}`
   ].filter((part) => part !== '').join(', ')
 }
 
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
-import { allTasks, hasEnded, isJobDone, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
+import { allTasks, hasEnded, isJobDone, isOpen, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
@@ -116,13 +116,18 @@
   }
 
   /**
-   * Fails the job of a task that crashes the workers that start it.
+   * Gives up a task that crashes the workers that start it. Its job fails, unless other lasting tasks of it can go on: those serve users of their own,
+   * and the disruption limit of their step forbids to stop them all at once.
    *
    * @param task - a task of a job that has not ended
    */
   giveUpTask (task: Task): void {
     const { job, key, crashes, avoidedInstances } = task
-    this.#options.log.warn({ jobId: job.spec.jobId, taskKey: key, points: crashes.points, starts: task.lastRunNumber, lastOn: [...avoidedInstances].at(-1) }, 'task given up: it ends the workers that start it')
+    task.isGivenUp = true
+    const goesOn = stepOf(task).isLasting && allTasks(job).some((other) => isOpen(other) && stepOf(other).isLasting && !stepOf(other).isGang)
+    const details = { jobId: job.spec.jobId, taskKey: key, points: crashes.points, starts: task.lastRunNumber, lastOn: [...avoidedInstances].at(-1), goesOn }
+    this.#options.log.warn(details, 'task given up: it ends the workers that start it')
+    if (goesOn) return this.#options.onChanged(job)
     job.failure = { reason: 'crashes', taskKey: key }
     this.endJob(job, 'failed')
   }
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -19,6 +19,8 @@
 const taskProgressSchema = z.object({
   key: z.string(),
   isDone: z.boolean().optional(),
+  /** It ended the workers that started it, and is not started any more while others of its job go on. */
+  isGivenUp: z.boolean().optional(),
   lastRunNumber: z.number(),
   failures: z.number().optional(),
   crashPoints: z.number().optional(),
@@ -57,6 +59,7 @@
     tasks: placedTasks.filter(({ runs }) => !isEnded || runs.length > 0).map((task) => ({
       key: task.key,
       isDone: task.isDone || undefined,
+      isGivenUp: task.isGivenUp || undefined,
       lastRunNumber: task.lastRunNumber,
       failures: task.failures === 0 ? undefined : task.failures,
       crashPoints: task.crashes.points === 0 ? undefined : task.crashes.points,
@@ -100,6 +103,7 @@
     const task = findTask(job, taskProgress.key)
     if (task === undefined) continue
     task.isDone = taskProgress.isDone ?? false
+    task.isGivenUp = taskProgress.isGivenUp ?? false
     task.lastRunNumber = taskProgress.lastRunNumber
     task.failures = taskProgress.failures ?? 0
     task.crashes = createCrashRecord(taskProgress.crashPoints)
--- a/packages/scheduler/src/test/crashingTasks.test.ts
+++ b/packages/scheduler/src/test/crashingTasks.test.ts
@@ -210,6 +210,38 @@
   }
 })
 
+/** Time in which a task that crashes its workers is started five times at the latest, and given up. */
+const GIVE_UP_LIMIT_MS = 8000
+
+describe('one of three lasting tasks that crashes each worker that starts it', () => {
+  let fleet: CrashingFleet
+  afterEach(() => fleet.close())
+
+  const holderChanges = [{ name: 'one duty holder', takeOvers: 0 }, { name: 'two new duty holders after that', takeOvers: 2 }]
+  for (const { name, takeOvers } of holderChanges) {
+    // All other tasks of a lasting job were stopped at once, although only one of its step may be away.
+    it(`is given up alone, and the other tasks are not stopped: ${name}`, async () => {
+      fleet = new CrashingFleet()
+      const { service } = fleet
+      let tenure = await service.takeOver()
+      const jobId = await service.submit(CRASHING_JOB, { runMs: 0, crashesAfterMs: 10, crashingIndex: 0 }, [{ isLasting: true, taskCount: 3, maxAway: 1 }])
+      await service.until('the task is given up', () => service.log.lines.some((line) => line.startsWith('task given up')), GIVE_UP_LIMIT_MS)
+      for (let times = 0; times < takeOvers; times++) {
+        await delay(OBSERVATION_MS)
+        tenure = await replaceHolder(fleet, tenure)
+      }
+      await delay(OBSERVATION_MS)
+      expect(service.runs.records.filter(({ taskKey, end }) => taskKey.startsWith(jobId) && end === 'stopped')).to.deep.equal([])
+      const running = service.runs.records.filter(({ taskKey, endedMs }) => taskKey.startsWith(jobId) && endedMs === undefined)
+      expect(running.map(({ taskKey }) => taskKey).sort()).to.deep.equal([`${jobId}.0.0.1`, `${jobId}.0.0.2`])
+      expect(await service.status(jobId)).to.equal('running')
+      const explanation = (await service.report.explain(jobId, Date.now())).unwrap()
+      expect(explanation?.lines.join('\n')).to.contain(`given up, as they ended the workers that started them: ${jobId}.0.0.0`)
+      expect(fleet.maxStartsAfterThirdCrash(jobId)).to.be.at.most(MAX_STARTS_AFTER_THIRD_CRASH)
+    }).timeout(40_000)
+  }
+})
+
 /** Long enough for a takeover after each of five crashes with the shortest leases. */
 const TIME_LIMIT_MS = 12_000
 
