--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -43,6 +43,9 @@
  */
 interface Penalty { readonly task: Task, readonly record: CrashRecord, readonly hasSurvivedStart: boolean, points: number }
 
+/** Runs of a lost worker that are charged, and the jobs of all runs that are not known to have survived. */
+interface JudgedRuns { readonly charged: readonly Run[], readonly possibleCauses: ReadonlySet<Job> }
+
 /** The end of a worker, with or without runs. */
 interface WorkerEnd {
   readonly atMs: number
@@ -94,20 +97,12 @@
    * @param nowMs - current monotonic time
    */
   recordLoss (loss: WorkerLoss, nowMs: number): void {
-    const started = loss.runs.filter(({ phase }) => phase !== 'recording')
-    const proven = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
-    const cleared = started.filter((run) => proven.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
-    for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
-    // If the end was planned or has another likely cause, a run after whose start the worker answered for a while did not cause it.
-    const isExplained = loss.isPlanned || loss.isSilent
-    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasAnsweredAfterStart(loss, run))])
-    const begun = started.filter((run) => !innocent.has(run))
-    const possibleCauses = new Set(started.filter((run) => !proven.has(run)).map(({ task }) => task.job))
-    if (begun.length === 0) return this.#recordUnrelatedEnd(loss, possibleCauses, nowMs)
-    const justStartedTasks = new Set(begun.filter((run) => hasJustStarted(run, nowMs)).map(({ task }) => task))
+    const { charged, possibleCauses } = this.#judgeRuns(loss, nowMs)
+    if (charged.length === 0) return this.#recordUnrelatedEnd(loss, possibleCauses, nowMs)
+    const justStartedTasks = new Set(charged.filter((run) => hasJustStarted(run, nowMs)).map(({ task }) => task))
     const suspects = new Set([...justStartedTasks].filter(isCrashSuspect).map(({ job }) => job))
-    const isSingleJob = new Set(begun.map(({ task }) => task.job)).size === 1
-    const penalties = begun.map((run): Penalty =>
+    const isSingleJob = new Set(charged.map(({ task }) => task.job)).size === 1
+    const penalties = charged.map((run): Penalty =>
       ({
         task: run.task,
         record: run.task.crashes,
@@ -130,6 +125,21 @@
     this.#applyCommonCauses(nowMs)
   }
 
+  /** Selects the runs that may have ended the worker, and clears the points of tasks whose runs are known not to have. */
+  #judgeRuns (loss: WorkerLoss, nowMs: number): JudgedRuns {
+    const started = loss.runs.filter(({ phase }) => phase !== 'recording')
+    const survivors = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
+    const cleared = started.filter((run) => survivors.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
+    for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
+    // If the end was planned or has another likely cause, a run after whose start the worker answered for a while did not cause it.
+    const isExplained = loss.isPlanned || loss.isSilent
+    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasAnsweredAfterStart(loss, run))])
+    return {
+      charged: started.filter((run) => !innocent.has(run)),
+      possibleCauses: new Set(started.filter((run) => !survivors.has(run)).map(({ task }) => task.job))
+    }
+  }
+
   #recordUnrelatedEnd (loss: WorkerLoss, possibleCauses: ReadonlySet<Job>, nowMs: number): void {
     if (loss.isPlanned || loss.isSilent) return
     const end: WorkerEnd = { atMs: nowMs, loss, justStartedJobs: new Set(), possibleCauses }
