An answer to an order is no proof that a worker has survived a start

Callers saw: nothing yet. The review of this fix found that a lasting task that crashes its workers was started six to ten times where the workers are back under their ids before their crash is noticed, and other jobs are started on them. Cause: the worker's last answer counted as its life, and an answer to a start does not tell which lifetime gave it; the next lifetime's answer cleared the points of the task that had ended the one before. Ruled out: other losses and changes of holder (the test has none). Change: only reports, whose lifetime is checked, show that a worker was alive after a start (lastReportMs).

--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -20,6 +20,8 @@
   readonly runs: readonly Run[]
   /** Monotonic time of the last answer to this duty holder; `undefined` if the worker never answered it. */
   readonly lastAnswerMs: number | undefined
+  /** Monotonic time of the last report that this lifetime of the worker gave to this duty holder, `-Infinity` if it gave none. */
+  readonly lastReportMs: number
   /** The worker was draining, its machine was being drained, or its registration had ended while it still answered. */
   readonly isPlanned: boolean
   /** Nothing confirms that the worker ended: it does not answer, and its leases have expired. */
@@ -131,9 +133,9 @@
     const survivors = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
     const cleared = started.filter((run) => survivors.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
     for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
-    // If the end was planned or has another likely cause, a run after whose start the worker answered for a while did not cause it.
+    // If the end was planned or has another likely cause, a run after whose start the worker reported for a while did not cause it.
     const isExplained = loss.isPlanned || loss.isSilent
-    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasAnsweredAfterStart(loss, run))])
+    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasReportedAfterStart(loss, run))])
     return {
       charged: started.filter((run) => !innocent.has(run)),
       possibleCauses: new Set(started.filter((run) => !survivors.has(run)).map(({ task }) => task.job))
@@ -268,12 +270,12 @@
   return startMs !== undefined && nowMs - startMs <= EARLY_LOSS_MS
 }
 
-/** Whether the worker answered more than {@link EARLY_LOSS_MS} after the confirmed start of the run. */
-const hasAnsweredAfterStart = ({ lastAnswerMs = -Infinity }: WorkerLoss, run: Run): boolean => knownSurvivalMs(run, lastAnswerMs) > EARLY_LOSS_MS
+/** Whether the worker gave a report more than {@link EARLY_LOSS_MS} after the confirmed start of the run. */
+const hasReportedAfterStart = ({ lastReportMs }: WorkerLoss, run: Run): boolean => knownSurvivalMs(run, lastReportMs) > EARLY_LOSS_MS
 
-/** Whether the start of the run is known not to have crashed the worker. An answer may have been under way, but not one to a later request. */
+/** Whether the start of the run is known not to have crashed the worker. A report may have been under way, but not one that was requested later. */
 function hasSurvivedStart (loss: WorkerLoss, run: Run): boolean {
-  return hasAnsweredAfterStart(loss, run) || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
+  return hasReportedAfterStart(loss, run) || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
 }
 
-const lastAliveMs = ({ lastAnswerMs = -Infinity }: WorkerLoss, { listedAskedMs = -Infinity }: Run): number => Math.max(lastAnswerMs, listedAskedMs)
+const lastAliveMs = ({ lastReportMs }: WorkerLoss, { listedAskedMs = -Infinity }: Run): number => Math.max(lastReportMs, listedAskedMs)
--- a/packages/scheduler/src/lib/workers/RunLossHandler.ts
+++ b/packages/scheduler/src/lib/workers/RunLossHandler.ts
@@ -72,7 +72,7 @@
 
   /** Reports a restart of another service's worker, which no task of this service can have caused. @param instance - its current lifetime */
   reportRestartElsewhere ({ instanceId }: WorkerInstance): void {
-    const unknown = { rack: undefined, availabilityZone: undefined, lastAnswerMs: undefined }
+    const unknown = { rack: undefined, availabilityZone: undefined, lastAnswerMs: undefined, lastReportMs: -Infinity }
     this.#options.onWorkerLost({ instanceId, ...unknown, runs: [], isPlanned: false, isSilent: false })
   }
 
@@ -154,6 +154,7 @@
     return {
       instanceId,
       lastAnswerMs: silentMs === undefined ? undefined : nowMs - silentMs,
+      lastReportMs: link?.lastReportMs ?? -Infinity,
       rack: link?.instance.labels.at(-1),
       availabilityZone: link?.instance.availabilityZone,
       isPlanned: link !== undefined && this.#isEndPlanned(link, nowMs),
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -70,6 +70,7 @@
   readonly #stop = new AbortController()
   #acknowledgedSequence = 0
   #lastResponseMs = -Infinity
+  #lastReportMs = -Infinity
   #isInContact = true
   #pendingRemoval: Promise<void> | undefined
   /** Whether a call has failed since the last answered hold, so that the next answer may come from the next lifetime. */
@@ -131,6 +132,11 @@
     return this.hasResponded ? nowMs - this.#lastResponseMs : undefined
   }
 
+  /** Monotonic time of the last report, which this lifetime certainly gave; an answer to an order may be the next one's. `-Infinity` before the first. */
+  get lastReportMs (): number {
+    return this.#lastReportMs
+  }
+
   /** Whether the worker may be recorded as silent; it gets no leases and no new work until the record is removed. */
   get isRecordedSilent (): boolean {
     return this.#options.isRecordedSilent(this)
@@ -193,6 +199,7 @@
     }
     this.#mayBeNextLifetime = false
     this.#handleResponse(held.val.clockMs)
+    this.#lastReportMs = clock.monotonicMs()
     this.#options.onReport(this, held.val, askedMs)
     const last = held.val.ended.at(-1)?.sequence ?? 0
     if (last > this.#acknowledgedSequence) await this.#acknowledge(last)
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -230,7 +230,8 @@
           return isUnconfirmed === true ? { ...run, startedMs: undefined } : run
         })
         const lastAnswerMs = isUnknown ? undefined : atMs - lastAnswerAgoMs
-        tracker.recordLoss({ instanceId: `w${index}`, rack, availabilityZone: zone, lastAnswerMs, runs: lostRuns, isPlanned, isSilent }, atMs)
+        const lastReportMs = lastAnswerMs ?? -Infinity
+        tracker.recordLoss({ instanceId: `w${index}`, rack, availabilityZone: zone, lastAnswerMs, lastReportMs, runs: lostRuns, isPlanned, isSilent }, atMs)
       })
       const task = tasks.find(expected.task)
       expect({ task: expected.task, points: task.crashes.points, isSuspect: isCrashSuspect(task), decision: decidePlacement(task, DECISION_MS) })
@@ -249,7 +250,7 @@
       task.crashes = createCrashRecord(points)
       const tracker = new CrashTracker({ log: new TestLog(), tookOverMs, count: () => {}, onChanged: () => {} })
       const worker = { instanceId: 'w', rack: undefined, availabilityZone: undefined }
-      tracker.recordLoss({ ...worker, lastAnswerMs: -100, runs: [runOf(task, -SOON)], isPlanned: false, isSilent: false }, 0)
+      tracker.recordLoss({ ...worker, lastAnswerMs: -100, lastReportMs: -100, runs: [runOf(task, -SOON)], isPlanned: false, isSilent: false }, 0)
       expect(task.crashes.points).to.equal(expected)
     })
   }
@@ -259,7 +260,7 @@
     const [lasting, culprit] = [tasks.find('l'), tasks.find('b')]
     const tracker = new CrashTracker({ log: new TestLog(), tookOverMs: -Infinity, count: () => {}, onChanged: () => {} })
     const recordCrash = (atMs: number, begun: readonly Task[]): void => tracker.recordLoss({
-      instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
+      instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 50, lastReportMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
     }, atMs)
     recordCrash(0, [lasting, culprit])
     clearCrashRecordIfSurvived(runOf(lasting, 1000), 5000)
@@ -279,7 +280,7 @@
       const run = runOf(task, atMs - 4000)
       clearCrashRecordIfSurvived(run, atMs)
       expect(decidePlacement(task, atMs)).to.equal('place')
-      tracker.recordLoss({ instanceId: 'w', rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 100, runs: [run], isPlanned: false, isSilent: false }, atMs)
+      tracker.recordLoss({ instanceId: 'w', rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 100, lastReportMs: atMs - 100, runs: [run], isPlanned: false, isSilent: false }, atMs)
     }
   })
 })
