A job of the daemon is not given up for workers that are lost with others after its start

Cause: each run that was lost with its worker within 30 s of its start counted towards the limit of five, whatever ended the worker, and `failed` cannot be taken back. Five restarts of all workers, or five power losses that also took another job's worker, failed every job whose runs had not reached 30 s in between.

Ruled out: that the limit is needed for such losses. A job that crashes its workers at the start is never listed by a worker a second later.

Change: a lost run is excused if its worker had listed it at least a second after its start, and a worker that did not run the job was lost within 15 s (restarted, or silent for 3 s). Excused runs have a limit of their own (15), as two jobs that crash their workers late excuse each other. All other losses count as before.

A new holder of the zone does not know when the run was listed before it; a loss before its first answer counts as before.

--- a/packages/entry/src/lib/JobRunner.ts
+++ b/packages/entry/src/lib/JobRunner.ts
@@ -10,7 +10,7 @@
 import type { ListedHost, TaskReport, WorkerTasks } from '@quillscale/ports'
 import type { ConfigurationReplica } from '@quillscale/configuration'
 import {
-  ENDED_JOB_RETENTION_MS, JobSizeEstimator, WorkerHealth, isEnded, isPlaced, planJobs, applyRunReport, taskIdOf,
+  ENDED_JOB_RETENTION_MS, JobSizeEstimator, WorkerHealth, WorkerLosses, isEnded, isPlaced, planJobs, applyRunReport, taskIdOf,
   type Job, type JobWorker, type JobsPlanningContext, type RunReport
 } from '@quillscale/jobs'
 import type { JobStore } from './JobStore.js'
@@ -32,6 +32,8 @@
 export const TASK_LEASE_MS = 10_000
 
 const RENEW_MS = 1000
+/** A worker that has not answered for this long counts as lost, for what that tells about the losses of others. */
+const MIN_SILENCE_MS = 3000
 
 /** Runs jobs on workers. @public */
 export class JobRunner {
@@ -40,7 +42,12 @@
   readonly #token: () => number | undefined
   readonly #sizes = new JobSizeEstimator()
   readonly #health = new WorkerHealth()
+  readonly #losses = new WorkerLosses()
   readonly #lastAnswerMs = new Map<string, number>()
+  /** When workers last listed the current run of a job, by task id. */
+  readonly #lastListedMs = new Map<string, number>()
+  /** When workers with jobs last answered. */
+  readonly #hostAnsweredMs = new Map<HostId, number>()
   #lastRenewMs = -Infinity
   #takenOverMs = 0
 
@@ -109,6 +116,7 @@
     await Promise.all([...byHost].map(async ([hostId, jobs]) => {
       const host = registry.placed.get(hostId)?.host
       const answer = host === undefined ? undefined : await tasks.renew(host, jobs.map(taskIdOf), TASK_LEASE_MS)
+      this.#recordLoss(hostId, jobs, answer?.ok === true ? answer.val : undefined)
       for (const job of jobs) {
         const report = answer?.ok === true ? answer.val.find(({ taskId }) => taskId === taskIdOf(job)) : undefined
         if (report !== undefined) this.#learn(job, report)
@@ -118,8 +126,18 @@
     await this.#settle(reports)
   }
 
+  /** Records a worker as lost if it has restarted since a job started there, or has not answered for a while. */
+  #recordLoss (hostId: HostId, jobs: readonly Job[], reports: readonly TaskReport[] | undefined): void {
+    const nowMs = this.#options.clock.wallMs()
+    const isRestarted = jobs.some((job) => job.state === 'running' && reports?.some(({ taskId, state }) => taskId === taskIdOf(job) && state === 'unknown-task'))
+    const silentMs = nowMs - Math.max(this.#takenOverMs, this.#hostAnsweredMs.get(hostId) ?? 0, ...jobs.map(({ sinceMs }) => sinceMs))
+    if (reports !== undefined) this.#hostAnsweredMs.set(hostId, nowMs)
+    if (isRestarted || (reports === undefined && silentMs >= MIN_SILENCE_MS)) this.#losses.record(hostId, jobs.map(({ jobId }) => jobId), nowMs)
+  }
+
   #learn (job: Job, report: TaskReport): void {
     this.#lastAnswerMs.set(job.jobId, this.#options.clock.wallMs())
+    if (report.state === 'running') this.#lastListedMs.set(taskIdOf(job), this.#options.clock.wallMs())
     if (report.state === 'done') this.#sizes.addSample(job.team, job.kind, job.slots, report.usedSlots)
     if (job.hostId === undefined) return
     if (report.state === 'done') this.#health.succeeded(job.hostId)
@@ -131,7 +149,9 @@
     const settled = (job: Job): Job => {
       const report = reports.get(job.jobId)
       const lastAnswerMs = Math.max(this.#lastAnswerMs.get(job.jobId) ?? 0, this.#takenOverMs)
-      return report === undefined || !isPlaced(job) ? job : applyRunReport(job, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs })
+      if (report === undefined || !isPlaced(job)) return job
+      const areOthersLost = this.#losses.hasOthers(job.jobId, job.hostId, nowMs)
+      return applyRunReport(job, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs, lastListedMs: this.#lastListedMs.get(taskIdOf(job)), areOthersLost })
     }
     if (Object.values(this.#jobs.jobs).every((job) => settled(job) === job)) return
     await this.#jobs.commit((jobs) => { for (const [jobId, job] of jobs) jobs.set(jobId, settled(job)) })
@@ -184,7 +204,8 @@
       const current = jobs.get(job.jobId)
       if (current === undefined || !isPlaced(current) || current.attempt !== job.attempt) return
       if (report.state === 'done') {
-        jobs.set(job.jobId, applyRunReport(current, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs: nowMs }))
+        const timing = { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs: nowMs, lastListedMs: undefined, areOthersLost: false }
+        jobs.set(job.jobId, applyRunReport(current, report, timing))
       } else {
         const checkpoint = report.checkpoint ?? current.checkpoint
         jobs.set(job.jobId, { ...current, state: 'queued', hostId: undefined, sinceMs: nowMs, checkpoint, reason: 'gave way' })
@@ -194,6 +215,9 @@
 
   async #forget (): Promise<void> {
     const nowMs = this.#options.clock.wallMs()
+    const placedIds = new Set(Object.values(this.#jobs.jobs).filter(isPlaced).map(taskIdOf))
+    for (const taskId of this.#lastListedMs.keys()) if (!placedIds.has(taskId)) this.#lastListedMs.delete(taskId)
+    for (const hostId of this.#hostAnsweredMs.keys()) if (!this.#options.registry.placed.has(hostId)) this.#hostAnsweredMs.delete(hostId)
     const isOld = (job: Job): boolean => isEnded(job) && nowMs - job.sinceMs > ENDED_JOB_RETENTION_MS
     if (!Object.values(this.#jobs.jobs).some(isOld)) return
     await this.#jobs.commit((jobs) => { for (const [jobId, job] of jobs) if (isOld(job)) jobs.delete(jobId) })
--- a/packages/jobs/src/lib/JobsDocument.ts
+++ b/packages/jobs/src/lib/JobsDocument.ts
@@ -40,6 +40,8 @@
   failedOn: z.array(z.string()).default([]),
   /** Number of consecutive runs that were lost with their worker soon after their start. */
   lostRuns: z.number().int().default(0),
+  /** Number of lost runs since `lostRuns` was last 0 that are not counted there, because workers were being lost without the job. */
+  excusedLostRuns: z.number().int().optional(),
   checkpoint: z.string().optional(),
   reason: z.string().optional()
 })
