A job of the daemon is not started on a worker that does not answer, nor given up for such starts

Cause: a start without an answer counts as a lost run once its lease is over, as the job may have crashed the worker. The next start went to the same worker, the best fit, although it had not answered since. Five starts on one worker that is cut off but still listed as live, 10 s apart, failed the job while all other workers were free.

Ruled out: not to count an unanswered start if its worker had been silent before it.

Change: a worker that did not answer its last call gets no jobs until it answers a renewal without tasks, which is sent each second. A job that has lost a run is started only on a worker that answers right before.

Conclusion: one worker's silence was counted five times. Not covered: five workers that stop answering in turn, each between the probe and the start, fail a job as before.

--- a/packages/entry/src/lib/JobRunner.ts
+++ b/packages/entry/src/lib/JobRunner.ts
@@ -10,8 +10,8 @@
 import type { ListedHost, TaskReport, WorkerTasks } from '@quillscale/ports'
 import type { ConfigurationReplica } from '@quillscale/configuration'
 import {
-  ENDED_JOB_RETENTION_MS, JobSizeEstimator, WorkerHealth, WorkerLosses, isEnded, isPlaced, planJobs, applyRunReport, taskIdOf,
-  type Job, type JobWorker, type JobsPlanningContext, type RunReport
+  ENDED_JOB_RETENTION_MS, JobSizeEstimator, SilentHosts, WorkerHealth, WorkerLosses, isEnded, isPlaced, planJobs, applyRunReport, taskIdOf,
+  type Job, type JobWorker, type JobsPlan, type JobsPlanningContext, type RunReport
 } from '@quillscale/jobs'
 import type { JobStore } from './JobStore.js'
 import { listJobWorkers } from './listJobWorkers.js'
@@ -46,8 +46,7 @@
   readonly #lastAnswerMs = new Map<string, number>()
   /** When workers last listed the current run of a job, by task id. */
   readonly #lastListedMs = new Map<string, number>()
-  /** When workers with jobs last answered. */
-  readonly #hostAnsweredMs = new Map<HostId, number>()
+  readonly #silentHosts = new SilentHosts()
   #lastRenewMs = -Infinity
   #takenOverMs = 0
 
@@ -78,7 +77,8 @@
   workers (): JobWorker[] {
     const { registry, replica, clock } = this.#options
     const nowMs = clock.wallMs()
-    return listJobWorkers({ registry, replica, isApart: (hostId) => this.#health.isQuarantined(hostId, nowMs) }, nowMs)
+    const isApart = (hostId: HostId): boolean => this.#health.isQuarantined(hostId, nowMs) || this.#silentHosts.has(hostId)
+    return listJobWorkers({ registry, replica, isApart }, nowMs)
   }
 
   /** @param job - one that was placed @returns what its worker told at the end of its task, `undefined` without an answer */
@@ -113,7 +113,9 @@
       if (isPlaced(job) && job.hostId !== undefined) byHost.set(job.hostId, [...(byHost.get(job.hostId) ?? []), job])
     }
     const reports = new Map<string, RunReport>()
-    await Promise.all([...byHost].map(async ([hostId, jobs]) => {
+    // Nothing else calls a silent worker without jobs.
+    const probes = Promise.all(this.#silentHosts.hostIds.filter((hostId) => !byHost.has(hostId)).map((hostId) => this.#probe(hostId)))
+    const renewals = Promise.all([...byHost].map(async ([hostId, jobs]) => {
       const host = registry.placed.get(hostId)?.host
       const answer = host === undefined ? undefined : await tasks.renew(host, jobs.map(taskIdOf), TASK_LEASE_MS)
       this.#recordLoss(hostId, jobs, answer?.ok === true ? answer.val : undefined)
@@ -123,6 +125,7 @@
         reports.set(job.jobId, report ?? { state: 'silent' })
       }
     }))
+    await Promise.all([renewals, probes])
     await this.#settle(reports)
   }
 
@@ -130,9 +133,25 @@
   #recordLoss (hostId: HostId, jobs: readonly Job[], reports: readonly TaskReport[] | undefined): void {
     const nowMs = this.#options.clock.wallMs()
     const isRestarted = jobs.some((job) => job.state === 'running' && reports?.some(({ taskId, state }) => taskId === taskIdOf(job) && state === 'unknown-task'))
-    const silentMs = nowMs - Math.max(this.#takenOverMs, this.#hostAnsweredMs.get(hostId) ?? 0, ...jobs.map(({ sinceMs }) => sinceMs))
-    if (reports !== undefined) this.#hostAnsweredMs.set(hostId, nowMs)
-    if (isRestarted || (reports === undefined && silentMs >= MIN_SILENCE_MS)) this.#losses.record(hostId, jobs.map(({ jobId }) => jobId), nowMs)
+    this.#noteAnswer(hostId, reports !== undefined)
+    if (isRestarted || this.#silentHosts.silentForMs(hostId, nowMs) >= MIN_SILENCE_MS) this.#losses.record(hostId, jobs.map(({ jobId }) => jobId), nowMs)
+  }
+
+  #noteAnswer (hostId: HostId, hasAnswered: boolean): void {
+    this.#silentHosts.record(hostId, hasAnswered, this.#options.clock.wallMs())
+  }
+
+  /** Asks whether a worker answers. @param hostId - its host @returns whether it does */
+  async #probe (hostId: HostId): Promise<boolean> {
+    const { registry, tasks } = this.#options
+    const host = registry.placed.get(hostId)?.host
+    if (host === undefined) {
+      this.#silentHosts.forget(hostId)
+      return false
+    }
+    const hasAnswered = (await tasks.renew(host, [], TASK_LEASE_MS)).ok
+    this.#noteAnswer(hostId, hasAnswered)
+    return hasAnswered
   }
 
   #learn (job: Job, report: TaskReport): void {
@@ -151,7 +170,8 @@
       const lastAnswerMs = Math.max(this.#lastAnswerMs.get(job.jobId) ?? 0, this.#takenOverMs)
       if (report === undefined || !isPlaced(job)) return job
       const areOthersLost = this.#losses.hasOthers(job.jobId, job.hostId, nowMs)
-      return applyRunReport(job, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs, lastListedMs: this.#lastListedMs.get(taskIdOf(job)), areOthersLost })
+      const lastListedMs = this.#lastListedMs.get(taskIdOf(job))
+      return applyRunReport(job, report, { nowMs, leaseMs: TASK_LEASE_MS, lastAnswerMs, lastListedMs, areOthersLost })
     }
     if (Object.values(this.#jobs.jobs).every((job) => settled(job) === job)) return
     await this.#jobs.commit((jobs) => { for (const [jobId, job] of jobs) jobs.set(jobId, settled(job)) })
@@ -164,11 +184,12 @@
     const leaving = Object.values(this.#jobs.jobs).filter((job) => job.state === 'running' && !job.atMostOnce && job.hostId !== undefined &&
       registry.placed.get(job.hostId)?.isLeaving === true)
     await Promise.all([...plan.preempt.map(({ jobId }) => this.#jobs.find(jobId)), ...leaving].map(async (job) => this.#requeue(job)))
-    if (plan.start.length === 0) return
+    const starts = await this.#withoutSilent(plan.start)
+    if (starts.length === 0) return
     const started = new Map<string, Job>()
     const result = await this.#jobs.commit((jobs) => {
       started.clear()
-      for (const { jobId, hostId } of plan.start) {
+      for (const { jobId, hostId } of starts) {
         const job = jobs.get(jobId)
         if (job?.state !== 'queued') continue
         const starting: Job = { ...job, state: 'starting', hostId, attempt: job.attempt + 1, sinceMs: clock.wallMs() }
@@ -182,6 +203,20 @@
     await this.#settle(reports)
   }
 
+  /**
+   * Leaves out starts of jobs that have lost runs on workers that do not answer. An unanswered start may have crashed the worker, so it counts
+   * against its job; a worker that was silent before tells nothing about it.
+   */
+  async #withoutSilent (starts: JobsPlan['start']): Promise<JobsPlan['start']> {
+    const mustAnswer = ({ jobId }: { jobId: string }): boolean => {
+      const job = this.#jobs.jobs[jobId]
+      return job !== undefined && job.lostRuns + (job.excusedLostRuns ?? 0) > 0
+    }
+    const hostIds = [...new Set(starts.filter(mustAnswer).map(({ hostId }) => hostId))]
+    const answers = new Map(await Promise.all(hostIds.map(async (hostId): Promise<[HostId, boolean]> => [hostId, await this.#probe(hostId)])))
+    return starts.filter(({ hostId }) => answers.get(hostId) !== false)
+  }
+
   async #startTask (job: Job): Promise<RunReport> {
     const { tasks, log } = this.#options
     const fencingToken = this.#token()
@@ -190,6 +225,7 @@
     const started = await tasks.start(host, {
       taskId: taskIdOf(job), fencingToken, leaseMs: TASK_LEASE_MS, slots: job.slots, command: job.command, checkpoint: job.checkpoint
     })
+    this.#noteAnswer(host.hostId, started.ok)
     log.info({ job: job.jobId, host: job.hostId, attempt: job.attempt, outcome: started.val }, 'job start')
     if (started.ok) return { state: started.val === 'started' ? 'running' : 'refused' }
     return { state: started.val.kind === 'unavailable' ? 'refused' : 'silent' }
@@ -217,7 +253,6 @@
     const nowMs = this.#options.clock.wallMs()
     const placedIds = new Set(Object.values(this.#jobs.jobs).filter(isPlaced).map(taskIdOf))
     for (const taskId of this.#lastListedMs.keys()) if (!placedIds.has(taskId)) this.#lastListedMs.delete(taskId)
-    for (const hostId of this.#hostAnsweredMs.keys()) if (!this.#options.registry.placed.has(hostId)) this.#hostAnsweredMs.delete(hostId)
     const isOld = (job: Job): boolean => isEnded(job) && nowMs - job.sinceMs > ENDED_JOB_RETENTION_MS
     if (!Object.values(this.#jobs.jobs).some(isOld)) return
     await this.#jobs.commit((jobs) => { for (const [jobId, job] of jobs) if (isOld(job)) jobs.delete(jobId) })
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -11,4 +11,5 @@
 export { MAX_FAILED_HOSTS, applyRunReport, type ReportTiming, type RunReport } from './lib/applyRunReport.js'
 export { JOB_SIZE_ESTIMATOR_DEFAULTS, JobSizeEstimator, type JobSizeEstimatorOptions } from './lib/JobSizeEstimator.js'
 export { WORKER_HEALTH_DEFAULTS, WorkerHealth, type WorkerHealthOptions } from './lib/WorkerHealth.js'
+export { SilentHosts } from './lib/SilentHosts.js'
 export { WorkerLosses } from './lib/WorkerLosses.js'
