A job of the daemon that has failed on all workers that it may use is tried again after a minute

Cause: a worker on which a job has failed is excluded for the job for good, and the job is given up once it has failed on three. Where its selector leaves only one or two workers, it was neither started nor given up: `queued` without end, also if those workers failed everything for some seconds.

Ruled out: to fail such a job. Two failures within a second on two workers tell nothing certain of the job, and `failed` cannot be taken back.

Change: a queued job that has failed on all workers that its selector leaves may start on them again a minute after its last change. A worker without a failure of it, also one that cannot be used at the moment, is still waited for.

Conclusion: evidence that shut out workers had no end; now it has one.

--- a/packages/jobs/src/lib/planJobs.ts
+++ b/packages/jobs/src/lib/planJobs.ts
@@ -36,6 +36,8 @@
 const PRIORITY_RANK: Record<Job['priority'], number> = { urgent: 0, normal: 1, batch: 2 }
 /** Jobs with more attempts are no longer preempted, since a job that is preempted again and again would never end. */
 const MAX_ATTEMPTS_TO_PREEMPT = 3
+/** Time after its last failure at which a job that has failed on every worker it may use is tried on one of them again. */
+const RETRY_FAILED_MS = 60_000
 
 /**
  * Determines why a job can never be scheduled.
@@ -89,13 +91,15 @@
 
 /**
  * Finds the schedulable worker with the fewest free slots that suffice, which leaves larger gaps on other workers for large jobs.
- * Workers on which the job has failed are excluded.
+ * Workers on which the job has failed are excluded, unless it has failed on all of them: too few to give it up, it would wait without end.
  */
-function findBestFit (job: Job, workers: readonly JobWorker[], usage: SlotUsage): JobWorker | undefined {
+function findBestFit (job: Job, workers: readonly JobWorker[], usage: SlotUsage, nowMs: number): JobWorker | undefined {
   const size = usage.context.sizeOf(job)
+  const selected = workers.filter(({ labels }) => matchesSelector(job.selector, labels))
+  const mayRepeat = nowMs - job.sinceMs >= RETRY_FAILED_MS && selected.every(({ hostId }) => job.failedOn.includes(hostId))
   let best: JobWorker | undefined
-  for (const worker of workers) {
-    const fits = worker.isSchedulable && usage.freeOf(worker) >= size && !job.failedOn.includes(worker.hostId) && matchesSelector(job.selector, worker.labels)
+  for (const worker of selected) {
+    const fits = worker.isSchedulable && usage.freeOf(worker) >= size && (mayRepeat || !job.failedOn.includes(worker.hostId))
     if (fits && (best === undefined || usage.freeOf(worker) < usage.freeOf(best))) best = worker
   }
   return best
@@ -146,7 +150,7 @@
   const leaving = new Set<string>()
   for (const job of listQueuedInOrder(jobs, usage)) {
     if (!usage.hasQuota(job)) continue
-    const worker = findBestFit(job, workers, usage)
+    const worker = findBestFit(job, workers, usage, nowMs)
     if (worker !== undefined) {
       usage.add(job, worker.hostId, 1)
       start.push({ jobId: job.jobId, hostId: worker.hostId })
--- a/packages/jobs/src/test/jobs.test.ts
+++ b/packages/jobs/src/test/jobs.test.ts
@@ -109,6 +109,19 @@
 describe('planJobs', () => {
   const workers = Array.from({ length: 3 }, (_, index): JobWorker => ({ hostId: createHostId(`h${index}`), labels: {}, slots: 4, isSchedulable: index !== 2 }))
   const context: JobsPlanningContext = { sizeOf: ({ slots }) => slots, quotaOf: () => 6, weightOf: () => 1 }
+  const hostsOf = (jobs: readonly Job[], hosts: number, nowMs: number): string[] => planJobs(jobs, workers.slice(0, hosts), context, nowMs).start.map(({ hostId }) => hostId)
+  const failureCases: Array<[name: string, failedOn: string[], hosts: number, failedAgoMs: number, expected: string[]]> = [
+    ['on a worker on which it has not failed', ['h0'], 2, 0, ['h1']],
+    ['on no worker right after it has failed on all', ['h0', 'h1'], 2, 59_999, []],
+    ['on a worker again a while after it has failed on all', ['h0', 'h1'], 2, 60_000, ['h0']],
+    ['on no worker while one that cannot be used now has not failed it', ['h0', 'h1'], 3, 60_000, []]
+  ]
+  for (const [name, failedOn, hosts, failedAgoMs, expected] of failureCases) {
+    it(`starts a job ${name}`, () => {
+      expect(hostsOf([job('a', { failedOn, sinceMs: 1000 })], hosts, 1000 + failedAgoMs)).to.deep.equal(expected.map(createHostId))
+    })
+  }
+
   const jobArbitrary = fc.record({
     team: fc.constantFrom('a', 'b'),
     slots: fc.integer({ min: 1, max: 4 }),
