--- a/packages/jobs/src/test/jobs.test.ts
+++ b/packages/jobs/src/test/jobs.test.ts
@@ -109,7 +109,8 @@
 describe('planJobs', () => {
   const workers = Array.from({ length: 3 }, (_, index): JobWorker => ({ hostId: createHostId(`h${index}`), labels: {}, slots: 4, isSchedulable: index !== 2 }))
   const context: JobsPlanningContext = { sizeOf: ({ slots }) => slots, quotaOf: () => 6, weightOf: () => 1 }
-  const hostsOf = (jobs: readonly Job[], hosts: number, nowMs: number): string[] => planJobs(jobs, workers.slice(0, hosts), context, nowMs).start.map(({ hostId }) => hostId)
+  const hostsOf = (jobs: readonly Job[], hosts: number, nowMs: number): string[] =>
+    planJobs(jobs, workers.slice(0, hosts), context, nowMs).start.map(({ hostId }) => hostId)
   const failureCases: Array<[name: string, failedOn: string[], hosts: number, failedAgoMs: number, expected: string[]]> = [
     ['on a worker on which it has not failed', ['h0'], 2, 0, ['h1']],
     ['on no worker right after it has failed on all', ['h0', 'h1'], 2, 59_999, []],
