A machine counts as removed in a wave only when two lists in a row lack it

Cause: a machine that one list lacked was at once settled in its wave, for good, and a wave whose machines were all settled was shown as done.

Ruled out: a wave that never ends when a machine is removed.

Change: an upkeep or a move is given up as `gone`, and a machine of a wave passed over, when two lists that this holder read in a row lack it.

Conclusion: evidence that passes by itself was taken as a verdict that stays.

--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -88,6 +88,8 @@
   readonly #balancer: PoolBalancer
   #writer!: FencedBatchWriter
   #machines = new Map<string, ListedMachine>()
+  /** Machines of the list before the last one, `undefined` if this holder has read only one. */
+  #previousMachines: ReadonlyMap<string, ListedMachine> | undefined
   #listedMs = -Infinity
   #tookOverMs = 0
   #recordSavedMs = -Infinity
@@ -203,6 +205,7 @@
       return
     }
     const listedMachines = new Map(listed.val.map((machine) => [machine.machineId, machine]))
+    this.#previousMachines = this.#listedMs > -Infinity ? this.#machines : undefined
     this.#machines = listedMachines
     this.#reportLostWorkers(this.#lossDetector.detect(listedMachines), requestedWallMs)
     this.#listedMs = requestedMs
@@ -235,11 +238,17 @@
     await this.#sendReadyOrders()
   }
 
+  /** Whether a machine was removed. The pages of a list are not a consistent snapshot, so it must be missing from two lists in a row. */
+  #isGone (machineId: string): boolean {
+    return !this.#machines.has(machineId) && this.#previousMachines?.has(machineId) === false
+  }
+
   /** Finishes a task that has completed, timed out or lost its machine. */
   #updateTask (task: MachineTask): void {
     const nowMs = this.#options.clock.monotonicMs()
     const machine = this.#machines.get(task.machineId)
-    if (machine === undefined) return this.#finish(task, 'gone')
+    if (this.#isGone(task.machineId)) return this.#finish(task, 'gone')
+    if (machine === undefined) return
     const isListUpToDate = this.#listedMs > task.orderedMs + LIST_LAG_MS
     if (task.state === 'begun' && isListUpToDate && machine.state === 'up') return this.#finish(task, 'done')
     const isMove = task.kind === 'move'
@@ -270,7 +279,7 @@
     const request = this.#requests.get(progress.wave)
     if (request === undefined) return
     const settled = new Set(progress.settled)
-    for (const machineId of request.machineIds) if (!this.#machines.has(machineId)) settled.add(machineId)
+    for (const machineId of request.machineIds) if (this.#isGone(machineId)) settled.add(machineId)
     if (request.machineIds.every((machineId) => settled.has(machineId))) {
       progress.isDone = true
       this.#put(waveStatus(progress.wave, true))
--- a/packages/scheduler/src/test/FakeMachineControl.ts
+++ b/packages/scheduler/src/test/FakeMachineControl.ts
@@ -14,6 +14,8 @@
   readonly orders: RecordedOrder[] = []
   readonly #machines = new Map<string, ListedMachine>()
   readonly #lifetimes = new Map<string, number>()
+  /** How many of the next lists each machine is missing from. */
+  readonly #hiddenLists = new Map<string, number>()
   maxDown = 0
 
   constructor (readonly service: TestService, count: number, parked: number) {
@@ -32,6 +34,11 @@
     if (forMs < Infinity) setTimeout(() => this.#restart(machineId, pool), forMs)
   }
 
+  /** Leaves a machine out of lists. @param machineId - the machine @param lists - how many */
+  hide (machineId: string, lists: number): void {
+    this.#hiddenLists.set(machineId, lists)
+  }
+
   poolOf (machineId: string): string | undefined {
     return this.#machines.get(machineId)?.pool
   }
@@ -41,7 +48,9 @@
   }
 
   async listMachines (): Promise<Result<readonly ListedMachine[], PlatformError>> {
-    return Ok([...this.#machines.values()])
+    const listed = [...this.#machines.values()].filter(({ machineId }) => (this.#hiddenLists.get(machineId) ?? 0) === 0)
+    for (const [machineId, lists] of this.#hiddenLists) this.#hiddenLists.set(machineId, Math.max(0, lists - 1))
+    return Ok(listed)
   }
 
   move (order: MachineOrder, pool: string): Promise<Result<MachineOrderOutcome, PlatformError>> {
--- a/packages/scheduler/src/test/MachineDuty.test.ts
+++ b/packages/scheduler/src/test/MachineDuty.test.ts
@@ -71,6 +71,35 @@
     expect(service.duplicatedTasks).to.deep.equal([])
   }).timeout(20_000)
 
+  for (const when of ['the wave begins', 'it is being drained']) {
+    it(`maintains a machine that is missing from a list when ${when}`, async () => {
+      service = new TestService(2)
+      service.maxLeaseMs = 3000
+      const machines = new FakeMachineControl(service, 2, 0)
+      await service.takeOver()
+      const isDraining = when === 'it is being drained'
+      if (isDraining) await service.submit(1, { runMs: 1500 }, [{ taskCount: 2, maxPerWorker: 1 }])
+      if (isDraining) await service.until('all tasks run', () => service.runs.records.length === 2)
+      if (!isDraining) machines.hide('m0', 1)
+      await startDuty(machines, [{ wave: 1, machineIds: ['m0'], deadlineMs: 20_000, maxAtOnce: 1 }])
+      await service.until('the wave is taken up', () => statuses.includes('1 running'))
+      if (isDraining) await service.until('its machine is to be emptied', () => service.log.lines.some((line) => line.startsWith('machine is to be emptied')))
+      if (isDraining) machines.hide('m0', 1)
+      await service.until('the wave is done', () => statuses.includes('1 done'), 15_000)
+      expect(machines.orders.map(({ machineId, what }) => `${machineId} ${what}`)).to.deep.equal(['m0 upkeep'])
+    }).timeout(20_000)
+  }
+
+  it('a wave ends although one of its machines was removed', async () => {
+    service = new TestService(2)
+    const machines = new FakeMachineControl(service, 2, 0)
+    await service.takeOver()
+    machines.hide('m0', Infinity)
+    await startDuty(machines, [{ wave: 1, machineIds: ['m0', 'm1'], deadlineMs: 20_000, maxAtOnce: 1 }])
+    await service.until('the wave is done', () => statuses.includes('1 done'), 15_000)
+    expect(machines.orders.map(({ machineId, what }) => `${machineId} ${what}`)).to.deep.equal(['m1 upkeep'])
+  }).timeout(20_000)
+
   it('moves a parked machine to a service that needs more machines', async () => {
     service = new TestService(1)
     const machines = new FakeMachineControl(service, 1, 2)
