A job of the daemon is not given up with another one that crashes the workers they share

Cause: jobs that lost their runs with the same worker were queued at the same moment and, as the best fit, placed together on the next worker. One that crashed it some seconds after its start took the others with it five times in a row, and all of them were given up.

Ruled out: that the excuse for workers lost without the job covers it. The worker is the same, so nothing is lost without the job.

Change: a job that has lost runs goes to a worker without another such job, if there is one with room. It is a preference: where all workers are taken, jobs still share.

Conclusion: losses that jobs had in common were counted against each of them.

--- a/packages/entry/src/test/lostJobWorkers.test.ts
+++ b/packages/entry/src/test/lostJobWorkers.test.ts
@@ -43,9 +43,9 @@
   readonly starts: Array<{ jobId: string, hostId: HostId, atMs: number }> = []
   readonly manager: JobManager
 
-  constructor (jobIds: readonly string[], crashAfterMs: ReadonlyMap<string, number> = new Map()) {
+  constructor (jobIds: readonly string[], crashAfterMs: ReadonlyMap<string, number> = new Map(), slots = SLOTS) {
     this.crashAfterMs = crashAfterMs
-    const submission = jobSubmissionSchema.parse({ team: 't', command: 'x', slots: SLOTS })
+    const submission = jobSubmissionSchema.parse({ team: 't', command: 'x', slots })
     const queued = { state: 'queued' as const, submittedMs: 0, sinceMs: 0, attempt: 0, failedOn: [], lostRuns: 0 }
     const jobs = Object.fromEntries(jobIds.map((jobId): [string, Job] => [jobId, { ...submission, ...queued, jobId }]))
     let modRevision = 1
@@ -185,6 +185,17 @@
   }
 })
 
+describe('a job of the daemon that shares its worker with one that crashes it', () => {
+  for (const afterMs of [0, 3000, 8000]) {
+    it(`is not given up with it: ${afterMs} ms after its start`, async () => {
+      const zone = new LossyZone(['a', 'b', 'c'], new Map([['a', afterMs]]), 1)
+      await zone.pass(600_000)
+      expect(['a', 'b', 'c'].map((jobId) => zone.stateOf(jobId))).to.deep.equal(['failed', 'running', 'running'])
+      expect(zone.starts.filter(({ jobId }) => jobId === 'a').length).to.be.at.most(5)
+    })
+  }
+})
+
 describe('a job of the daemon that crashes each worker', () => {
   const cases: ReadonlyArray<[name: string, crashAfterMs: ReadonlyMap<string, number>, maxStarts: number, downMs?: number]> = [
     ['at its start', new Map([['a', 0]]), 5],
--- a/packages/jobs/src/lib/planJobs.ts
+++ b/packages/jobs/src/lib/planJobs.ts
@@ -57,10 +57,15 @@
   return job.slots > largest ? `it needs ${job.slots} slots and the largest selected host has ${largest}` : undefined
 }
 
+/** Whether a job has lost runs, so that it may be what ends its workers. */
+const hasLostRuns = ({ lostRuns, excusedLostRuns = 0 }: Job): boolean => lostRuns + excusedLostRuns > 0
+
 /** Tracks the slots in use by worker and by team. */
 class SlotUsage {
   readonly byWorker = new Map<HostId, number>()
   readonly byTeam = new Map<string, number>()
+  /** Number of jobs that have lost runs, by worker. */
+  readonly #suspects = new Map<HostId, number>()
 
   constructor (jobs: readonly Job[], readonly context: JobsPlanningContext) {
     for (const job of jobs) if (isPlaced(job) && job.hostId !== undefined) this.add(job, job.hostId, 1)
@@ -70,6 +75,12 @@
     const size = this.context.sizeOf(job) * sign
     this.byWorker.set(hostId, (this.byWorker.get(hostId) ?? 0) + size)
     this.byTeam.set(job.team, (this.byTeam.get(job.team) ?? 0) + size)
+    if (hasLostRuns(job)) this.#suspects.set(hostId, (this.#suspects.get(hostId) ?? 0) + sign)
+  }
+
+  /** Whether a job that may crash its worker runs on a worker. */
+  hasSuspect ({ hostId }: JobWorker): boolean {
+    return (this.#suspects.get(hostId) ?? 0) > 0
   }
 
   freeOf (worker: JobWorker): number {
@@ -91,16 +102,22 @@
 
 /**
  * Finds the schedulable worker with the fewest free slots that suffice, which leaves larger gaps on other workers for large jobs.
- * Workers on which the job has failed are excluded, unless it has failed on all of them: too few to give it up, it would wait without end.
+ *
+ * Where jobs that have lost runs share a worker, the one that crashes it ends the others each time, and they would be given up with it; so such
+ * a job goes to a worker without another one if there is any. Workers on which the job has failed are excluded, unless it has failed on all of
+ * them: too few to give it up, it would wait without end.
  */
 function findBestFit (job: Job, workers: readonly JobWorker[], usage: SlotUsage, nowMs: number): JobWorker | undefined {
   const size = usage.context.sizeOf(job)
   const selected = workers.filter(({ labels }) => matchesSelector(job.selector, labels))
   const mayRepeat = nowMs - job.sinceMs >= RETRY_FAILED_MS && selected.every(({ hostId }) => job.failedOn.includes(hostId))
+  const sharesSuspect = (worker: JobWorker): boolean => hasLostRuns(job) && usage.hasSuspect(worker)
+  const isBetter = (worker: JobWorker, other: JobWorker): boolean =>
+    sharesSuspect(worker) === sharesSuspect(other) ? usage.freeOf(worker) < usage.freeOf(other) : !sharesSuspect(worker)
   let best: JobWorker | undefined
   for (const worker of selected) {
     const fits = worker.isSchedulable && usage.freeOf(worker) >= size && (mayRepeat || !job.failedOn.includes(worker.hostId))
-    if (fits && (best === undefined || usage.freeOf(worker) < usage.freeOf(best))) best = worker
+    if (fits && (best === undefined || isBetter(worker, best))) best = worker
   }
   return best
 }
