Losses that a suspect job may have caused excuse no other, and siblings of a task that is given up are charged less

A gang was given up for planned restarts. A lasting task that had started on the same worker as the task that is given up was given up with it. Cause: any loss that the job could not have caused counted as unrelated. Points were taken back from other jobs only, and all verdicts of a round were carried out. Change: a loss is unrelated only if no suspect job can have caused it; a worker leaves only if its last call had been answered when its registration ended, and a run known to have survived its start is not charged for a planned or silent end; tasks of the same job that ran beside the one given up get points back, and each verdict is taken again before it is carried out. Tests: two cases of CrashTracker.test.ts have the points of again (two workers of a zone, beside a suspect task); one is new.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -363,9 +363,9 @@
     this.#ledger.warnOversized(round.quota.oversized)
     for (const run of round.runsToStop) this.#tracker.stopRun(run)
     for (const task of round.tasksToGiveUp) {
-      if (hasEnded(task.job)) continue
+      if (hasEnded(task.job) || decidePlacement(task, nowMs) !== 'give-up') continue
       this.#registry.giveUpTask(task)
-      this.#crashTracker.clearOtherJobs(task.job)
+      this.#crashTracker.clearOtherTasks(task)
     }
     if (runs.length === 0) return
     this.#evacuator.addPlacements(runs)
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import {
-  createCrashRecord, hasEnded, hasSurvivedUntil, isCrashSuspect, knownSurvivalMs, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, START_SURVIVAL_MS, type CrashRecord,
-  type Job, type Run, type Task, type WorkerLossKind
+  allTasks, createCrashRecord, hasEnded, hasSurvivedUntil, isCrashSuspect, knownSurvivalMs, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, START_SURVIVAL_MS,
+  type CrashRecord, type Job, type Run, type Task, type WorkerLossKind
 } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 
@@ -133,9 +133,9 @@
     const survivors = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
     const cleared = started.filter((run) => survivors.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
     for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
-    // If the end was planned or has another likely cause, a run after whose start the worker reported for a while did not cause it.
+    // If the end was planned or has another likely cause, a run that the worker is known to have survived for a while did not cause it.
     const isExplained = loss.isPlanned || loss.isSilent
-    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasReportedAfterStart(loss, run))])
+    const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasSurvivedStart(loss, run))])
     return {
       charged: started.filter((run) => !innocent.has(run)),
       possibleCauses: new Set(started.filter((run) => !survivors.has(run)).map(({ task }) => task.job))
@@ -158,10 +158,11 @@
     this.#options.onChanged(task.job)
   }
 
-  /** Whether another worker was lost around the given time that no task of the job can have ended. */
+  /** Whether another worker was lost around the given time that neither a task of the job nor one of a suspect job can have ended. */
   #hasUnrelatedLoss (job: Job, instanceId: string, atMs: number): boolean {
     const ends = [...this.#crashes, ...this.#unrelatedEnds].filter((end) => Math.abs(atMs - end.atMs) < UNRELATED_LOSS_MS)
-    const related = new Set([instanceId, ...ends.filter(({ possibleCauses }) => possibleCauses.has(job)).map(({ loss }) => loss.instanceId)])
+    const mayBeCause = (other: Job): boolean => other === job || allTasks(other).some(isCrashSuspect)
+    const related = new Set([instanceId, ...ends.filter(({ possibleCauses }) => [...possibleCauses].some(mayBeCause)).map(({ loss }) => loss.instanceId)])
     return ends.some(({ loss }) => !related.has(loss.instanceId))
   }
 
@@ -195,15 +196,17 @@
   }
 
   /**
-   * Takes points back from tasks of other jobs for crashes that are now attributed to the given job.
+   * Takes points back from other tasks for crashes that are now attributed to a task.
    *
-   * @param culprit - the job that was given up because it ends its workers
+   * @param culprit - the task that was given up because it ends its workers
    */
-  clearOtherJobs (culprit: Job): void {
+  clearOtherTasks (culprit: Task): void {
     for (const { loss, penalties, justStartedJobs } of this.#crashes) {
-      if (!justStartedJobs.has(culprit)) continue
-      const otherPenalties = penalties.filter(({ task, points }) => task.job !== culprit && points > 0 && !hasEnded(task.job))
-      // Both jobs may be at fault: a task that may have just started there keeps the points of a loss whose cause is uncertain.
+      if (!justStartedJobs.has(culprit.job)) continue
+      const wasThere = penalties.some(({ task }) => task === culprit)
+      const isOther = (task: Task): boolean => task.job === culprit.job ? wasThere && task !== culprit : true
+      const otherPenalties = penalties.filter(({ task, points }) => points > 0 && !hasEnded(task.job) && isOther(task))
+      // Both tasks may be at fault: one that may have just started there keeps the points of a loss whose cause is uncertain.
       for (const { record } of otherPenalties) record.hasEarlyLoss = false
       for (const penalty of otherPenalties) this.#reducePenalty(penalty, penalty.hasSurvivedStart ? CRASH_POINTS.cleared : CRASH_POINTS.beside)
       if (otherPenalties.length > 0) this.#report(loss, 'cleared', otherPenalties)
@@ -270,12 +273,9 @@
   return startMs !== undefined && nowMs - startMs <= EARLY_LOSS_MS
 }
 
-/** Whether the worker gave a report more than {@link EARLY_LOSS_MS} after the confirmed start of the run. */
-const hasReportedAfterStart = ({ lastReportMs }: WorkerLoss, run: Run): boolean => knownSurvivalMs(run, lastReportMs) > EARLY_LOSS_MS
-
 /** Whether the start of the run is known not to have crashed the worker. A report may have been under way, but not one that was requested later. */
-function hasSurvivedStart (loss: WorkerLoss, run: Run): boolean {
-  return hasReportedAfterStart(loss, run) || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
+function hasSurvivedStart ({ lastReportMs }: WorkerLoss, run: Run): boolean {
+  return knownSurvivalMs(run, lastReportMs) > EARLY_LOSS_MS || knownSurvivalMs(run, run.listedAskedMs ?? -Infinity) >= START_SURVIVAL_MS
 }
 
 const lastAliveMs = ({ lastReportMs }: WorkerLoss, { listedAskedMs = -Infinity }: Run): number => Math.max(lastReportMs, listedAskedMs)
--- a/packages/scheduler/src/lib/workers/RunLossHandler.ts
+++ b/packages/scheduler/src/lib/workers/RunLossHandler.ts
@@ -164,7 +164,7 @@
 
   /** Whether the end was planned: the worker or its machine was draining, or the worker kept answering without a registration. */
   #isEndPlanned (link: WorkerLink, nowMs: number): boolean {
-    const isLeaving = !link.isRegistered && link.isAnswering(nowMs)
+    const isLeaving = !link.isRegistered && link.hasLeft && link.isAnswering(nowMs)
     return isLeaving || link.instance.state === 'draining' || this.#options.isDraining(link.instance.machineId)
   }
 
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -48,6 +48,8 @@
 const LEASE_EXTENSION_INTERVAL_MS = 500
 const MIN_RETRY_DELAY_MS = 100
 const MAX_RETRY_DELAY_MS = 500
+/** Timers may fire a millisecond early. */
+const TIMER_MARGIN_MS = 5
 /** A start with unknown outcome is retried for this long, then given up and stopped. */
 const START_RETRY_PERIOD_MS = 1500
 
@@ -63,6 +65,8 @@
   #coldUntilMs: number
   /** State of the registration entry. An unreadable entry makes the worker ineligible for new work, but says nothing about its runs. */
   registration: 'readable' | 'unreadable' | 'missing' = 'readable'
+  /** Whether the last call had been answered when its registration ended, as that of a worker that leaves but not of one that has crashed. */
+  hasLeft = false
   /** Monotonic time until which no work is placed there, because the worker refused some. */
   refusingUntilMs = -Infinity
   processedSequence = 0
@@ -112,6 +116,11 @@
     return this.registration !== 'missing'
   }
 
+  /** Whether a call has failed since the last report. */
+  get hasFailedCalls (): boolean {
+    return this.#mayBeNextLifetime
+  }
+
   /** Whether the worker is registered as ready for new work. */
   get acceptsRuns (): boolean {
     return this.registration === 'readable' && this.instance.state === 'ready'
@@ -171,9 +180,9 @@
     if (this.isRecordedSilent) await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
   }
 
-  /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the time until then */
+  /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the least time until then */
   pollAfter (delayMs: number): void {
-    void delay(delayMs, this.#stop.signal).then(() => {
+    void delay(delayMs + TIMER_MARGIN_MS, this.#stop.signal).then(() => {
       if (!this.#stop.signal.aborted) this.#pollNow()
     })
   }
--- a/packages/scheduler/src/lib/workers/WorkerTracker.ts
+++ b/packages/scheduler/src/lib/workers/WorkerTracker.ts
@@ -152,6 +152,7 @@
       const workerId = workerIdOf(instanceId)
       const isOther = (lifetimes.get(workerId) ?? instanceId) !== instanceId
       link.registration = lifetimes.get(workerId) === instanceId ? 'readable' : registeredIds.has(workerId) && !isOther ? 'unreadable' : 'missing'
+      if (wasRegistered) link.hasLeft = !link.isRegistered && !link.hasFailedCalls
       if (wasRegistered && !link.isRegistered) this.#options.log.info({ instanceId, runs: link.runs.size }, 'worker is not listed any more')
     }
     this.#pruneEndedLifetimes()
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -114,7 +114,7 @@
   {
     name: 'two workers of a zone, in different racks',
     steps: ['a', 'b'].map((task, index) => ({ ...lateCrash(index * 100, task), rack: task, zone: 'z' })),
-    expected: { task: 'a', points: 0, isSuspect: false, decision: 'place' }
+    expected: { task: 'a', points: 2, isSuspect: true, decision: 'place' }
   },
   {
     name: 'workers of a rack that all ended soon after tasks of one job started on them',
@@ -124,7 +124,7 @@
   {
     name: 'beside a task that was already suspected and had just started',
     steps: [crash(0, 'b'), { atMs: 2000, runs: [{ task: 'b', agoMs: SOON }, { task: 'a', agoMs: LATE }] }],
-    expected: { task: 'a', points: 0, isSuspect: false, decision: 'place' }
+    expected: { task: 'a', points: 1, isSuspect: false, decision: 'place' }
   },
   {
     name: 'cleared, since another job turned out to be the cause',
@@ -185,6 +185,11 @@
     steps: [0, 9000, 18_000].map((atMs) => ({ atMs, runs: [{ task: 'l', agoMs: LATE, phase: 'starting' as const }, { task: 'b', agoMs: LATE }], isUnconfirmed: true })),
     expected: { task: 'l', points: 6, isSuspect: true, decision: 'give-up' }
   },
+  {
+    name: 'another task of its job, which had just started on its workers each time, is given up',
+    steps: [0, 9000, 18_000].map((atMs): Loss | GiveUp => crash(atMs, 'l', 'l1')).concat({ atMs: 19_000, culprit: 'l1' }),
+    expected: { task: 'l', points: 3, isSuspect: true, decision: 'place' }
+  },
   { name: 'a decision delayed until other losses nearby are known', steps: [crash(0, 'a'), crash(99_900, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'wait' } }
 ]
 const DECISION_MS = 100_000
@@ -221,7 +226,7 @@
       const tasks = new Tasks()
       const tracker = new CrashTracker({ log: new TestLog(), tookOverMs: -Infinity, count: () => {}, onChanged: () => {} })
       steps.forEach((step, index) => {
-        if ('culprit' in step) return tracker.clearOtherJobs(tasks.jobOf(step.culprit))
+        if ('culprit' in step) return tracker.clearOtherTasks(tasks.find(step.culprit))
         const { atMs, rack, zone, runs, lastAnswerAgoMs = 100, listedAgoMs, isUnconfirmed, isPlanned = false, isSilent = false, isUnknown = false } = step
         const lostRuns = runs.map(({ task, agoMs, phase }): Run => {
           if (isUnknown) return unknownRunOf(tasks.find(task))
@@ -267,7 +272,7 @@
     recordCrash(6000, [lasting])
     recordCrash(8000, [lasting])
     const { points } = lasting.crashes
-    tracker.clearOtherJobs(culprit.job)
+    tracker.clearOtherTasks(culprit)
     expect(lasting.crashes.points).to.equal(points)
     expect(isCrashSuspect(lasting)).to.equal(true)
   })
--- a/packages/scheduler/src/test/crashingTasks.test.ts
+++ b/packages/scheduler/src/test/crashingTasks.test.ts
@@ -362,7 +362,7 @@
   }
 ]
 
-/** A lasting task counts as no cause of crashes after 3 s; no holder of these tests watches a run for so long. */
+/** Long enough for a run to have survived its start by far. */
 const HALF_RUN_MS = 2200
 
 describe('a task that does not crash its workers', () => {
