Soak: no job is shown as failed without a cause

Cause: the soak read the states of lasting jobs only once at the end, as soon as all faults were over, and took `running` for good.

Change: hosts are asked in turn for the state of each lasting job, four times a second, and once more when all final states are in; the times of all answers `failed` are recorded. A promise allows them only for accepted jobs that crash workers, or of which one task, not a lasting one, had by then failed as often as its queue allows (`QUEUE_ATTEMPTS`, so far a literal of the stand-ins). The other promises are as they were.

Conclusion: a lasting job that is given up at any time of a run is seen, unless it happens after the last question.

--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -27,6 +27,8 @@
   isCancelSent: boolean
   /** Times of the queries that were answered with "no such job". */
   readonly unknownAtMs: number[]
+  /** Times of the answers, during the run and at its end, that showed it as failed. */
+  readonly failedAtMs: number[]
   /** When it was first sent to the queue that configuration changes add and remove; `undefined` for a job of a permanent queue. */
   readonly sentToExtraQueueMs: number | undefined
   /** The state reported after all faults had ended; empty if no host reported one. */
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -82,12 +82,14 @@
     await Promise.all(this.jobs.filter(({ submitted }) => submitted === 'accepted').map(async (job) => {
       const expectedStates = job.steps[0]?.isLasting === true ? new Set(['running']) : FINAL_STATES
       while (this.#nowMs() < untilMs && !expectedStates.has(job.finalState)) {
-        const { outcome } = await this.#callAnyHost('GET', job)
+        const { outcome } = await this.#readState(job)
         if (outcome.kind === 'answer' && outcome.status === 200) job.finalState = decodeJobState(outcome.body)
         if (outcome.kind === 'answer' && outcome.status === 410) job.finalState = 'unknown'
         await delay(PROBE_INTERVAL_MS)
       }
     }))
+    // A lasting job that was running may have been given up since.
+    await Promise.all(this.jobs.filter(({ steps }) => steps[0]?.isLasting === true).map((job) => this.#readState(job)))
     this.#agent.destroy()
   }
 
@@ -123,6 +125,7 @@
       cancelAcknowledgedMs: undefined,
       isCancelSent: false,
       unknownAtMs: [],
+      failedAtMs: [],
       finalState: ''
     }
     this.jobs.push(job)
@@ -139,14 +142,27 @@
     if (job.submitted !== 'accepted') return
     job.acceptedMs = this.#nowMs()
     if (job.sentToExtraQueueMs !== undefined && this.#environment.resendsExtraJobs) this.#pending.push(this.#sendAgain(job, body))
+    if (job.steps[0]?.isLasting === true) this.#pending.push(this.#followState(job))
     if (isCancelled) await this.#cancel(job)
     if (!isStatusChecked) return
     await delay(UNDISTURBED_MS + CALL_TIMEOUT_MS, this.#stop.signal)
     const sentMs = this.#nowMs()
-    const { outcome } = await this.#callAnyHost('GET', job)
+    const { outcome } = await this.#readState(job)
     if (outcome.kind === 'answer' && outcome.status === 410) job.unknownAtMs.push(sentMs)
   }
 
+  /** Asks all hosts in turn for the state of a job until {@link stop} is called. */
+  async #followState (job: JobView): Promise<void> {
+    const { hosts } = this.#environment
+    for (let turn = 0; await delay(PROBE_INTERVAL_MS, this.#stop.signal); turn++) await this.#readState(job, hosts[turn % hosts.length])
+  }
+
+  async #readState (job: JobView, host = this.#random.pick(this.#environment.hosts)): Promise<HostAnswer> {
+    const answer = await this.#callHost(host, 'GET', this.#paths.get(job.jobId) ?? '', this.#currentKey(job.account))
+    if (answer.outcome.kind === 'answer' && decodeJobState(answer.outcome.body) === 'failed') job.failedAtMs.push(this.#nowMs())
+    return answer
+  }
+
   /** Returns `refused` only if every attempt was certainly refused: after one missing or uncertain answer the job may have been accepted. */
   async #submit (job: JobView, body: unknown): Promise<SubmitOutcome> {
     let isUncertain = false
@@ -181,7 +197,7 @@
     }
   }
 
-  async #callAnyHost (method: 'POST' | 'GET' | 'DELETE', job: JobView, body?: unknown, path = this.#paths.get(job.jobId) ?? ''): Promise<HostAnswer> {
+  async #callAnyHost (method: 'POST' | 'DELETE', job: JobView, body?: unknown, path = this.#paths.get(job.jobId) ?? ''): Promise<HostAnswer> {
     return await this.#callHost(this.#random.pick(this.#environment.hosts), method, path, this.#currentKey(job.account), body)
   }
 
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { FleetRunRecord } from '@quillscale/platform-fleet'
+import { QUEUE_ATTEMPTS, type FleetRunRecord } from '@quillscale/platform-fleet'
 import type { History, JobView } from './History.js'
 import { ACCOUNTS, APPLY_MS } from './SoakAccounts.js'
 
@@ -198,6 +198,15 @@
   })
 }
 
+/** Finds jobs that a host showed as failed although they crash no workers and no task of theirs had failed as often as allowed. */
+function findUncausedFailures ({ jobs, runs }: History): string[] {
+  return jobs.filter(({ submitted, crashesWorkers }) => submitted === 'accepted' && !crashesWorkers).flatMap(({ jobId, steps, failedAtMs }) => {
+    const failures = groupBy(runs.filter(({ taskKey, end }) => jobIdOf(taskKey) === jobId && end === 'failed' && steps[stepOf(taskKey)]?.isLasting === false), ({ taskKey }) => taskKey)
+    const atMs = failedAtMs.find((seenMs) => ![...failures.values()].some((failed) => failed.filter((run) => endOf(run) <= seenMs).length >= QUEUE_ATTEMPTS))
+    return atMs === undefined ? [] : [`${jobId} was shown as failed at ${atMs}`]
+  })
+}
+
 function findOverloads ({ overloads }: History): string[] {
   return overloads.filter(({ atMs, shrunkMs }) => atMs - shrunkMs > CAPACITY_UPDATE_MS)
     .map(({ machineId, atMs, shrunkMs }) => `${machineId} was ordered to start a task beyond its capacity ${atMs - shrunkMs} ms after its capacity was reduced`)
@@ -245,6 +254,7 @@
   'a host knows the queues of the jobs that it starts': findHostsGoneBack,
   'a job is accepted only while its queue exists': findJobsOfMissingQueues,
   'a task that crashes workers is given up': findUnboundedCrashes,
+  'no job is shown as failed without a cause': findUncausedFailures,
   'no worker is overloaded': findOverloads,
   'keys hold': findKeyViolations,
   'limits hold': findLimitViolations,
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { FleetRunRecord, MachineOrderRecord } from '@quillscale/platform-fleet'
+import { QUEUE_ATTEMPTS, type FleetRunRecord, type MachineOrderRecord } from '@quillscale/platform-fleet'
 import { checkPromises, PROMISES } from '../lib/checkPromises.js'
 import type { History, JobView, QueueLookup } from '../lib/History.js'
 
@@ -14,6 +14,7 @@
   crashesWorkers: false,
   sentToExtraQueueMs: undefined,
   unknownAtMs: [],
+  failedAtMs: [],
   finalState: 'succeeded',
   ...changes
 })
@@ -53,6 +54,10 @@
 
 const evacuations = [{ availabilityZone: 'z0', acknowledgedMs: 1000, withdrawnMs: 9000 }]
 const twoSteps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }, { taskCount: 1, dependsOn: [0], isLasting: false, maxAway: undefined }]
+const failures = (count: number): FleetRunRecord[] =>
+  Array.from({ length: count }, (_, index) => runOf({ runNumber: index + 1, startedMs: index * 100, endedMs: index * 100 + 50, end: 'failed' }))
+/** When the last failure that is allowed has ended. */
+const LAST_FAILURE_MS = (QUEUE_ATTEMPTS - 1) * 100 + 50
 const lasting = job({ steps: [{ taskCount: 2, dependsOn: [], isLasting: true, maxAway: 1 }], finalState: 'running' })
 
 describe('checkPromises', () => {
@@ -124,6 +129,13 @@
       how: 'it is started three more times',
       seen: history({ jobs: [job({ crashesWorkers: true, finalState: 'failed' })], runs: [1, 2, 3, 4, 5, 6].map((runNumber) => runOf({ runNumber, startedMs: runNumber * 100, endedMs: runNumber * 100 + 10, end: undefined })) })
     },
+    ...[
+      { how: 'a lasting one is, after a worker was lost', jobs: [{ ...lasting, failedAtMs: [900] }], runs: [runOf({ end: undefined }), runOf({ runNumber: 2, startedMs: 950, endedMs: undefined, end: undefined })] },
+      { how: 'a lasting one is, after its runs failed', jobs: [{ ...lasting, failedAtMs: [9000] }], runs: failures(QUEUE_ATTEMPTS) },
+      { how: 'it is, just before its last attempt failed', jobs: [job({ failedAtMs: [LAST_FAILURE_MS - 1, LAST_FAILURE_MS] })], runs: failures(QUEUE_ATTEMPTS) },
+      { how: 'its runs failed once less than allowed', jobs: [job({ failedAtMs: [9000] })], runs: failures(QUEUE_ATTEMPTS - 1) },
+      { how: 'the failures are those of two tasks', jobs: [job({ failedAtMs: [9000] })], runs: failures(QUEUE_ATTEMPTS).map((run, index) => ({ ...run, taskKey: `a.0.0.${index % 2}` })) }
+    ].map(({ how, ...seen }) => ({ promise: 'no job is shown as failed without a cause', how, seen: history(seen) })),
     { promise: 'an evacuated zone gets no new runs', how: 'one starts there 6 s later', seen: history({ evacuations, runs: [runOf({ startedMs: 7000, endedMs: 7100 })] }) },
     { promise: 'no worker is overloaded', how: 'its capacity was reduced 5 s ago', seen: history({ overloads: [{ machineId: 'm', atMs: 6000, shrunkMs: 1000 }] }) }
   ]
@@ -139,6 +151,9 @@
 
   const kept: ReadonlyArray<{ name: string, seen: History }> = [
     { name: 'a completed job', seen: history() },
+    { name: 'a job that is shown as failed once its runs failed as often as allowed', seen: history({ jobs: [job({ failedAtMs: [LAST_FAILURE_MS] })], runs: failures(QUEUE_ATTEMPTS) }) },
+    { name: 'a job that crashes workers and is shown as failed', seen: history({ jobs: [job({ crashesWorkers: true, failedAtMs: [900], finalState: 'failed' })] }) },
+    { name: 'a job that is shown as failed after a submission with an unknown outcome', seen: history({ jobs: [job({ submitted: 'unknown', failedAtMs: [900], finalState: '' })] }) },
     { name: 'a run that is lost with its worker and repeated', seen: history({ runs: [runOf({ end: undefined, isAcknowledged: false }), runOf({ runNumber: 2, startedMs: 300, endedMs: 400 })] }) },
     ...[{ where: 'an evacuated zone within the bound', startedMs: 5900 }, { where: 'a zone after the withdrawal', startedMs: 9100 }, { where: 'another zone', startedMs: 7000, availabilityZone: 'z1' }]
       .map(({ where, ...start }) => ({ name: `a start in ${where}`, seen: history({ evacuations, runs: [runOf({ ...start, endedMs: start.startedMs + 100 })] }) })),
