Soak: workers are lost in series, over a change of the duty holder

Cause: lasting jobs that crash no worker were shown as failed after series of lost workers. The soak draws these too seldom: its kinds lose one worker at a time, or many at once, and whether the duty changes meanwhile is left to chance.

For its duration a random worker is lost every 150 to 450 ms and is back under its id within 0.5 s, and in the middle the host that took over a duty last is killed. Everything is drawn from the seed when it starts. `isHealed` of the environment becomes public for it.

--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -70,9 +70,10 @@
   #extraQueue = EXTRA_QUEUE
   /** Time of the last store fault; `Infinity` while one is active. */
   storeLastDisturbedMs = -Infinity
+  /** Whether all faults have ended; none starts after that. */
+  isHealed = false
   #configurationVersion = 0
   #lastWave = 0
-  #isHealed = false
   readonly #stop = new AbortController()
 
   /** @param clock - the clock of all stand-ins and records @param size - the number of hosts and machines */
@@ -167,7 +168,7 @@
 
   /** Lets hosts learn of configurations at different times, and refuses them any other reading. @param random - draws the delays */
   delayConfiguration (random: SeededRandom): void {
-    if (this.#isHealed) return
+    if (this.isHealed) return
     this.store.watchDelayMs = (prefix) => prefix === CONFIGURATION_PREFIX ? random.next() * MAX_CONFIGURATION_DELAY_MS : 0
     this.store.refusesRead = (key) => key.startsWith(CONFIGURATION_PREFIX)
   }
@@ -218,7 +219,7 @@
 
   /** Ends all faults. */
   heal (): void {
-    this.#isHealed = true
+    this.isHealed = true
     this.store.forcedStatus = undefined
     this.store.losesAnswers = false
     this.store.latencyMs = 0
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -30,6 +30,9 @@
 const STAYING_SHARE = 0.5
 /** An evacuation lasts longer than the bound from which no run may start in its zone. */
 const MIN_EVACUATION_MS = 5500
+/** Time between the losses of workers in a series. */
+const MIN_LOSS_GAP_MS = 150
+const MAX_LOSS_GAP_MS = 450
 /** A worker whose capacity shrinks keeps less than this share of it. */
 const MAX_SHRUNK_SHARE = 0.7
 
@@ -195,6 +198,16 @@
     setTimeout(() => { void environment.setExtraQueue(random.next() < STAYING_SHARE) }, ADDED_QUEUE_MS)
     setTimeout(() => { void environment.moveExtraQueue() }, ADDED_QUEUE_MS + forMs / 2)
     return undefined
+  },
+  'workers are lost in series, over a change of the duty holder': (environment, random, forMs) => {
+    const schedule = (act: () => void, atMs: number): void => { setTimeout(() => { if (!environment.isHealed) act() }, atMs) }
+    for (let atMs = 0; atMs < forMs; atMs += MIN_LOSS_GAP_MS + random.integer(MAX_LOSS_GAP_MS - MIN_LOSS_GAP_MS)) {
+      const machineId = random.pick(environment.fleet.machineIds)
+      const restartMs = random.integer(MAX_RESTART_MS)
+      schedule(() => environment.fleet.crash(machineId, restartMs), atMs)
+    }
+    schedule(() => environment.hosts.find(({ hostSettings }) => hostSettings.hostName === environment.tenures.at(-1)?.hostName)?.kill(), forMs / 2)
+    return undefined
   }
 }
 
