Soak: a series of lost workers outlasts several starts

Cause: the 31st kind lasted 0.2 to 4 s, in which a task is seldom interrupted more than twice; on a busy machine it found nothing.

Change: a series lasts 4 s longer than the fault that is drawn, as an evacuation does; the host is still killed in its middle.

--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -33,6 +33,8 @@
 /** Time between the losses of workers in a series. */
 const MIN_LOSS_GAP_MS = 150
 const MAX_LOSS_GAP_MS = 450
+/** A series of losses outlasts several starts of the tasks that it interrupts. */
+const MIN_SERIES_MS = 4000
 /** A worker whose capacity shrinks keeps less than this share of it. */
 const MAX_SHRUNK_SHARE = 0.7
 
@@ -201,12 +203,13 @@
   },
   'workers are lost in series, over a change of the duty holder': (environment, random, forMs) => {
     const schedule = (act: () => void, atMs: number): void => { setTimeout(() => { if (!environment.isHealed) act() }, atMs) }
-    for (let atMs = 0; atMs < forMs; atMs += MIN_LOSS_GAP_MS + random.integer(MAX_LOSS_GAP_MS - MIN_LOSS_GAP_MS)) {
+    const seriesMs = MIN_SERIES_MS + forMs
+    for (let atMs = 0; atMs < seriesMs; atMs += MIN_LOSS_GAP_MS + random.integer(MAX_LOSS_GAP_MS - MIN_LOSS_GAP_MS)) {
       const machineId = random.pick(environment.fleet.machineIds)
       const restartMs = random.integer(MAX_RESTART_MS)
       schedule(() => environment.fleet.crash(machineId, restartMs), atMs)
     }
-    schedule(() => environment.hosts.find(({ hostSettings }) => hostSettings.hostName === environment.tenures.at(-1)?.hostName)?.kill(), forMs / 2)
+    schedule(() => environment.hosts.find(({ hostSettings }) => hostSettings.hostName === environment.tenures.at(-1)?.hostName)?.kill(), seriesMs / 2)
     return undefined
   }
 }
