--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -15,6 +15,7 @@
     { seed: 29, seconds: 15, cause: 'all kinds of faults; queues are removed while hosts learn of it late', kindCount: 29 },
     { seed: 311, seconds: 15, cause: 'all kinds of faults; queues are added three times while hosts learn of them late', kindCount: 28 },
     { seed: 132, seconds: 15, cause: 'all kinds of faults; queues move while their jobs are sent again', kindCount: 30 },
+    { seed: 20_261_221, seconds: 10, cause: 'all kinds of faults; workers are lost in series three times', kindCount: 31 },
     ...FAILED_SEEDS
   ]
   for (const { seed, seconds, cause, kindCount } of cases) {
