fleetRestarts.test.ts: a fleet that is closed during its outage does not start again

Cause: a fleet closed while it is off started its holders 300 ms later, and nobody closed those, so that the test process did not end. Ruled out: the bounds; no check or bound is touched. Change: close() is remembered, and the late start is skipped.

--- a/packages/scheduler/src/test/fleetRestarts.test.ts
+++ b/packages/scheduler/src/test/fleetRestarts.test.ts
@@ -23,6 +23,7 @@
   steps = 0
   #powerLosses = 0
   #isOff = false
+  #isClosed = false
   #tenure: Tenure | undefined
   #duty: MachineDuty | undefined
   readonly #clock = setInterval(() => { for (const worker of this.service.runs.workers.values()) worker.step() }, 5)
@@ -66,7 +67,7 @@
     this.whileOff(this)
     setTimeout(() => {
       this.#isOff = false
-      void this.start()
+      if (!this.#isClosed) void this.start()
     }, DOWN_MS)
     return await never()
   }
@@ -120,7 +121,9 @@
     return Math.max(0, ...gaps)
   }
 
+  /** Ends the fleet for good, also during an outage: holders that came later would never be closed. */
   close (): void {
+    this.#isClosed = true
     clearInterval(this.#clock)
     this.#duty?.close()
     this.service.close()
