--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,15 +4,15 @@
  * @module
  */
 export {
-  clearCrashRecordIfSurvived, isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, startMsOf, EARLY_LOSS_MS, type WorkerLossKind,
-  type PlacementDecision
+  clearCrashRecordIfSurvived, isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, startMsOf, hasSurvivedUntil, knownSurvivalMs,
+  EARLY_LOSS_MS, START_SURVIVAL_MS, type WorkerLossKind, type PlacementDecision
 } from './lib/jobs/crashes.js'
 export { createCrashRecord, type CrashRecord } from './lib/jobs/CrashRecord.js'
 export {
   isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, findDependencyProblem, stepSpecSchema, type JobId, type JobOwner, type JobSpec, type StepSpec
 } from './lib/jobs/JobSpec.js'
 export {
-  allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, listReadySteps, stepOf, tasksOf, occurrenceCount,
+  allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, isOpen, listReadySteps, stepOf, tasksOf, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
 export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
