--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export {
-  clearCrashRecordIfSurvived, isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, startMsOf, hasSurvivedUntil, knownSurvivalMs,
+  isCrashSuspect, decidePlacement, CRASH_POINTS, mayCrashWorker, startMsOf, hasSurvivedUntil, knownSurvivalMs,
   EARLY_LOSS_MS, START_SURVIVAL_MS, type WorkerLossKind, type PlacementDecision
 } from './lib/jobs/crashes.js'
 export { createCrashRecord, type CrashRecord } from './lib/jobs/CrashRecord.js'
--- a/packages/policy/src/lib/jobs/crashes.ts
+++ b/packages/policy/src/lib/jobs/crashes.ts
@@ -12,7 +12,6 @@
  *
  * @module
  */
-import { createCrashRecord } from './CrashRecord.js'
 import { stepOf, type Run, type Task } from './JobState.js'
 
 /**
@@ -58,21 +57,6 @@
   return lastLossMs !== undefined && nowMs - lastLossMs < GIVE_UP_DELAY_MS ? 'wait' : 'give-up'
 }
 
-/**
- * Clears the points of a task whose run is known to have survived.
- *
- * @param run - a run that its worker lists
- * @param askedMs - monotonic time when the list was requested
- * @returns whether the task had points
- * @public
- */
-export function clearCrashRecordIfSurvived (run: Run, askedMs: number): boolean {
-  const { task } = run
-  if (!hasSurvivedUntil(run, askedMs) || task.crashes.points === 0) return false
-  task.crashes = createCrashRecord()
-  return true
-}
-
 /**
  * Tells whether a run went on for so long that its task does not crash workers.
  *
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -5,10 +5,11 @@
  * @module
  */
 import {
-  allTasks, createCrashRecord, hasEnded, hasSurvivedUntil, isCrashSuspect, knownSurvivalMs, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, START_SURVIVAL_MS,
+  allTasks, hasEnded, hasSurvivedUntil, isCrashSuspect, knownSurvivalMs, startMsOf, CRASH_POINTS, EARLY_LOSS_MS, START_SURVIVAL_MS,
   type CrashRecord, type Job, type Run, type Task, type WorkerLossKind
 } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
+import { clearCrashRecord } from './clearCrashRecord.js'
 
 /** A worker that ended, and the runs that were lost with it. @public */
 export interface WorkerLoss {
@@ -77,7 +78,7 @@
 /** Bounds the memory used; the oldest crashes are dropped. */
 const MAX_RETAINED_CRASHES = 200
 /** Bounds the work in an outage of many workers, of which a few tell as much as all. */
-const MAX_IDLE_ENDS = 50
+const MAX_UNRELATED_ENDS = 50
 const MAX_LOGGED_TASKS = 20
 
 /** Records lost workers, and keeps the penalty points of the tasks that ran on them. @public */
@@ -132,7 +133,7 @@
     const started = loss.runs.filter(({ phase }) => phase !== 'recording')
     const survivors = new Set(started.filter((run) => hasSurvivedUntil(run, lastAliveMs(loss, run))))
     const cleared = started.filter((run) => survivors.has(run) || (hasSurvivedStart(loss, run) && this.#hasUnrelatedLoss(run.task.job, loss.instanceId, nowMs)))
-    for (const run of cleared) this.#clear(run, lastAliveMs(loss, run))
+    for (const run of cleared) clearCrashRecord(run, lastAliveMs(loss, run), this.#options)
     // If the end was planned or has another likely cause, a run that the worker is known to have survived for a while did not cause it.
     const isExplained = loss.isPlanned || loss.isSilent
     const innocent = new Set([...cleared, ...started.filter((run) => isExplained && hasSurvivedStart(loss, run))])
@@ -145,19 +146,10 @@
   #recordUnrelatedEnd (loss: WorkerLoss, possibleCauses: ReadonlySet<Job>, nowMs: number): void {
     if (loss.isPlanned || loss.isSilent) return
     const end: WorkerEnd = { atMs: nowMs, loss, justStartedJobs: new Set(), possibleCauses }
-    this.#unrelatedEnds = [...this.#unrelatedEnds.slice(1 - MAX_IDLE_ENDS), end]
+    this.#unrelatedEnds = [...this.#unrelatedEnds.slice(1 - MAX_UNRELATED_ENDS), end]
     this.#applyCommonCauses(nowMs)
   }
 
-  #clear (run: Run, aliveMs: number): void {
-    const { task } = run
-    const { points } = task.crashes
-    if (points === 0) return
-    task.crashes = createCrashRecord()
-    this.#options.log.info({ taskKey: task.key, instanceId: run.instanceId, points, survivedMs: Math.round(knownSurvivalMs(run, aliveMs)) }, 'task survived its start')
-    this.#options.onChanged(task.job)
-  }
-
   /** Whether another worker was lost around the given time that neither a task of the job nor one of a suspect job can have ended. */
   #hasUnrelatedLoss (job: Job, instanceId: string, atMs: number): boolean {
     const ends = [...this.#crashes, ...this.#unrelatedEnds].filter((end) => Math.abs(atMs - end.atMs) < UNRELATED_LOSS_MS)
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -210,8 +210,8 @@
 function evacuationReasons (spec: JobSpec, { service }: ServiceRow, { progress, evacuations, workers }: JobRecords): string[] {
   const waitingSteps = spec.steps.flatMap(({ taskCount, dependsOn }, index) => {
     if (dependsOn.some((dependency) => !isStepDone(spec, dependency, progress))) return []
-    const busy = tasksOfStep(index, progress).filter(({ isDone, runs = [] }) => isDone === true || runs.length > 0)
-    return busy.length < taskCount ? [index] : []
+    const notWaiting = tasksOfStep(index, progress).filter(({ isDone, isGivenUp, runs = [] }) => isDone === true || isGivenUp === true || runs.length > 0)
+    return notWaiting.length < taskCount ? [index] : []
   })
   return explainEvacuations(spec, { waitingSteps, evacuations, workers: workers.filter((worker) => worker.service === service) })
 }
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -5,8 +5,9 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders, RunReport } from '@quillscale/ports'
-import { clearCrashRecordIfSurvived, hasEnded, knownSurvivalMs, type Job, type JobId, planPaces, type Run, EARLY_LOSS_MS, START_SURVIVAL_MS, stepOf } from '@quillscale/policy'
+import { hasEnded, hasSurvivedUntil, type Job, type JobId, planPaces, type Run, EARLY_LOSS_MS, START_SURVIVAL_MS, stepOf } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
+import { clearCrashRecord } from './clearCrashRecord.js'
 import type { LossEvidence, JobRegistry } from './JobRegistry.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
@@ -128,17 +129,10 @@
     run.listedAskedMs = askedMs
     run.percent = percent
     run.load = load
-    this.#clearCrashRecord(run, askedMs)
+    if (hasSurvivedUntil(run, askedMs)) clearCrashRecord(run, askedMs, this.#options)
     if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
   }
 
-  #clearCrashRecord (run: Run, askedMs: number): void {
-    const { points } = run.task.crashes
-    if (!clearCrashRecordIfSurvived(run, askedMs)) return
-    this.#options.log.info({ taskKey: run.taskKey, instanceId: run.instanceId, points, survivedMs: Math.round(knownSurvivalMs(run, askedMs)) }, 'task survived its start')
-    this.#options.onChanged(run.task.job)
-  }
-
   /** Asks the worker of a charged task for early reports, since it may be lost for another reason at any time after the start. */
   #watchStart (run: Run): void {
     if (run.task.crashes.points === 0) return
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { createCrashRecord, createJob, isCrashSuspect, jobSpecSchema, decidePlacement, clearCrashRecordIfSurvived, tasksOf, type Job, type Run, type Task, type PlacementDecision } from '@quillscale/policy'
+import { createCrashRecord, createJob, isCrashSuspect, jobSpecSchema, decidePlacement, hasSurvivedUntil, tasksOf, type Job, type Run, type Task, type PlacementDecision } from '@quillscale/policy'
+import { clearCrashRecord } from '../lib/jobs/clearCrashRecord.js'
 import { CrashTracker } from '../lib/jobs/CrashTracker.js'
 import { QUEUE, testJobId, TestLog } from './TestService.js'
 
@@ -217,6 +218,11 @@
   task, taskKey: task.key, runNumber: 1, instanceId: 'w', phase, placedMs: startedMs, startedMs, stopConfirmedMs: undefined, isUncertain: false, shouldStop: false, lastListedMs: 0, percent: 0, progressMs: 0, pacePercent: 100, load: 0
 })
 
+/** A worker lists a run in a report that was requested at some time. */
+function listAt (run: Run, askedMs: number): void {
+  if (hasSurvivedUntil(run, askedMs)) clearCrashRecord(run, askedMs, { log: new TestLog(), onChanged: () => {} })
+}
+
 /** A run that a previous holder placed, and of which this one has heard nothing. */
 const unknownRunOf = (task: Task): Run => ({ ...runOf(task, 0, 'unconfirmed'), placedMs: undefined, startedMs: undefined })
 
@@ -268,7 +274,7 @@
       instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 50, lastReportMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
     }, atMs)
     recordCrash(0, [lasting, culprit])
-    clearCrashRecordIfSurvived(runOf(lasting, 1000), 5000)
+    listAt(runOf(lasting, 1000), 5000)
     recordCrash(6000, [lasting])
     recordCrash(8000, [lasting])
     const { points } = lasting.crashes
@@ -283,7 +289,7 @@
     const tracker = new CrashTracker({ log: new TestLog(), tookOverMs: -Infinity, count: () => {}, onChanged: () => {} })
     for (let atMs = 10_000; atMs < 1_000_000; atMs += 10_000) {
       const run = runOf(task, atMs - 4000)
-      clearCrashRecordIfSurvived(run, atMs)
+      listAt(run, atMs)
       expect(decidePlacement(task, atMs)).to.equal('place')
       tracker.recordLoss({ instanceId: 'w', rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 100, lastReportMs: atMs - 100, runs: [run], isPlanned: false, isSilent: false }, atMs)
     }
