--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -48,6 +48,8 @@
 const LEASE_EXTENSION_INTERVAL_MS = 500
 const MIN_RETRY_DELAY_MS = 100
 const MAX_RETRY_DELAY_MS = 500
+/** Timers may fire a millisecond early. */
+const TIMER_MARGIN_MS = 5
 /** A start with unknown outcome is retried for this long, then given up and stopped. */
 const START_RETRY_PERIOD_MS = 1500
 
@@ -63,6 +65,8 @@
   #coldUntilMs: number
   /** State of the registration entry. An unreadable entry makes the worker ineligible for new work, but says nothing about its runs. */
   registration: 'readable' | 'unreadable' | 'missing' = 'readable'
+  /** Whether the last call had been answered when its registration ended, as that of a worker that leaves but not of one that has crashed. */
+  hasLeft = false
   /** Monotonic time until which no work is placed there, because the worker refused some. */
   refusingUntilMs = -Infinity
   processedSequence = 0
@@ -70,6 +74,7 @@
   readonly #stop = new AbortController()
   #acknowledgedSequence = 0
   #lastResponseMs = -Infinity
+  #lastReportMs = -Infinity
   #isInContact = true
   #pendingRemoval: Promise<void> | undefined
   /** Whether a call has failed since the last answered hold, so that the next answer may come from the next lifetime. */
@@ -111,6 +116,11 @@
     return this.registration !== 'missing'
   }
 
+  /** Whether a call has failed since the last report. */
+  get hasFailedCalls (): boolean {
+    return this.#mayBeNextLifetime
+  }
+
   /** Whether the worker is registered as ready for new work. */
   get acceptsRuns (): boolean {
     return this.registration === 'readable' && this.instance.state === 'ready'
@@ -131,6 +141,11 @@
     return this.hasResponded ? nowMs - this.#lastResponseMs : undefined
   }
 
+  /** Monotonic time of the last report, which this lifetime certainly gave; an answer to an order may be the next one's. `-Infinity` before the first. */
+  get lastReportMs (): number {
+    return this.#lastReportMs
+  }
+
   /** Whether the worker may be recorded as silent; it gets no leases and no new work until the record is removed. */
   get isRecordedSilent (): boolean {
     return this.#options.isRecordedSilent(this)
@@ -165,9 +180,9 @@
     if (this.isRecordedSilent) await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
   }
 
-  /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the time until then */
+  /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the least time until then */
   pollAfter (delayMs: number): void {
-    void delay(delayMs, this.#stop.signal).then(() => {
+    void delay(delayMs + TIMER_MARGIN_MS, this.#stop.signal).then(() => {
       if (!this.#stop.signal.aborted) this.#pollNow()
     })
   }
@@ -193,6 +208,7 @@
     }
     this.#mayBeNextLifetime = false
     this.#handleResponse(held.val.clockMs)
+    this.#lastReportMs = clock.monotonicMs()
     this.#options.onReport(this, held.val, askedMs)
     const last = held.val.ended.at(-1)?.sequence ?? 0
     if (last > this.#acknowledgedSequence) await this.#acknowledge(last)
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -114,7 +114,7 @@
   {
     name: 'two workers of a zone, in different racks',
     steps: ['a', 'b'].map((task, index) => ({ ...lateCrash(index * 100, task), rack: task, zone: 'z' })),
-    expected: { task: 'a', points: 0, isSuspect: false, decision: 'place' }
+    expected: { task: 'a', points: 2, isSuspect: true, decision: 'place' }
   },
   {
     name: 'workers of a rack that all ended soon after tasks of one job started on them',
@@ -124,7 +124,7 @@
   {
     name: 'beside a task that was already suspected and had just started',
     steps: [crash(0, 'b'), { atMs: 2000, runs: [{ task: 'b', agoMs: SOON }, { task: 'a', agoMs: LATE }] }],
-    expected: { task: 'a', points: 0, isSuspect: false, decision: 'place' }
+    expected: { task: 'a', points: 1, isSuspect: false, decision: 'place' }
   },
   {
     name: 'cleared, since another job turned out to be the cause',
@@ -185,6 +185,11 @@
     steps: [0, 9000, 18_000].map((atMs) => ({ atMs, runs: [{ task: 'l', agoMs: LATE, phase: 'starting' as const }, { task: 'b', agoMs: LATE }], isUnconfirmed: true })),
     expected: { task: 'l', points: 6, isSuspect: true, decision: 'give-up' }
   },
+  {
+    name: 'another task of its job, which had just started on its workers each time, is given up',
+    steps: [0, 9000, 18_000].map((atMs): Loss | GiveUp => crash(atMs, 'l', 'l1')).concat({ atMs: 19_000, culprit: 'l1' }),
+    expected: { task: 'l', points: 3, isSuspect: true, decision: 'place' }
+  },
   { name: 'a decision delayed until other losses nearby are known', steps: [crash(0, 'a'), crash(99_900, 'a')], expected: { task: 'a', points: 4, isSuspect: true, decision: 'wait' } }
 ]
 const DECISION_MS = 100_000
@@ -221,7 +226,7 @@
       const tasks = new Tasks()
       const tracker = new CrashTracker({ log: new TestLog(), tookOverMs: -Infinity, count: () => {}, onChanged: () => {} })
       steps.forEach((step, index) => {
-        if ('culprit' in step) return tracker.clearOtherJobs(tasks.jobOf(step.culprit))
+        if ('culprit' in step) return tracker.clearOtherTasks(tasks.find(step.culprit))
         const { atMs, rack, zone, runs, lastAnswerAgoMs = 100, listedAgoMs, isUnconfirmed, isPlanned = false, isSilent = false, isUnknown = false } = step
         const lostRuns = runs.map(({ task, agoMs, phase }): Run => {
           if (isUnknown) return unknownRunOf(tasks.find(task))
@@ -230,7 +235,8 @@
           return isUnconfirmed === true ? { ...run, startedMs: undefined } : run
         })
         const lastAnswerMs = isUnknown ? undefined : atMs - lastAnswerAgoMs
-        tracker.recordLoss({ instanceId: `w${index}`, rack, availabilityZone: zone, lastAnswerMs, runs: lostRuns, isPlanned, isSilent }, atMs)
+        const lastReportMs = lastAnswerMs ?? -Infinity
+        tracker.recordLoss({ instanceId: `w${index}`, rack, availabilityZone: zone, lastAnswerMs, lastReportMs, runs: lostRuns, isPlanned, isSilent }, atMs)
       })
       const task = tasks.find(expected.task)
       expect({ task: expected.task, points: task.crashes.points, isSuspect: isCrashSuspect(task), decision: decidePlacement(task, DECISION_MS) })
@@ -249,7 +255,7 @@
       task.crashes = createCrashRecord(points)
       const tracker = new CrashTracker({ log: new TestLog(), tookOverMs, count: () => {}, onChanged: () => {} })
       const worker = { instanceId: 'w', rack: undefined, availabilityZone: undefined }
-      tracker.recordLoss({ ...worker, lastAnswerMs: -100, runs: [runOf(task, -SOON)], isPlanned: false, isSilent: false }, 0)
+      tracker.recordLoss({ ...worker, lastAnswerMs: -100, lastReportMs: -100, runs: [runOf(task, -SOON)], isPlanned: false, isSilent: false }, 0)
       expect(task.crashes.points).to.equal(expected)
     })
   }
@@ -259,14 +265,14 @@
     const [lasting, culprit] = [tasks.find('l'), tasks.find('b')]
     const tracker = new CrashTracker({ log: new TestLog(), tookOverMs: -Infinity, count: () => {}, onChanged: () => {} })
     const recordCrash = (atMs: number, begun: readonly Task[]): void => tracker.recordLoss({
-      instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
+      instanceId: `w${atMs}`, rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 50, lastReportMs: atMs - 50, runs: begun.map((task) => runOf(task, atMs - 100)), isPlanned: false, isSilent: false
     }, atMs)
     recordCrash(0, [lasting, culprit])
     clearCrashRecordIfSurvived(runOf(lasting, 1000), 5000)
     recordCrash(6000, [lasting])
     recordCrash(8000, [lasting])
     const { points } = lasting.crashes
-    tracker.clearOtherJobs(culprit.job)
+    tracker.clearOtherTasks(culprit)
     expect(lasting.crashes.points).to.equal(points)
     expect(isCrashSuspect(lasting)).to.equal(true)
   })
@@ -279,7 +285,7 @@
       const run = runOf(task, atMs - 4000)
       clearCrashRecordIfSurvived(run, atMs)
       expect(decidePlacement(task, atMs)).to.equal('place')
-      tracker.recordLoss({ instanceId: 'w', rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 100, runs: [run], isPlanned: false, isSilent: false }, atMs)
+      tracker.recordLoss({ instanceId: 'w', rack: undefined, availabilityZone: undefined, lastAnswerMs: atMs - 100, lastReportMs: atMs - 100, runs: [run], isPlanned: false, isSilent: false }, atMs)
     }
   })
 })
