Read again: a plain condition in clearOtherTasks, and what cannot be undone

Cause: a ternary that ended in true, and a comment that was no longer so, since a task of a lasting job that is given up may be taken back. Ruled out: a change of behaviour; the condition is the same. Change: one line of CrashTracker.ts and the head of crashes.ts.

--- a/packages/policy/src/lib/jobs/crashes.ts
+++ b/packages/policy/src/lib/jobs/crashes.ts
@@ -5,7 +5,7 @@
  * was started 117 times in a minute, and every run beside it was lost with each worker.
  *
  * Each lost worker adds points to the tasks that may have crashed it: full points if it ended unexpectedly and alone, half if something else is as
- * likely the cause. Giving up cannot be undone, so a run that is known to have survived its start clears the points of a lasting task, which may lose
+ * likely the cause. A failed job stays failed, so a run that is known to have survived its start clears the points of a lasting task, which may lose
  * any number of workers over its life. A finite task may be too short for that; its losses during the run count unless workers that it did not run on
  * are lost at the same time. A task whose runs are never known to survive is started at most five times, and at most twice after the third crash,
  * under any number of duty holders.
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -196,7 +196,7 @@
     for (const { loss, penalties, justStartedJobs } of this.#crashes) {
       if (!justStartedJobs.has(culprit.job)) continue
       const wasThere = penalties.some(({ task }) => task === culprit)
-      const isOther = (task: Task): boolean => task.job === culprit.job ? wasThere && task !== culprit : true
+      const isOther = (task: Task): boolean => task.job !== culprit.job || (wasThere && task !== culprit)
       const otherPenalties = penalties.filter(({ task, points }) => points > 0 && !hasEnded(task.job) && isOther(task))
       // Both tasks may be at fault: one that may have just started there keeps the points of a loss whose cause is uncertain.
       for (const { record } of otherPenalties) record.hasEarlyLoss = false
