Log by which key and queue a job was sent again, and whether its acceptance was conditional

Cause: the logs could not tell the three hypotheses of the incident apart: a repeat by another key or queue, a repeat that is taken for its own write, and an acceptance that no condition orders looked like any other repeat or acceptance. Ruled out: logging keys; the tag is the part of the hash that records and logs may show. Change: `job taken in` carries keyTag and isConditional, and for a repeat recordKeyTag, recordQueue and mayHaveEffect. Conclusion: each hypothesis has a line of its own now.

--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -91,7 +91,9 @@
     const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
     const outcome = submitOutcomeOf(spec, written, configuration)
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
-    const fields = { jobId, queue: queueName, service, account: owner?.account, version, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries }
+    const fields = {
+      jobId, queue: queueName, service, account: owner?.account, keyTag: owner?.keyTag, version, isConditional: configuration !== undefined, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries
+    }
     if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: outcome.record?.modRevision }, 'job not taken in: the configuration has changed')
     else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
@@ -280,11 +282,12 @@
   return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
 }
 
-/** Describes the record of an accepted job for the log: its service and revision, and for a repeat the version by which it was accepted first. */
-function describeRecord ({ result, existing }: RecordingOutcome): object {
+/** Describes the record of an accepted job for the log: its service and revision, and for a repeat by which queue, key and version it was accepted first. */
+function describeRecord ({ result, existing, mayHaveEffect }: RecordingOutcome): object {
   if (existing === undefined) return { isRepeat: false, revision: result.ok && result.val.committed ? result.val.modRevision : undefined }
   const { record, service, spec } = existing
-  return { isRepeat: true, recordService: service, revision: record.modRevision, recordVersion: spec.configurationVersion }
+  const { queue: recordQueue, owner, configurationVersion: recordVersion } = spec
+  return { isRepeat: true, mayHaveEffect, recordService: service, recordQueue, recordKeyTag: owner?.keyTag, revision: record.modRevision, recordVersion }
 }
 
 /** Returns the only client account that may access a job; `undefined` if every account may. */
