--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -6,7 +6,7 @@
 import { decodeJson, delay, Err, Ok, systemClock, type DecodeProblem, type Result } from '@quillscale/utils'
 import {
   lifetimeStartMsOf, createInstanceId, workerIdOf, type AccountName, type EvacuationRequest, type FleetConfiguration, type KeyValue, type PlatformError,
-  type Transaction, type TransactionOutcome, type WorkerId, type WorkerInstance
+  type Transaction, type TransactionOutcome, type WatchEvents, type WorkerId, type WorkerInstance
 } from '@quillscale/ports'
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
@@ -57,6 +57,8 @@
   refusesWrites = false
   /** Delay of a write before it takes effect, and again before its answer. */
   writeDelayMs = (): number => 0
+  /** Prefix of which watches hear nothing. */
+  deafPrefix: string | undefined
   /** Additional delay of the two answers when a timer for silent workers is created: that of its lease and that of its key. */
   timerAnswerMs = 0
 
@@ -69,6 +71,13 @@
     return this.isDown ? down() : await super.get(key)
   }
 
+  override async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
+    const watched = await super.watch(prefix, afterRevision, timeoutMs)
+    if (prefix !== this.deafPrefix) return watched
+    await delay(timeoutMs)
+    return Ok({ events: [], revision: afterRevision })
+  }
+
   override async transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
     if (this.isDown || this.refusesWrites) return down()
     await this.#pause()
--- a/packages/scheduler/src/test/configurationOrder.test.ts
+++ b/packages/scheduler/src/test/configurationOrder.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
 import type { AccountName, ClientAccount, FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
+import { jobSpecSchema } from '@quillscale/policy'
+import { inboxPrefix } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
 
 const EXISTING_QUEUE: QueueConfiguration = {
@@ -10,6 +12,9 @@
 const ADDED_ACCOUNT: ClientAccount = { name: 'added' as AccountName, keyHashes: [], weight: 1, limit: { cpuMillis: 0, memoryMb: 0, gpus: 0 } }
 /** Several times the interval of placement rounds without a request. */
 const SEVERAL_ROUNDS_MS = 700
+/** Time from the acceptance of a job with a schedule to its start. */
+const START_DELAY_MS = 600
+const DEADLINE_MS = 2000
 const OLDER_VERSION = 1
 const NEWER_VERSION = 2
 const [JOB_ID, TASK_KEY] = [testJobId(1), `${testJobId(1)}.0.0.0`]
@@ -62,6 +67,34 @@
     })
   }
 
+  // A job was sent again by a key that only a newer version has, and a holder that had not heard of it started the job and then denied the key.
+  for (const isDeaf of [false, true]) {
+    it(`when it is sent again under a newer version before it starts${isDeaf ? ', and the watch of jobs hears nothing' : ''}`, async () => {
+      service.configuration = { ...service.configuration, version: OLDER_VERSION }
+      await service.takeOver()
+      const spec = jobSpecSchema.parse({
+        jobId: JOB_ID,
+        queue: QUEUE,
+        owner: { account: ADDED_ACCOUNT.name, keyTag: 'first' },
+        command: '{"runMs":10}',
+        submittedMs: Date.now(),
+        configurationVersion: OLDER_VERSION,
+        schedule: { runs: 1, firstRunMs: Date.now() + START_DELAY_MS, intervalMs: 0 },
+        steps: [{ taskCount: 1, cpuMillis: 1000 }]
+      })
+      expect(await service.jobApi.submit(spec, SERVICE, performance.now() + DEADLINE_MS)).to.equal('accepted')
+      await delay(START_DELAY_MS / 2)
+      if (isDeaf) service.store.deafPrefix = inboxPrefix(SERVICE)
+      const repeat = { ...spec, owner: { account: ADDED_ACCOUNT.name, keyTag: 'second' }, configurationVersion: NEWER_VERSION }
+      expect(await service.jobApi.submit(repeat, SERVICE, performance.now() + DEADLINE_MS)).to.equal('accepted')
+      await delay(START_DELAY_MS / 2 + SEVERAL_ROUNDS_MS)
+      expect(service.runs.records).to.deep.equal([])
+      expect(service.requiredVersions).to.include(NEWER_VERSION)
+      service.configuration = { ...service.configuration, version: NEWER_VERSION }
+      await service.until('the job is done', () => service.doneRuns(TASK_KEY) === 1)
+    })
+  }
+
   it('while other jobs go on', async () => {
     await service.takeOver()
     accept(QUEUE, NEWER_VERSION)
