A job is taken for a request's own write only if that request wrote it

Callers saw: a repeat that was sent, to a host which lagged behind, by a key or to a queue that a newer configuration had taken away, was answered 200 if its first attempt got no answer. The holder of the service, which had acted on the newer version, then started the job: it went back. Cause: once an attempt of a submission had no answer, any record of the job counted as that attempt's write, however old it was, so that the check of the configuration's revision was passed over. The newer configuration that the store returned was dropped too, so that the host went on by the older one. Ruled out: comparing the record's revision with the time of the request; revisions and clocks have no common order. Comparing it with the configuration's revision; a record that is older than a version may be this request's or an earlier one's. Change: each submission writes an id of its own into the record, and only a record with that id is its own. What the store returns about the configuration is taken over in every branch, before the outcome is decided. Conclusion: an answer of 200 rests on evidence about this request. Records of program versions without the id count as another request's, so such a repeat is matched again by the newer configuration.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,7 @@
 export {
   isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, findDependencyProblem, stepSpecSchema, type JobId, type JobOwner, type JobSpec, type StepSpec
 } from './lib/jobs/JobSpec.js'
+export { createSubmissionId, type SubmissionId } from './lib/jobs/SubmissionId.js'
 export {
   allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, isOpen, listReadySteps, stepOf, tasksOf, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod'
 import type { AccountName } from '@quillscale/ports'
+import type { SubmissionId } from './SubmissionId.js'
 
 /** Identifies a job; chosen by the client. @public */
 export type JobId = string & { readonly __jobId: true }
@@ -80,6 +81,8 @@
   submittedMs: z.number(),
   /** Version of the configuration by which the job was accepted; `undefined` if the accepting host runs a program version that does not record it. */
   configurationVersion: count.optional(),
+  /** The submission that wrote the record; `undefined` before it is recorded, or if the accepting host runs a program version that does not record it. */
+  submissionId: z.custom<SubmissionId>((value) => typeof value === 'string').optional(),
   /** What its queue laid down when the job was accepted; `undefined` if the accepting host runs a program version that does not record it. */
   queueTerms: queueTermsSchema.optional(),
   /** Runs of the whole job: the first at `firstRunMs`, then every `intervalMs`; `undefined` for one run at once. */
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -37,14 +37,16 @@
 export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | OverloadedOutcome | OutdatedOutcome
 /** This request has not written the job and never will, since the job would end too late to be of use. @public */
 export interface OverloadedOutcome { readonly kind: 'overloaded', readonly retryAfterMs: number }
-/** This request has not written the job and never will, since the configuration has changed; `record` is the present one, if there is any. @public */
-export interface OutdatedOutcome { readonly kind: 'outdated', readonly record: KeyValue | undefined }
+/** This request has not written the job and never will, since the configuration has changed. @public */
+export interface OutdatedOutcome { readonly kind: 'outdated' }
 /** What the acceptance of a job depends on. @public */
 export interface SubmissionTerms {
   /** The queue by whose objective the job may be refused; without it, the job is not refused. */
   readonly queue?: QueueConfiguration | undefined
   /** The configuration that admits the job: it is accepted only while the store holds this revision. Without it, any will do. */
   readonly configuration?: RevisionCondition | undefined
+  /** Called if the store holds another configuration: with its record, `undefined` if there is none. */
+  readonly onConfigurationChanged?: ((record: KeyValue | undefined) => void) | undefined
   /** The other services, which may have accepted the job before its queue moved. */
   readonly otherServices?: readonly string[] | undefined
 }
@@ -84,17 +86,19 @@
    */
   async submit (spec: JobSpec, service: string, deadlineMs: number, terms: SubmissionTerms = {}): Promise<SubmitOutcome> {
     const { log, admission } = this.#options
-    const { queue, configuration, otherServices = [] } = terms
+    const { queue, configuration, onConfigurationChanged, otherServices = [] } = terms
     const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
     const refused = refusal === undefined ? undefined : await this.#refuse(spec, [service, ...otherServices], deadlineMs, refusal)
     if (refused !== undefined) return refused
     const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
-    const outcome = submitOutcomeOf(spec, written, configuration)
+    const changed = configuration === undefined ? undefined : findChange(configuration, written)
+    if (changed !== undefined) onConfigurationChanged?.(changed.record)
+    const outcome = submitOutcomeOf(spec, written, changed !== undefined)
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
     const fields = {
       jobId, queue: queueName, service, account: owner?.account, keyTag: owner?.keyTag, version, isConditional: configuration !== undefined, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries
     }
-    if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: outcome.record?.modRevision }, 'job not taken in: the configuration has changed')
+    if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: changed?.record?.modRevision }, 'job not taken in: the configuration has changed')
     else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (written.result.err) log.warn({ ...fields, error: written.result.val }, 'job not taken in')
     else log.info({ ...fields, ...describeRecord(written), steps: spec.steps.map(describeStep) }, 'job taken in')
@@ -269,25 +273,27 @@
   }
 }
 
-/** Returns the outcome of a submission from the outcome of its recording. */
+/** Returns the configuration that the store held in place of the expected one, `undefined` if it held the expected one or is not known. */
+function findChange (expected: RevisionCondition, { result }: RecordingOutcome): { readonly record: KeyValue | undefined } | undefined {
+  if (result.err || result.val.committed || !hasChanged(expected, result.val)) return undefined
+  return { record: result.val.current.find(({ key }) => key === expected.key) }
+}
+
+/** Returns the outcome of a submission from that of its recording. A job that this request wrote itself was admitted by the configuration of that time. */
 function submitOutcomeOf (
-  { owner }: JobSpec, { result, mayHaveEffect, existing }: RecordingOutcome, configuration: RevisionCondition | undefined
+  { owner }: JobSpec, { result, mayHaveEffect, existing, isOwn }: RecordingOutcome, isOutdated: boolean
 ): Exclude<SubmitOutcome, OverloadedOutcome> {
   if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
-  // An attempt of this request whose answer was lost may have written the existing job, by the configuration of that time.
-  const isOwnWrite = existing !== undefined && mayHaveEffect
-  if (configuration !== undefined && !isOwnWrite && hasChanged(configuration, result.val)) {
-    return { kind: 'outdated', record: result.val.committed ? undefined : result.val.current.find(({ key }) => key === configuration.key) }
-  }
+  if (isOutdated && isOwn !== true) return { kind: 'outdated' }
   return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
 }
 
 /** Describes the record of an accepted job for the log: its service and revision, and for a repeat by which queue, key and version it was accepted first. */
-function describeRecord ({ result, existing, mayHaveEffect }: RecordingOutcome): object {
+function describeRecord ({ result, existing, isOwn }: RecordingOutcome): object {
   if (existing === undefined) return { isRepeat: false, revision: result.ok && result.val.committed ? result.val.modRevision : undefined }
   const { record, service, spec } = existing
   const { queue: recordQueue, owner, configurationVersion: recordVersion } = spec
-  return { isRepeat: true, mayHaveEffect, recordService: service, recordQueue, recordKeyTag: owner?.keyTag, revision: record.modRevision, recordVersion }
+  return { isRepeat: true, isOwn, recordService: service, recordQueue, recordKeyTag: owner?.keyTag, revision: record.modRevision, recordVersion }
 }
 
 /** Returns the only client account that may access a job; `undefined` if every account may. */
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -9,7 +9,7 @@
  */
 import { decodeJson, Err } from '@quillscale/utils'
 import { MAX_TRANSACTION_ENTRIES, type KeyValue, type PlatformError, type RevisionCondition, type TransactionOutcome } from '@quillscale/ports'
-import { jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
+import { createSubmissionId, jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
 import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
@@ -32,11 +32,11 @@
   readonly configuration: RevisionCondition | undefined
 }
 
-/** A job that an earlier request recorded. @public */
+/** A job that was recorded before, by an earlier request or by an attempt of this one that got no answer. @public */
 export interface RecordedJob { readonly service: string, readonly record: KeyValue, readonly spec: JobSpec }
 
-/** Outcome of the recording; `existing` is set if the id was accepted before. @public */
-export interface RecordingOutcome extends RetryResult<TransactionOutcome> { readonly existing?: RecordedJob | undefined }
+/** Outcome of the recording; `existing` is set if the id was accepted before, and `isOwn` tells whether by this request. @public */
+export interface RecordingOutcome extends RetryResult<TransactionOutcome> { readonly existing?: RecordedJob | undefined, readonly isOwn?: boolean }
 
 /** Reported when the record of a job in the store cannot be decoded. @public */
 export const RECORD_UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'the record of the job in the store cannot be decoded' }
@@ -59,13 +59,14 @@
   /**
    * Records a job. Records that cannot be decoded are replaced, and so is a recorded service that has no job of this id.
    *
-   * @param spec - the job
+   * @param job - the job
    * @param target - its service, and what its acceptance depends on
    * @param deadlineMs - monotonic time at which the client stops waiting
    * @returns the outcome of the last transaction
    */
-  async record (spec: JobSpec, { service, otherServices, configuration }: RecordingTarget, deadlineMs: number): Promise<RecordingOutcome> {
-    const { jobId } = spec
+  async record (job: JobSpec, { service, otherServices, configuration }: RecordingTarget, deadlineMs: number): Promise<RecordingOutcome> {
+    const { jobId } = job
+    const spec = { ...job, submissionId: createSubmissionId() }
     let services = [...new Set([service, ...otherServices])].slice(0, MAX_SERVICES)
     let replaced: readonly KeyValue[] = []
     let home = service
@@ -79,7 +80,9 @@
       if (outcome.result.err || outcome.result.val.committed) return outcome
       const { current } = outcome.result.val
       const existing = this.#findJob(jobId, services, current)
-      if (existing !== undefined || (configuration !== undefined && hasChanged(configuration, outcome.result.val))) return { ...outcome, existing }
+      if (existing !== undefined || (configuration !== undefined && hasChanged(configuration, outcome.result.val))) {
+        return { ...outcome, existing, isOwn: existing?.spec.submissionId === spec.submissionId }
+      }
       if (round === MAX_ROUNDS) return { result: Err(RECORD_UNREADABLE), mayHaveEffect: true, tries }
       replaced = current
       const recorded = current.find(({ key }) => key === jobServiceKey(jobId))?.value
