--- a/packages/scheduler/src/lib/records/FencedBatchWriter.ts
+++ b/packages/scheduler/src/lib/records/FencedBatchWriter.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import { delay, type Clock } from '@quillscale/utils'
-import { MAX_TRANSACTION_ENTRIES, type KeyValue, type KeyValueStore, type PlatformError, type Transaction } from '@quillscale/ports'
+import { MAX_TRANSACTION_ENTRIES, type KeyValue, type KeyValueStore, type PlatformError, type RevisionCondition, type Transaction } from '@quillscale/ports'
 
 /** Options of {@link FencedBatchWriter}. @public */
 export interface FencedBatchWriterOptions {
@@ -27,23 +27,26 @@
   readonly onDeposed: () => void
   /** Called for each failed attempt. */
   readonly onStoreError: (error: PlatformError, transactionNumber: number) => void
-  /** Keeps records out of the store that another party's record forbids; without it, a transaction depends on the duty alone. */
-  readonly guard?: WriteGuard
+  /** Keep records out of the store that another party's record forbids; without them, a transaction depends on the duty alone. */
+  readonly guards?: readonly WriteGuard[]
   /** Called for each transaction that took effect, with its number of records and its latency. */
   readonly onCommit?: (entries: number, latencyMs: number) => void
 }
 
-/** Keys that forbid what a transaction records. @public */
+/** Records of other parties on which depends what a transaction may record. @public */
 export interface WriteGuard {
-  /** Returns the keys that must not exist when the next transaction takes effect; called when it is built. */
-  readonly forbiddingKeys: () => readonly string[]
+  /** Returns the conditions under which the next transaction takes effect; called when it is built. */
+  readonly conditions: () => readonly RevisionCondition[]
   /**
-   * Called with those that exist. What they forbid must be withdrawn before this returns: the records are then encoded again, or were
-   * written by an earlier attempt and would be acted on.
+   * Called with the records of the conditions that did not hold. What they forbid must be withdrawn before this returns: the records are
+   * then encoded again, or were written by an earlier attempt and would be acted on.
    */
-  readonly onForbidden: (items: readonly KeyValue[]) => void
+  readonly onConflict: (items: readonly KeyValue[]) => void
 }
 
+/** The conditions of one guard on the transaction that is being sent. */
+interface GuardedConditions { readonly guard: WriteGuard, readonly conditions: readonly RevisionCondition[] }
+
 /** Encodes the value of a key when its transaction is built; `undefined` removes the key. @public */
 export type RecordEncoder = () => string | undefined
 
@@ -174,12 +177,13 @@
   }
 
   async #commitBatch (): Promise<void> {
-    const forbiddingKeys = this.#options.guard?.forbiddingKeys() ?? []
-    const batch = this.#nextBatch(forbiddingKeys.length)
+    const guarded = (this.#options.guards ?? []).map((guard) => ({ guard, conditions: guard.conditions() }))
+    const conditions = guarded.flatMap((each) => each.conditions)
+    const batch = this.#nextBatch(conditions.length)
     this.#inFlightSequence = Math.min(...batch.map(({ sequence }) => sequence))
-    const transaction = this.#buildTransaction(batch, forbiddingKeys, ++this.#transactionNumber)
+    const transaction = this.#buildTransaction(batch, conditions, ++this.#transactionNumber)
     const startedMs = this.#options.clock.monotonicMs()
-    const outcome = await this.#send(transaction, forbiddingKeys)
+    const outcome = await this.#send(transaction, guarded)
     if (outcome === 'rejected') this.#restore(batch)
     this.#inFlightSequence = Infinity
     if (outcome !== 'durable') return
@@ -209,13 +213,10 @@
     return batch
   }
 
-  #buildTransaction (batch: readonly EncodedRecord[], forbiddingKeys: readonly string[], number: number): Transaction {
+  #buildTransaction (batch: readonly EncodedRecord[], conditions: readonly RevisionCondition[], number: number): Transaction {
     const { dutyKey, dutyRevision, chainKey } = this.#options
     return {
-      conditions: [
-        { key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision },
-        ...forbiddingKeys.map((key) => ({ key, modRevision: 0 }))
-      ],
+      conditions: [{ key: dutyKey, modRevision: dutyRevision }, { key: chainKey, modRevision: this.#chainRevision }, ...conditions],
       puts: [{ key: chainKey, value: this.#chainValue(number) }, ...batch.flatMap(({ key, value }) => value === undefined ? [] : [{ key, value }])],
       removals: batch.flatMap(({ key, value }) => value === undefined ? [key] : [])
     }
@@ -227,14 +228,14 @@
 
   /**
    * Sends a transaction until its outcome is known. A conflict is a success if the chain key shows that an earlier attempt took effect. If
-   * only the guard's keys conflict, nothing was written. If the chain key shows that an attempt of a transaction rejected before took effect
+   * only conditions of guards conflict, nothing was written. If the chain key shows that an attempt of a transaction rejected before took effect
    * late, the records are written again on top of it. Any other conflict means that another holder has taken over.
    *
    * @param transaction - the transaction
-   * @param forbiddingKeys - keys of its conditions that must not exist
+   * @param guarded - the guards and their part of its conditions
    * @returns `durable` if it took effect, `rejected` if its records must be encoded and sent again, `deposed` if nothing more may be written
    */
-  async #send (transaction: Transaction, forbiddingKeys: readonly string[]): Promise<'durable' | 'rejected' | 'deposed'> {
+  async #send (transaction: Transaction, guarded: readonly GuardedConditions[]): Promise<'durable' | 'rejected' | 'deposed'> {
     const { store, onStoreError, onDeposed } = this.#options
     for (let backoffMs = INITIAL_BACKOFF_MS; !this.#isClosed; backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2)) {
       const outcome = await store.transact(transaction)
@@ -244,7 +245,7 @@
         continue
       }
       if (outcome.val.committed) return this.#settle(outcome.val.modRevision)
-      const resolved = this.#resolveConflict(outcome.val.current, forbiddingKeys)
+      const resolved = this.#resolveConflict(outcome.val.current, guarded)
       if (resolved !== 'deposed') return resolved
       this.close()
       onDeposed()
@@ -252,16 +253,21 @@
     return 'deposed'
   }
 
-  #resolveConflict (current: readonly KeyValue[], forbiddingKeys: readonly string[]): 'durable' | 'rejected' | 'deposed' {
-    const { chainKey, dutyKey, dutyRevision, guard } = this.#options
+  #resolveConflict (current: readonly KeyValue[], guarded: readonly GuardedConditions[]): 'durable' | 'rejected' | 'deposed' {
+    const { chainKey, dutyKey, dutyRevision } = this.#options
     if (!current.some(({ key, modRevision }) => key === dutyKey && modRevision === dutyRevision)) return 'deposed'
     const chain = current.find(({ key }) => key === chainKey)
-    const forbidding = current.filter(({ key }) => forbiddingKeys.includes(key))
-    // Records that took effect before are withdrawn too: their answer may come long after the forbidding key was written.
-    if (forbidding.length > 0) guard?.onForbidden(forbidding)
+    let isForbidden = false
+    for (const { guard, conditions } of guarded) {
+      const forbidding = current.filter((item) => conditions.some(({ key, modRevision }) => key === item.key && modRevision !== item.modRevision))
+      if (forbidding.length === 0) continue
+      // Records that took effect before are withdrawn too: their answer may come long after the forbidding record was written.
+      guard.onConflict(forbidding)
+      isForbidden = true
+    }
     if (chain?.value === this.#chainValue(this.#transactionNumber)) return this.#settle(chain.modRevision)
     const isUnchanged = (chain?.modRevision ?? 0) === this.#chainRevision
-    if (isUnchanged && forbidding.length > 0) {
+    if (isUnchanged && isForbidden) {
       this.#rejectedChainValues.add(this.#chainValue(this.#transactionNumber))
       return 'rejected'
     }
--- a/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
+++ b/packages/scheduler/src/lib/workers/ZoneEvacuator.ts
@@ -56,8 +56,8 @@
   constructor (options: ZoneEvacuatorOptions) {
     this.#options = options
     this.guard = {
-      forbiddingKeys: () => this.#keysOfZonesToRecord(),
-      onForbidden: (items) => {
+      conditions: () => this.#keysOfZonesToRecord().map((key) => ({ key, modRevision: 0 })),
+      onConflict: (items) => {
         options.evacuations.addFindings(items)
         this.withoutWithdrawn([...this.#recording])
       }
--- a/packages/scheduler/src/test/FencedBatchWriter.test.ts
+++ b/packages/scheduler/src/test/FencedBatchWriter.test.ts
@@ -23,7 +23,7 @@
       chainRevision: 0,
       onDeposed: () => { isDeposed = true },
       onStoreError: () => {},
-      guard
+      guards: guard === undefined ? [] : [guard]
     })
     void log.run()
     return log
@@ -126,8 +126,8 @@
     let findings: string[]
     let forbiddingKeys: string[]
     const guard: WriteGuard = {
-      forbiddingKeys: () => forbiddingKeys,
-      onForbidden: (items) => {
+      conditions: () => forbiddingKeys.map((key) => ({ key, modRevision: 0 })),
+      onConflict: (items) => {
         findings.push(...items.map(({ key }) => key));
         [value, forbiddingKeys] = ['withdrawn', []]
       }
