Acceptance by a large configuration is ordered after the newest one in the store

Callers saw: on deployments whose configuration exceeds 32 KB, a host that lagged behind accepted jobs and their repeats by keys and queues that a newer version had taken away, for as long as its watch lagged; a holder that had acted on the newer one then started them. Cause: the order of acceptances and configurations came from a condition on the configuration's record, and the store returns each record whose condition does not hold. Large records were left out, since narrow links do not bear 270 KB for each of many conflicts, and nothing took the place of the condition. Ruled out: a short watch, which sends only changes: the store may answer it without events that exist. A reading for each acceptance: the whole record each time. A record that names the newest version that was acted on: it orders acts after acts, but jobs would still be accepted by an older configuration than the store holds (the case of acceptanceOrder.test.ts demands 401), every first act by a version would be a write that others conflict with, and two rounds become three in a storm. Change: before a job is written by a large configuration, a transaction without a write confirms the configuration. It began after the request had come, so nobody can have acted on a newer version before the request was sent. All requests that wait share one, so the record comes once for each host and check, not for each job. Conclusion: acceptances and repeats are ordered after the configuration whatever its size.

--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -28,6 +28,8 @@
 const RELIST_INTERVAL_MS = 5000
 /** Longest record that serves as a condition: 44 KB on the wire, 50 ms on a link of 7 Mbit/s. */
 const MAX_CONDITION_LENGTH = 32 * 1024
+/** How often a check of the configuration is made for one caller, if the store does not answer. */
+const MAX_CHECKS = 2
 /** Minimum time between the starts of two extra reads; a store at its rate limit may take some time to answer one. */
 const MIN_READ_INTERVAL_MS = 100
 
@@ -41,6 +43,7 @@
   readonly #options: ConfigurationWatcherOptions
   readonly #replica: PrefixReplica
   #pendingRefresh: Promise<boolean> | undefined
+  #pendingCheck: Promise<void> | undefined
   /** When the last extra read of the configuration began, and when the last one that was answered began (monotonic). */
   #lastReadStartMs = -Infinity
   #lastAnsweredReadStartMs = -Infinity
@@ -73,7 +76,8 @@
   /**
    * The condition under which a transaction takes effect only while no other configuration has been written than the one that was read last. A record
    * that cannot be decoded counts as read: it leaves {@link ConfigurationWatcher.current} in force. `undefined` for a large record: the store returns
-   * the whole record to each transaction whose condition does not hold, which narrow links do not bear.
+   * the whole record to each transaction whose condition does not hold, which narrow links do not bear. {@link ConfigurationWatcher.confirm} takes its
+   * place.
    */
   get condition (): RevisionCondition | undefined {
     const { modRevision, length } = this.#record
@@ -161,6 +165,36 @@
     return true
   }
 
+  /**
+   * Makes sure that the configuration is at least as new as the one that the store held at a time. One transaction without a write serves all callers who
+   * wait for it, and the store returns the record only if it has changed. An unanswered one is repeated once.
+   *
+   * @param sinceMs - monotonic time, not after the current one
+   * @returns whether the store answered
+   */
+  async confirm (sinceMs: number): Promise<boolean> {
+    // A check that began before `sinceMs` proves nothing to this caller.
+    await this.#pendingCheck
+    for (let attempt = 0; attempt < MAX_CHECKS && !this.#isConfirmed(sinceMs); attempt++) {
+      this.#pendingCheck ??= this.#check().finally(() => { this.#pendingCheck = undefined })
+      await this.#pendingCheck
+    }
+    return this.#isConfirmed(sinceMs)
+  }
+
+  #isConfirmed (sinceMs: number): boolean {
+    return this.#lastAnsweredReadStartMs >= sinceMs
+  }
+
+  async #check (): Promise<void> {
+    const { store, clock, log, configurationKey: key } = this.#options
+    const askedMs = clock.monotonicMs()
+    const outcome = await store.transact({ conditions: [{ key, modRevision: this.#record.modRevision }], puts: [], removals: [] })
+    if (outcome.err) log.warn({ error: outcome.val }, 'configuration refresh failed')
+    else if (outcome.val.committed) this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
+    else this.acceptConflict(outcome.val.current.find((item) => item.key === key), askedMs)
+  }
+
   /**
    * Reads the configuration now; concurrent callers share one read.
    *
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -82,4 +82,54 @@
       expect(store.reads).to.equal(1)
     })
   }
+
+  // A host accepted jobs by a large configuration however old it was: nothing ordered the acceptance after the newer one.
+  describe('confirm', () => {
+    const nowMs = (): number => systemClock.monotonicMs()
+    let checks: number
+    beforeEach(() => {
+      checks = 0
+      store.writeDelayMs = () => {
+        checks++
+        return 10
+      }
+    })
+
+    const outcomes = [
+      { name: 'an unchanged configuration', stored: undefined, lost: 0, isDown: false, isConfirmed: true, version: 2 },
+      { name: 'a newer configuration', stored: 3, lost: 0, isDown: false, isConfirmed: true, version: 3 },
+      { name: 'a newer configuration, repeated after a lost answer', stored: 3, lost: 1, isDown: false, isConfirmed: true, version: 3 },
+      { name: 'nothing after two lost answers', stored: 3, lost: 2, isDown: false, isConfirmed: false, version: 2 },
+      { name: 'nothing while the store refuses calls', stored: 3, lost: 0, isDown: true, isConfirmed: false, version: 2 }
+    ]
+    for (const { name, stored, lost, isDown, isConfirmed, version } of outcomes) {
+      it(`finds ${name}`, async () => {
+        if (stored !== undefined) await write(stored)
+        let answersToLose = lost
+        store.loseAnswers = () => answersToLose-- > 0
+        store.isDown = isDown
+        expect(await watcher.confirm(nowMs())).to.equal(isConfirmed)
+        expect(watcher.current?.version).to.equal(version)
+        expect(store.reads).to.equal(0)
+      })
+    }
+
+    it('takes no check for fresh that began before the call', async () => {
+      const first = watcher.confirm(nowMs())
+      await delay(15)
+      await write(3)
+      await watcher.confirm(nowMs())
+      expect(watcher.current?.version).to.equal(3)
+      expect(await first).to.equal(true)
+    })
+
+    it('serves all calls that come during a check by one more', async () => {
+      const first = watcher.confirm(nowMs())
+      await delay(2)
+      checks = 0
+      expect(await Promise.all([first, ...Array.from({ length: 20 }, () => watcher.confirm(nowMs()))])).to.not.include(false)
+      // Each check pauses twice: before it takes effect and before its answer. The first pause of the first check is over.
+      expect(checks).to.equal(3)
+    })
+  })
 })
