Soak: keys and queues are replaced while hosts learn of it late, and jobs are sent again by the new ones

Change: a 32nd fault replaces a key and a queue together every 0.4 s while hosts learn of versions up to 2 s late, a fifth of all transactions gets no answer, and half of the times the configuration has 800 queues more. Jobs with a start in the future are submitted and sent again by the newest key or queue, or the one before, and all hosts are probed by both while they start. Two promises judge the answers: a submission is answered by no older configuration than the store held when it was sent, and no host goes back from a version that it has shown.

--- a/packages/soak/src/lib/EntryProcess.ts
+++ b/packages/soak/src/lib/EntryProcess.ts
@@ -29,6 +29,8 @@
   /** Time of the last disturbance other than a planned stop; `Infinity` while the link to the store is disturbed. */
   lastDisturbedMs = -Infinity
   isFrozen = false
+  /** Whether its wall clock has ever stepped. */
+  hasSteppedClock = false
   readonly #directory: string
   readonly #nowMs: () => number
   readonly #clockOffsetMs: number
@@ -128,6 +130,7 @@
 
   /** Steps the wall clock of the process, or reverts the previous step. */
   stepClock (): void {
+    this.hasSteppedClock = true
     if (this.#hasOutput) this.#child?.kill('SIGUSR2')
   }
 
--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CallerStep, FleetRunRecord, MachineOrderRecord, OverloadRecord } from '@quillscale/platform-fleet'
+import type { Rotation } from './Rotations.js'
 import type { LimitChange, SoakAccount } from './SoakAccounts.js'
 
 /**
@@ -31,6 +32,8 @@
   readonly failedAtMs: number[]
   /** When it was first sent to the queue that configuration changes add and remove; `undefined` for a job of a permanent queue. */
   readonly sentToExtraQueueMs: number | undefined
+  /** No host may start it before this time, by its schedule and the clocks of the hosts; `undefined` if that is not known. */
+  startsAfterMs?: number | undefined
   /** The state reported after all faults had ended; empty if no host reported one. */
   finalState: string
 }
@@ -82,6 +85,20 @@
   readonly status: number
 }
 
+/** The answer to a request by a key or to a queue that configurations replace. @public */
+export interface RotatedCall {
+  readonly hostName: string
+  /** The submitted job, empty for a request for the queue. */
+  readonly jobId: string
+  readonly isSubmission: boolean
+  /** Whether the queue is the replaced one of the rotation; otherwise the key is. */
+  readonly isByQueue: boolean
+  readonly rotation: Rotation
+  readonly sentMs: number
+  readonly answeredMs: number
+  readonly status: number
+}
+
 /** An evacuation of an availability zone; `Infinity` as the time of its withdrawal while it is requested. @public */
 export interface Evacuation { readonly availabilityZone: string, readonly acknowledgedMs: number, withdrawnMs: number }
 
@@ -103,6 +120,7 @@
   /** The limits of the limited account, in order of time. */
   readonly limits: readonly LimitChange[]
   readonly evacuations: readonly Evacuation[]
+  readonly rotatedCalls: readonly RotatedCall[]
   /** How many machines of a wave may be down for maintenance at once. */
   readonly maxInUpkeep: number
 }
--- a/packages/soak/src/lib/SoakAccounts.ts
+++ b/packages/soak/src/lib/SoakAccounts.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import type { AccountSettings } from '@quillscale/platform-fleet'
+import type { ROTATING_ACCOUNT } from './Rotations.js'
 
 /** Names of the accounts: the first has a limit, the second has none. @public */
 export const ACCOUNTS = ['press', 'herald'] as const
 /** The name of an account. @public */
-export type SoakAccount = typeof ACCOUNTS[number]
+export type SoakAccount = typeof ACCOUNTS[number] | typeof ROTATING_ACCOUNT
 
 /** CPU that each task uses, in thousandths of a core. @public */
 export const TASK_CPU_MILLIS = 1000
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -8,7 +8,9 @@
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { callEntryHost, decodeJobState, encodeSubmission, type CallerStep, type CallOutcome } from '@quillscale/platform-fleet'
 import type { EntryProcess } from './EntryProcess.js'
-import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, QueueLookup, SubmitOutcome } from './History.js'
+import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, QueueLookup, RotatedCall, SubmitOutcome } from './History.js'
+import { RotationCallers } from './RotationCallers.js'
+import { LASTING_KEY, ROTATING_ACCOUNT } from './Rotations.js'
 import { ACCOUNTS, APPLY_MS, TASK_CPU_MILLIS, type SoakAccount } from './SoakAccounts.js'
 import { EXTRA_QUEUE_PATH, QUEUE_HOST, SERVICES, type SoakEnvironment } from './SoakEnvironment.js'
 
@@ -51,22 +53,36 @@
   readonly #agent = new Agent({ keepAlive: true })
   readonly #stop = new AbortController()
   readonly #pending: Array<Promise<void>> = []
+  readonly #rotationCallers: RotationCallers
   /** The request path of each job, by its id. */
   readonly #paths = new Map<string, string>()
   #nextJobNumber = 1
 
-  /** @param environment - the hosts to call and the clock @param random - random numbers drawn from the seed */
-  constructor (environment: SoakEnvironment, random: SeededRandom) {
+  /**
+   * @param environment - the hosts to call and the clock
+   * @param random - random numbers drawn from the seed
+   * @param rotationRandom - others of the seed, for the calls by replaced keys and queues
+   */
+  constructor (environment: SoakEnvironment, random: SeededRandom, rotationRandom: SeededRandom) {
     this.#environment = environment
     this.#random = random
+    this.#rotationCallers = new RotationCallers(environment, rotationRandom, (...call) => this.#callHost(...call), (job) => {
+      this.jobs.push(job)
+      this.#paths.set(job.jobId, `/${SERVICES[0]}/${job.jobId}`)
+    })
     // Each pending delay adds a listener.
     setMaxListeners(0, this.#stop.signal)
   }
 
+  /** Answers to calls by replaced keys and queues. */
+  get rotatedCalls (): readonly RotatedCall[] {
+    return this.#rotationCallers.calls
+  }
+
   /** Submits the lasting jobs, then other jobs until {@link stop} is called. */
   async run (): Promise<void> {
     for (const service of SERVICES) this.#addJob(service, [{ taskCount: LASTING_TASK_COUNT, dependsOn: [], isLasting: true, maxAway: 1 }], 0)
-    this.#pending.push(this.#probeConfiguration(), this.#probeKeys())
+    this.#pending.push(this.#probeConfiguration(), this.#probeKeys(), this.#rotationCallers.run(this.#stop.signal))
     while (await delay(this.#random.exponentialMs(JOB_GAP_MS), this.#stop.signal)) this.#addJob(this.#random.pick(SERVICES), this.#drawSteps(), this.#drawMs())
   }
 
@@ -202,6 +218,7 @@
   }
 
   #currentKey (account: SoakAccount): string {
+    if (account === ROTATING_ACCOUNT) return LASTING_KEY
     return this.#environment.accounts.currentKey(account, this.#nowMs())
   }
 
--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -10,6 +10,7 @@
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
 import type { DutyTenure, Evacuation, ExtraQueueChange, StoredConfiguration, StoredJob } from './History.js'
+import { Rotations } from './Rotations.js'
 import { SoakAccounts } from './SoakAccounts.js'
 
 /** The number of hosts and machines of a run. @public */
@@ -26,6 +27,9 @@
 export const EXTRA_QUEUE_PATH = '/extra/'
 const EXTRA_QUEUE: QueueSettings = { host: QUEUE_HOST, pathPrefix: EXTRA_QUEUE_PATH, service: SERVICES[0] }
 const MOVED_EXTRA_QUEUE: QueueSettings = { ...EXTRA_QUEUE, service: SERVICES[1] }
+/** Makes a configuration of about 90 KB. */
+const FILLER_COUNT = 800
+const FILLER_QUEUES = Array.from({ length: FILLER_COUNT }, (_, index): QueueSettings => ({ ...EXTRA_QUEUE, pathPrefix: `/filler-${index}/` }))
 const DUTY_PREFIX = 'duty/service/'
 const EXTRA_INBOX_PREFIX = `inbox/${EXTRA_QUEUE.service}/`
 const CONFIGURATION_PREFIX = 'op/'
@@ -61,6 +65,11 @@
   /** Jobs of the service of the extra queue. */
   readonly storedJobs: StoredJob[] = []
   readonly accounts = new SoakAccounts()
+  readonly rotations = new Rotations()
+  /** How many of the next jobs are sent again by the keys and to the queues that replace those of their first submission. */
+  remainingRotatedJobs = 0
+  /** Whether the configuration is large. */
+  isConfigurationLarge = false
   /** How many of the next jobs crash the workers that start them. */
   remainingCrashingJobs = 0
   /** How many of the next jobs are sent to the extra queue. */
@@ -158,18 +167,32 @@
     await this.setExtraQueue(true)
   }
 
+  /** Replaces the rotating key and queue. */
+  async rotate (): Promise<void> {
+    const replaced = this.rotations.rotate(this.#configurationVersion + 1, this.clock.monotonicMs())
+    await this.writeConfiguration()
+    replaced.removedMs = this.clock.monotonicMs()
+  }
+
   /** Writes the current configuration under the next version. */
   async writeConfiguration (): Promise<void> {
     const hasExtraQueue = this.extraQueueChanges.at(-1)?.exists === true
-    const queues = hasExtraQueue ? [...PERMANENT_QUEUES, this.#extraQueue] : PERMANENT_QUEUES
-    const revision = await this.#write(encodeConfiguration(++this.#configurationVersion, queues, SERVICES, this.accounts.accountSettings))
+    const changing = [...(hasExtraQueue ? [this.#extraQueue] : []), this.rotations.queueSettings(EXTRA_QUEUE)]
+    const queues = [...PERMANENT_QUEUES, ...changing, ...(this.isConfigurationLarge ? FILLER_QUEUES : [])]
+    const accounts = [...this.accounts.accountSettings, this.rotations.accountSettings]
+    const revision = await this.#write(encodeConfiguration(++this.#configurationVersion, queues, SERVICES, accounts))
     this.configurations.push({ revision, writtenMs: this.clock.monotonicMs(), hasExtraQueue })
   }
 
-  /** Lets hosts learn of configurations at different times, and refuses them any other reading. @param random - draws the delays */
-  delayConfiguration (random: SeededRandom): void {
+  /**
+   * Lets hosts learn of configurations at different times, and refuses them any other reading.
+   *
+   * @param random - draws the delays
+   * @param maxDelayMs - the longest delay
+   */
+  delayConfiguration (random: SeededRandom, maxDelayMs = MAX_CONFIGURATION_DELAY_MS): void {
     if (this.isHealed) return
-    this.store.watchDelayMs = (prefix) => prefix === CONFIGURATION_PREFIX ? random.next() * MAX_CONFIGURATION_DELAY_MS : 0
+    this.store.watchDelayMs = (prefix) => prefix === CONFIGURATION_PREFIX ? random.next() * maxDelayMs : 0
     this.store.refusesRead = (key) => key.startsWith(CONFIGURATION_PREFIX)
   }
 
@@ -177,6 +200,7 @@
   restoreConfiguration (): void {
     this.store.watchDelayMs = () => 0
     this.store.refusesRead = () => false
+    this.store.losesAnswer = () => false
   }
 
   /** Requests a maintenance wave. @param machineIds - the machines that are due */
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { QUEUE_ATTEMPTS, type FleetRunRecord } from '@quillscale/platform-fleet'
-import type { History, JobView } from './History.js'
+import type { History, JobView, RotatedCall } from './History.js'
 import { ACCOUNTS, APPLY_MS } from './SoakAccounts.js'
 
 /** A violation of a promise. @public */
@@ -36,6 +36,7 @@
 
 const OK = 200
 const UNAUTHORIZED = 401
+const NOT_FOUND = 404
 
 const jobIdOf = (taskKey: string): string => taskKey.split('.')[0] ?? ''
 const stepOf = (taskKey: string): number => Number(taskKey.split('.')[2])
@@ -207,6 +208,40 @@
   })
 }
 
+/** Finds submissions that were answered by a configuration which was not in the store any more when they were sent. */
+function findOutdatedAcceptances ({ rotatedCalls }: History): string[] {
+  const outdated = rotatedCalls.filter(({ isSubmission, status, sentMs, rotation }) => isSubmission && status === OK && rotation.removedMs < sentMs)
+  return outdated.map(({ hostName, jobId, sentMs, rotation: { removedMs, toVersion } }) =>
+    `${hostName} accepted ${jobId}, sent at ${sentMs}, ${Math.round(sentMs - removedMs)} ms after version ${toVersion} had taken its key or queue away`)
+}
+
+/**
+ * Finds hosts that answered by an older version than one under which a job had been accepted before they could place it, after they had started that
+ * job in the same lifetime of their process.
+ */
+function findAnswersGoneBack ({ jobs, runs, tenures, ends, rotatedCalls }: History): string[] {
+  const hosts = new Map(tenures.map(({ fencingToken, hostName }) => [fencingToken, hostName]))
+  const accepted = groupBy(rotatedCalls.filter(({ isSubmission, status }) => isSubmission && status === OK), ({ jobId }) => jobId)
+  const shown = new Map(jobs.map(({ jobId, startsAfterMs = -Infinity }) => {
+    const before = accepted.get(jobId)?.filter(({ answeredMs }) => answeredMs < startsAfterMs) ?? []
+    return [jobId, Math.max(0, ...before.map(({ rotation }) => rotation.fromVersion))]
+  }))
+  return runs.flatMap(({ taskKey, fencingToken, startedMs }) => {
+    const hostName = hosts.get(fencingToken)
+    const version = shown.get(jobIdOf(taskKey)) ?? 0
+    const later = rotatedCalls.filter((call) => !call.isSubmission && call.hostName === hostName && call.sentMs > startedMs + ROLLBACK_SLACK_MS)
+    const answer = later.find((call) => isOlderThan(version, call) &&
+      !ends.some((end) => end.hostName === hostName && end.atMs > startedMs && end.atMs < call.answeredMs))
+    return answer === undefined ? [] : [`${hostName} answered ${answer.status} at ${answer.sentMs} by a version before ${version}, with which it had started ${taskKey} at ${startedMs}`]
+  })
+}
+
+/** Whether an answer can only come from a version before the given one. */
+function isOlderThan (version: number, { status, isByQueue, rotation: { fromVersion, toVersion, removingMs }, answeredMs }: RotatedCall): boolean {
+  if (status === OK) return toVersion <= version
+  return status === (isByQueue ? NOT_FOUND : UNAUTHORIZED) && fromVersion <= version && removingMs > answeredMs
+}
+
 function findOverloads ({ overloads }: History): string[] {
   return overloads.filter(({ atMs, shrunkMs }) => atMs - shrunkMs > CAPACITY_UPDATE_MS)
     .map(({ machineId, atMs, shrunkMs }) => `${machineId} was ordered to start a task beyond its capacity ${atMs - shrunkMs} ms after its capacity was reduced`)
@@ -253,6 +288,8 @@
   'configuration holds and never goes back': findConfigurationViolations,
   'a host knows the queues of the jobs that it starts': findHostsGoneBack,
   'a job is accepted only while its queue exists': findJobsOfMissingQueues,
+  'a submission is answered by no older configuration than the store held': findOutdatedAcceptances,
+  'no host goes back from a version': findAnswersGoneBack,
   'a task that crashes workers is given up': findUnboundedCrashes,
   'no job is shown as failed without a cause': findUncausedFailures,
   'no worker is overloaded': findOverloads,
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -26,6 +26,14 @@
 const JOBS_FOR_EXTRA_QUEUE = 10
 /** Time in which all undisturbed hosts learn of an added queue, before it is removed. */
 const ADDED_QUEUE_MS = 500
+/** Time between two versions that replace a key and a queue at once. */
+const ROTATION_GAP_MS = 400
+/** Jobs with a schedule are sent again until shortly before their start. */
+const MIN_ROTATIONS_MS = 3000
+const JOBS_FOR_ROTATIONS = 8
+/** Part of the transactions whose answer is lost while keys and queues are replaced. */
+const LOST_ANSWER_SHARE = 0.2
+const LARGE_SHARE = 0.5
 /** How often a queue stays while it moves; otherwise it is away for a while. */
 const STAYING_SHARE = 0.5
 /** An evacuation lasts longer than the bound from which no run may start in its zone. */
@@ -211,6 +219,17 @@
     }
     schedule(() => environment.hosts.find(({ hostSettings }) => hostSettings.hostName === environment.tenures.at(-1)?.hostName)?.kill(), seriesMs / 2)
     return undefined
+  },
+  'keys and queues are replaced while hosts learn of it late, and jobs are sent again by the new ones': (environment, random, forMs) => {
+    environment.isConfigurationLarge = random.next() < LARGE_SHARE
+    environment.delayConfiguration(random, APPLY_MS)
+    const loseAnswers = (): void => { environment.store.losesAnswer = () => random.next() < LOST_ANSWER_SHARE }
+    const restoreStore = disturbStore(environment, loseAnswers, () => environment.restoreConfiguration())
+    environment.remainingRotatedJobs = JOBS_FOR_ROTATIONS
+    const lengthMs = MIN_ROTATIONS_MS + forMs
+    for (let atMs = ROTATION_GAP_MS; atMs < lengthMs; atMs += ROTATION_GAP_MS) setTimeout(() => { if (!environment.isHealed) void environment.rotate() }, atMs)
+    setTimeout(restoreStore, lengthMs)
+    return undefined
   }
 }
 
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -47,7 +47,7 @@
   const directory = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
   const random = new SeededRandom(seed)
   const environment = new SoakEnvironment(systemClock, { hosts, machinesPerService })
-  const callers = new SoakCallers(environment, new SeededRandom(seed + 1))
+  const callers = new SoakCallers(environment, new SeededRandom(seed + 1), new SeededRandom(seed + 2))
   const faults = planFaults(random, lengthMs, kindCount)
   try {
     await environment.start(hosts, directory, random)
@@ -77,6 +77,7 @@
     keyProbes: callers.keyProbes,
     limits: environment.accounts.limits,
     evacuations: environment.evacuations,
+    rotatedCalls: callers.rotatedCalls,
     maxInUpkeep: MAX_IN_MAINTENANCE
   }
   const broken = checkPromises(history)
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { QUEUE_ATTEMPTS, type FleetRunRecord, type MachineOrderRecord } from '@quillscale/platform-fleet'
 import { checkPromises, PROMISES } from '../lib/checkPromises.js'
-import type { History, JobView, QueueLookup } from '../lib/History.js'
+import type { History, JobView, QueueLookup, RotatedCall } from '../lib/History.js'
+import type { Rotation } from '../lib/Rotations.js'
 
 const job = (changes: Partial<JobView> = {}): JobView => ({
   jobId: 'a',
@@ -40,6 +41,7 @@
     keyProbes: [],
     limits: [{ atMs: -Infinity, tasks: 1 }],
     evacuations: [],
+    rotatedCalls: [],
     maxInUpkeep: 2,
     ...changes
   })
@@ -52,6 +54,18 @@
   ...changes
 })
 
+/** A job that was accepted by a key of version 5 before it could start, and an answer of the host that started it. */
+const rotated = (answer: Partial<RotatedCall>, changes: Partial<History> = {}): Partial<History> => ({
+  jobs: [job({ startsAfterMs: 150 })],
+  rotatedCalls: [
+    rotatedCall({ jobId: 'a', isSubmission: true, rotation: { ...ROTATION, fromVersion: 5 } }), rotatedCall({ sentMs: 600, answeredMs: 610, ...answer })
+  ],
+  ...changes
+})
+const ROTATION: Rotation = { key: 'k', path: '/k/', fromVersion: 4, toVersion: Infinity, removingMs: Infinity, removedMs: Infinity }
+const rotatedCall = (changes: Partial<RotatedCall>): RotatedCall =>
+  ({ hostName: 'host-0', jobId: '', isSubmission: false, isByQueue: false, rotation: ROTATION, sentMs: 100, answeredMs: 110, status: 200, ...changes })
+
 const evacuations = [{ availabilityZone: 'z0', acknowledgedMs: 1000, withdrawnMs: 9000 }]
 const twoSteps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }, { taskCount: 1, dependsOn: [0], isLasting: false, maxAway: undefined }]
 const failures = (count: number): FleetRunRecord[] =>
@@ -88,6 +102,18 @@
     { promise: 'a planned stop cuts nothing off', how: 'a request breaks after 500 ms', seen: history({ broken: [{ hostName: 'host-0', sentMs: 100, brokenMs: 600 }] }) },
     { promise: 'processes end only when told', how: 'one exits without a signal', seen: history({ ends: [{ hostName: 'host-0', signal: '', exitCode: 1, atMs: 100 }] }) },
     { promise: 'processes end only when told', how: 'a planned stop exits with 1', seen: history({ ends: [{ hostName: 'host-0', signal: 'SIGTERM', exitCode: 1, atMs: 100 }] }) },
+    {
+      promise: 'a submission is answered by no older configuration than the store held',
+      how: 'its key was gone when it was sent',
+      seen: history({ rotatedCalls: [rotatedCall({ isSubmission: true, rotation: { ...ROTATION, toVersion: 5, removingMs: 80, removedMs: 90 } })] })
+    },
+    {
+      promise: 'no host goes back from a version',
+      how: 'it accepts a key that was gone in the version by which it started a job',
+      seen: history(rotated({ rotation: { ...ROTATION, toVersion: 5, removingMs: 50, removedMs: 60 } }))
+    },
+    { promise: 'no host goes back from a version', how: 'it denies a key of that version', seen: history(rotated({ rotation: { ...ROTATION, fromVersion: 5 }, status: 401 })) },
+    { promise: 'no host goes back from a version', how: 'it denies a queue of that version', seen: history(rotated({ isByQueue: true, status: 404 })) },
     { promise: 'keys hold', how: 'a revoked key is accepted', seen: history({ keyProbes: [{ hostName: 'host-0', sentMs: 1, mayHold: false, mustHold: false, status: 200 }] }) },
     { promise: 'keys hold', how: 'a valid key is refused', seen: history({ keyProbes: [{ hostName: 'host-0', sentMs: 1, mayHold: true, mustHold: true, status: 401 }] }) },
     {
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -16,6 +16,7 @@
     { seed: 311, seconds: 15, cause: 'all kinds of faults; queues are added three times while hosts learn of them late', kindCount: 28 },
     { seed: 132, seconds: 15, cause: 'all kinds of faults; queues move while their jobs are sent again', kindCount: 30 },
     { seed: 20_261_221, seconds: 10, cause: 'all kinds of faults; workers are lost in series three times', kindCount: 31 },
+    { seed: 20_261_342, seconds: 10, cause: 'all kinds of faults; keys and queues are replaced twice while hosts learn of it late', kindCount: 32 },
     ...FAILED_SEEDS
   ]
   for (const { seed, seconds, cause, kindCount } of cases) {
