Failing test: a run that only the next lifetime of a worker started runs twice if the clocks of both agree

Ruled out: the early questions after a start. The worker restarts just before a start reaches it, the next lifetime carries it out, and its clock goes on as that of the former one. Conclusion: the answer to a start is taken for the former lifetime's by its clock. The existing cases shift the clock by an hour, so that they never see it.

--- a/packages/scheduler/src/test/restartedWorkers.test.ts
+++ b/packages/scheduler/src/test/restartedWorkers.test.ts
@@ -9,6 +9,8 @@
 
 /** Delay until the machine list shows that a machine was down. */
 const MACHINE_LIST_DELAY_MS = 100
+/** Long enough for a start, for a run, and for another start elsewhere if the first is taken for lost. */
+const START_AND_RUN_MS = 1500
 const WORKERS = 3
 const CPU_MILLIS = 4000
 /** Long before any machine list that a test reports. */
@@ -59,14 +61,19 @@
   const restart = async (worker: StandInWorker, tenure: Tenure): Promise<{ worker: StandInWorker, tenure: Tenure }> =>
     ({ worker: service.restartWorker(worker), tenure })
 
-  /** Restarts the worker right before the next start order reaches it; the new lifetime registers a little later. */
-  function restartBeforeStart (): void {
+  /**
+   * Restarts the worker right before the next start order reaches it; the new lifetime registers a little later.
+   *
+   * @param hasSameClock - whether the clock of the new lifetime goes on as that of the previous one
+   */
+  function restartBeforeStart (hasSameClock = false): void {
     const own = service
     const start = own.runs.start.bind(own.runs)
     own.runs.start = async (instance, order) => {
       own.runs.start = start
-      const [worker] = own.runs.workers.values()
+      const worker = own.runs.workers.get(instance.instanceId)
       const next = own.restartWorker(worker as StandInWorker, false)
+      if (hasSameClock) next.clockShiftMs = (worker as StandInWorker).clockShiftMs
       setTimeout(() => own.list(next.instance), 200).unref()
       return await start(instance, order)
     }
@@ -211,6 +218,20 @@
     expect(service.runs.records.length).to.equal(1)
   })
 
+  // A task ran twice: the answer to a start came from the next lifetime, whose clock passed for that of the former one, and the run was lost with the former.
+  for (const isLasting of [false, true]) {
+    it(`keep a run that only the next lifetime started, also if the clocks of both agree: a ${isLasting ? 'lasting' : 'finite'} task`, async () => {
+      service = new TestService(2, CPU_MILLIS, BORN_MS)
+      await service.takeOver()
+      await service.until('the workers are connected', () => service.log.lines.filter((line) => line.startsWith('worker met')).length === 2)
+      restartBeforeStart(true)
+      await service.submit(1, { runMs: isLasting ? 0 : 600 }, [{ isLasting }])
+      await delay(START_AND_RUN_MS)
+      expect(service.duplicatedTasks, service.log.lines.slice(-30).join('\n')).to.deep.equal([])
+      expect(service.runs.records.length).to.equal(1)
+    })
+  }
+
   it('count crashes for the tasks that caused them', async () => {
     service = new TestService(WORKERS, CPU_MILLIS, BORN_MS)
     service.maxLeaseMs = 10_000
