The configuration is not checked while the store is known not to answer

Cause: the check that puts before such a submission did not ask whether the store is unresponsive, as all other calls for clients do. Change: it asks no store that is. Test: one case of ConfigurationWatcher.test.ts, red before (4 pauses of the store instead of none), green after. Conclusion: what can't be served is refused at once again.

--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -167,7 +167,7 @@
 
   /**
    * Makes sure that the configuration is at least as new as the one that the store held at a time. One transaction without a write serves all callers who
-   * wait for it, and the store returns the record only if it has changed. An unanswered one is repeated once.
+   * wait for it, and the store returns the record only if it has changed. An unanswered one is repeated once, unless the store is unresponsive.
    *
    * @param sinceMs - monotonic time, not after the current one
    * @returns whether the store answered
@@ -175,7 +175,8 @@
   async confirm (sinceMs: number): Promise<boolean> {
     // A check that began before `sinceMs` proves nothing to this caller.
     await this.#pendingCheck
-    for (let attempt = 0; attempt < MAX_CHECKS && !this.#isConfirmed(sinceMs); attempt++) {
+    const { store, clock } = this.#options
+    for (let attempt = 0; attempt < MAX_CHECKS && !this.#isConfirmed(sinceMs) && !store.isUnresponsive(clock.monotonicMs()); attempt++) {
       this.#pendingCheck ??= this.#check().finally(() => { this.#pendingCheck = undefined })
       await this.#pendingCheck
     }
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -9,6 +9,8 @@
 
 const KEY = 'op/config'
 const NOW_MS = 10_000
+/** Longer than a store must have given no answer to count as unresponsive. */
+const UNRESPONSIVE_AFTER_MS = 900
 
 class CountingStore extends FaultyStore {
   reads = 0
@@ -114,6 +116,16 @@
       })
     }
 
+    // A request waited for two timeouts of a store that was known not to answer, although it could be refused at once.
+    it('asks no store that is known not to answer', async () => {
+      store.loseAnswers = () => true
+      for (let times = 0; times < 2; times++) await watcher.confirm(nowMs())
+      await delay(UNRESPONSIVE_AFTER_MS)
+      checks = 0
+      expect(await watcher.confirm(nowMs())).to.equal(false)
+      expect(checks).to.equal(0)
+    })
+
     it('takes no check for fresh that began before the call', async () => {
       const first = watcher.confirm(nowMs())
       await delay(15)
