Soak: one function creates the record of a job for both kinds of callers

Cause: RotationCallers wrote out the initial fields of a job's record that SoakCallers had already. Ruled out: a change of behaviour; the order of draws and all initial values are the same, `unknown` and `refused` stay with their callers. Change: createJobView takes what the client knows and adds the fields without an observation. No product code, no check. Conclusion: a new field of the record is added in one place.

--- a/packages/soak/src/lib/RotationCallers.ts
+++ b/packages/soak/src/lib/RotationCallers.ts
@@ -6,6 +6,7 @@
  */
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { encodeSubmission, type CallOutcome } from '@quillscale/platform-fleet'
+import { createJobView } from './createJobView.js'
 import type { EntryProcess } from './EntryProcess.js'
 import type { JobView, RotatedCall } from './History.js'
 import { LASTING_KEY, ROTATING_ACCOUNT } from './Rotations.js'
@@ -81,21 +82,15 @@
     const jobId = `e${(this.#nextJobNumber++).toString(16).padStart(15, '0')}`
     const startsAfterMs = this.#nowMs() + START_DELAY_MS - MAX_CLOCK_LEAD_MS
     const steps = [{ taskCount: 1, dependsOn: [], isLasting: false, maxAway: undefined }]
-    const job: JobView = {
+    const job = createJobView({
       jobId,
       steps,
       account: ROTATING_ACCOUNT,
       crashesWorkers: false,
       sentToExtraQueueMs: undefined,
       startsAfterMs,
-      submitted: 'refused',
-      acceptedMs: undefined,
-      cancelAcknowledgedMs: undefined,
-      isCancelSent: false,
-      unknownAtMs: [],
-      failedAtMs: [],
-      finalState: ''
-    }
+      submitted: 'refused'
+    })
     this.#addJob(job)
     const body = encodeSubmission(JSON.stringify({ runMs: TASK_MS }), steps, TASK_CPU_MILLIS, Date.now() + START_DELAY_MS)
     do {
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -7,6 +7,7 @@
 import { Agent } from 'node:http'
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { callEntryHost, decodeJobState, encodeSubmission, type CallerStep, type CallOutcome } from '@quillscale/platform-fleet'
+import { createJobView } from './createJobView.js'
 import type { EntryProcess } from './EntryProcess.js'
 import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, QueueLookup, RotatedCall, SubmitOutcome } from './History.js'
 import { RotationCallers } from './RotationCallers.js'
@@ -130,20 +131,14 @@
     if (isForExtraQueue) this.#environment.remainingExtraJobs--
     // Lasting jobs and jobs that crash workers would use up the account's limit for a long time.
     const account = runMs > 0 && !crashesWorkers && this.#nextJobNumber % 2 === 0 ? ACCOUNTS[0] : ACCOUNTS[1]
-    const job: JobView = {
+    const job = createJobView({
       jobId,
       steps,
       account,
       crashesWorkers,
       sentToExtraQueueMs: isForExtraQueue ? this.#nowMs() : undefined,
-      submitted: 'unknown',
-      acceptedMs: undefined,
-      cancelAcknowledgedMs: undefined,
-      isCancelSent: false,
-      unknownAtMs: [],
-      failedAtMs: [],
-      finalState: ''
-    }
+      submitted: 'unknown'
+    })
     this.jobs.push(job)
     // The extra queue may be removed before the job has ended; its service has a permanent queue, by which the job is found too.
     this.#paths.set(jobId, `/${isForExtraQueue ? SERVICES[0] : service}/${jobId}`)
