--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -80,6 +80,7 @@
     this.#markJobRunning(run.task.job)
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
     this.#updateWorkerClockStart(run, run.startedMs)
+    this.#logStart(run)
     this.#options.count('runs_started')
     this.#watchStart(run)
   }
@@ -114,11 +115,19 @@
     if (run.phase !== 'stopping') void this.#options.linkOf(run)?.stop(run)
   }
 
+  /** Logs a start that the worker has confirmed, by its answer or its list, with the version that the record of the job names. */
+  #logStart ({ taskKey, runNumber, instanceId, task }: Run): void {
+    this.#options.log.info({ taskKey, runNumber, instanceId, recordVersion: task.job.spec.configurationVersion }, 'run started')
+  }
+
   #updateListedRun (link: WorkerLink, run: Run, { percent, load, checkpoint }: RunReport, askedMs: number): void {
     const nowMs = this.#options.clock.monotonicMs()
     if (run.phase === 'unconfirmed') run.previousStartMs = previousStartMsOf(link, run, nowMs)
     if (run.phase === 'unconfirmed' || run.phase === 'starting') {
-      if (run.phase === 'starting') this.#updateWorkerClockStart(run, nowMs)
+      if (run.phase === 'starting') {
+        this.#updateWorkerClockStart(run, nowMs)
+        this.#logStart(run)
+      }
       run.phase = 'running'
       this.#markJobRunning(run.task.job)
       run.startedMs = nowMs
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -176,14 +176,20 @@
     // A check that began before `sinceMs` proves nothing to this caller.
     await this.#pendingCheck
     const { store, clock } = this.#options
-    for (let attempt = 0; attempt < MAX_CHECKS && !this.#isConfirmed(sinceMs) && !store.isUnresponsive(clock.monotonicMs()); attempt++) {
+    for (let attempt = 0; attempt < MAX_CHECKS && !this.isConfirmedSince(sinceMs) && !store.isUnresponsive(clock.monotonicMs()); attempt++) {
       this.#pendingCheck ??= this.#check().finally(() => { this.#pendingCheck = undefined })
       await this.#pendingCheck
     }
-    return this.#isConfirmed(sinceMs)
+    return this.isConfirmedSince(sinceMs)
   }
 
-  #isConfirmed (sinceMs: number): boolean {
+  /**
+   * Tells whether the configuration is at least as new as the one that the store held at a time.
+   *
+   * @param sinceMs - monotonic time, not after the current one
+   * @returns whether a read that began at that time or later was answered
+   */
+  isConfirmedSince (sinceMs: number): boolean {
     return this.#lastAnsweredReadStartMs >= sinceMs
   }
 
