A request is answered only by a configuration that the store held after the request had come

Callers saw: a host that had started a job under version N answered a lookup, a count or a refusal by an older version. Cause: only submissions that succeed were ordered with the store. That was allowed because a holder was said to know each version that its starts show, which a repeat under a newer version and a start under way both break. Ruled out: completing the guard on starts: an order that has left cannot be taken back, so a start may always show a version that its holder learns of later. Conclusion: an effect that a worker saw before a request was sent came from a version that was in the store by then, so no answer can go back behind it, however starts and repeats overtake each other.

--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import type { Result } from '@quillscale/utils'
+import { delay, type Result } from '@quillscale/utils'
 import type { FleetConfiguration, KeyValue, RevisionCondition } from '@quillscale/ports'
 import { PrefixReplica } from '@quillscale/leases'
+import { CallRetrier } from './CallRetrier.js'
 import type { MonitoredStore } from './MonitoredStore.js'
 import { OperatorRequests, type OperatorRequestsOptions } from './OperatorRequests.js'
 import type { RecordProblem } from './RecordReader.js'
@@ -28,8 +29,6 @@
 const RELIST_INTERVAL_MS = 5000
 /** Longest record that serves as a condition: 44 KB on the wire, 50 ms on a link of 7 Mbit/s. */
 const MAX_CONDITION_LENGTH = 32 * 1024
-/** How often a check of the configuration is made for one caller, if the store does not answer. */
-const MAX_CHECKS = 2
 /** Minimum time between the starts of two extra reads; a store at its rate limit may take some time to answer one. */
 const MIN_READ_INTERVAL_MS = 100
 
@@ -42,8 +41,11 @@
   #record = { modRevision: 0, length: 0 }
   readonly #options: ConfigurationWatcherOptions
   readonly #replica: PrefixReplica
+  readonly #calls: CallRetrier
   #pendingRefresh: Promise<boolean> | undefined
   #pendingCheck: Promise<void> | undefined
+  /** When the last transaction of {@link ConfigurationWatcher.confirm} was sent. */
+  #lastCheckMs = -Infinity
   /** When the last extra read of the configuration began, and when the last one that was answered began (monotonic). */
   #lastReadStartMs = -Infinity
   #lastAnsweredReadStartMs = -Infinity
@@ -52,6 +54,7 @@
   constructor (options: ConfigurationWatcherOptions) {
     this.#options = options
     const { store, clock, log, prefix } = options
+    this.#calls = new CallRetrier(options)
     this.requests = new OperatorRequests({ ...options, ageMs: (nowMs) => this.#replica.ageMs(nowMs) })
     this.#replica = new PrefixReplica({
       store,
@@ -125,18 +128,6 @@
     return this.#replica.run(signal)
   }
 
-  /**
-   * Reads the configuration again if it is older than a limit. Concurrent callers share one read, an answered read serves all callers within that
-   * limit, and the next read after a failed one waits for {@link MIN_READ_INTERVAL_MS}: however many callers ask, the store is read only a few times a second.
-   *
-   * @param nowMs - the current monotonic time
-   * @param maxAgeMs - the oldest acceptable age
-   * @returns whether it is recent enough now; a shared read may have begun earlier than the limit allows
-   */
-  async ensureFresh (nowMs: number, maxAgeMs: number): Promise<boolean> {
-    return this.ageMs(nowMs) <= maxAgeMs || (await this.#readAgain(nowMs) && this.ageMs(nowMs) <= maxAgeMs)
-  }
-
   /**
    * Reads the configuration again if it is older than a version that is known to exist. Concurrent callers share one read.
    *
@@ -167,19 +158,21 @@
 
   /**
    * Makes sure that the configuration is at least as new as the one that the store held at a time. One transaction without a write serves all callers who
-   * wait for it, and the store returns the record only if it has changed. An unanswered one is repeated once, unless the store is unresponsive.
+   * wait for it, and the store returns the record only if it has changed.
    *
    * @param sinceMs - monotonic time, not after the current one
+   * @param deadlineMs - monotonic time at which the caller stops waiting
+   * @param spacingMs - least time between the starts of two transactions; callers that come sooner wait
    * @returns whether the store answered
    */
-  async confirm (sinceMs: number): Promise<boolean> {
+  async confirm (sinceMs: number, deadlineMs: number, spacingMs = 0): Promise<boolean> {
     // A check that began before `sinceMs` proves nothing to this caller.
     await this.#pendingCheck
-    const { store, clock } = this.#options
-    for (let attempt = 0; attempt < MAX_CHECKS && !this.isConfirmedSince(sinceMs) && !store.isUnresponsive(clock.monotonicMs()); attempt++) {
-      this.#pendingCheck ??= this.#check().finally(() => { this.#pendingCheck = undefined })
-      await this.#pendingCheck
-    }
+    const spacingLeftMs = this.#lastCheckMs + spacingMs - this.#options.clock.monotonicMs()
+    if (spacingLeftMs > 0) await delay(spacingLeftMs)
+    if (this.isConfirmedSince(sinceMs)) return true
+    this.#pendingCheck ??= this.#check(deadlineMs).finally(() => { this.#pendingCheck = undefined })
+    await this.#pendingCheck
     return this.isConfirmedSince(sinceMs)
   }
 
@@ -193,13 +186,16 @@
     return this.#lastAnsweredReadStartMs >= sinceMs
   }
 
-  async #check (): Promise<void> {
+  async #check (deadlineMs: number): Promise<void> {
     const { store, clock, log, configurationKey: key } = this.#options
-    const askedMs = clock.monotonicMs()
-    const outcome = await store.transact({ conditions: [{ key, modRevision: this.#record.modRevision }], puts: [], removals: [] })
-    if (outcome.err) log.warn({ error: outcome.val }, 'configuration refresh failed')
-    else if (outcome.val.committed) this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
-    else this.acceptConflict(outcome.val.current.find((item) => item.key === key), askedMs)
+    let askedMs = this.#lastCheckMs = clock.monotonicMs()
+    const { result } = await this.#calls.retry(deadlineMs, () => {
+      askedMs = clock.monotonicMs()
+      return store.transact({ conditions: [{ key, modRevision: this.#record.modRevision }], puts: [], removals: [] })
+    })
+    if (result.err) log.warn({ error: result.val }, 'configuration refresh failed')
+    else if (result.val.committed) this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
+    else this.acceptConflict(result.val.current.find((item) => item.key === key), askedMs)
   }
 
   /**
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { delay, Ok, systemClock } from '@quillscale/utils'
-import type { FleetConfiguration } from '@quillscale/ports'
+import type { FleetConfiguration, Transaction } from '@quillscale/ports'
 import { ConfigurationWatcher } from '../lib/records/ConfigurationWatcher.js'
 import { MonitoredStore } from '../lib/records/MonitoredStore.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
@@ -11,9 +11,15 @@
 const NOW_MS = 10_000
 /** Longer than a store must have given no answer to count as unresponsive. */
 const UNRESPONSIVE_AFTER_MS = 900
+const DEADLINE_MS = 3000
+const SPACING_MS = 60
+/** Timers end up to this early by the monotonic clock. */
+const TIMER_SLACK_MS = 1
 
 class CountingStore extends FaultyStore {
   reads = 0
+  /** When transactions without a write were sent. */
+  readonly checkStartsMs: number[] = []
   readDelayMs = 0
   override async get (key: string): ReturnType<FaultyStore['get']> {
     this.reads++
@@ -21,6 +27,11 @@
     await delay(this.readDelayMs)
     return item
   }
+
+  override async transact (transaction: Transaction): ReturnType<FaultyStore['transact']> {
+    if (transaction.puts.length === 0) this.checkStartsMs.push(systemClock.monotonicMs())
+    return await super.transact(transaction)
+  }
 }
 
 describe('ConfigurationWatcher', () => {
@@ -71,23 +82,10 @@
     expect(store.reads).to.equal(2)
   })
 
-  // A caller was told that there is no such queue by a reading that had begun long before its call (harjulahti-sato-grown: older than it may be).
-  const joined = [
-    { name: 'within the age limit', sinceMs: 200, isFresh: true },
-    { name: 'before the age limit', sinceMs: 400, isFresh: false }
-  ]
-  for (const { name, sinceMs, isFresh } of joined) {
-    it(`takes a shared read that began ${name} for ${isFresh ? 'fresh' : 'outdated'}`, async () => {
-      store.readDelayMs = 20
-      const [first, second] = await Promise.all([watcher.ensureFresh(NOW_MS, 300), watcher.ensureFresh(NOW_MS + sinceMs, 300)])
-      expect([first, second]).to.deep.equal([true, isFresh])
-      expect(store.reads).to.equal(1)
-    })
-  }
-
   // A host accepted jobs by a large configuration however old it was: nothing ordered the acceptance after the newer one.
   describe('confirm', () => {
     const nowMs = (): number => systemClock.monotonicMs()
+    const confirm = (spacingMs?: number): Promise<boolean> => watcher.confirm(nowMs(), nowMs() + DEADLINE_MS, spacingMs)
     let checks: number
     beforeEach(() => {
       checks = 0
@@ -110,7 +108,7 @@
         let answersToLose = lost
         store.loseAnswers = () => answersToLose-- > 0
         store.isDown = isDown
-        expect(await watcher.confirm(nowMs())).to.equal(isConfirmed)
+        expect(await confirm()).to.equal(isConfirmed)
         expect(watcher.current?.version).to.equal(version)
         expect(store.reads).to.equal(0)
       })
@@ -119,29 +117,51 @@
     // A request waited for two timeouts of a store that was known not to answer, although it could be refused at once.
     it('asks no store that is known not to answer', async () => {
       store.loseAnswers = () => true
-      for (let times = 0; times < 2; times++) await watcher.confirm(nowMs())
+      for (let times = 0; times < 2; times++) await confirm()
       await delay(UNRESPONSIVE_AFTER_MS)
       checks = 0
-      expect(await watcher.confirm(nowMs())).to.equal(false)
+      expect(await confirm()).to.equal(false)
       expect(checks).to.equal(0)
     })
 
     it('takes no check for fresh that began before the call', async () => {
-      const first = watcher.confirm(nowMs())
+      const first = confirm()
       await delay(15)
       await write(3)
-      await watcher.confirm(nowMs())
+      await confirm()
       expect(watcher.current?.version).to.equal(3)
       expect(await first).to.equal(true)
     })
 
     it('serves all calls that come during a check by one more', async () => {
-      const first = watcher.confirm(nowMs())
+      const first = confirm()
       await delay(2)
       checks = 0
-      expect(await Promise.all([first, ...Array.from({ length: 20 }, () => watcher.confirm(nowMs()))])).to.not.include(false)
+      expect(await Promise.all([first, ...Array.from({ length: 20 }, () => confirm())])).to.not.include(false)
       // Each check pauses twice: before it takes effect and before its answer. The first pause of the first check is over.
       expect(checks).to.equal(3)
     })
+
+    // Clients that send wrong keys without a pause cost the store a call each.
+    it('makes no more checks than their spacing allows, each of them after the calls that it serves', async () => {
+      const startMs = nowMs()
+      for (let version = 3; nowMs() - startMs < 6 * SPACING_MS; version++) {
+        await write(version)
+        expect(await Promise.all(Array.from({ length: 20 }, () => confirm(SPACING_MS)))).to.not.include(false)
+        expect(watcher.current?.version).to.equal(version)
+      }
+      const gapsMs = store.checkStartsMs.slice(1).map((atMs, index) => atMs - (store.checkStartsMs[index] ?? 0))
+      expect(gapsMs).to.have.length.above(2)
+      expect(Math.min(...gapsMs)).to.be.at.least(SPACING_MS - TIMER_SLACK_MS)
+    })
+
+    it('lets no caller wait for the longer spacing of another', async () => {
+      await confirm()
+      const startMs = nowMs()
+      const patient = confirm(10 * SPACING_MS)
+      expect(await confirm(SPACING_MS)).to.equal(true)
+      expect(nowMs() - startMs).to.be.below(5 * SPACING_MS)
+      expect(await patient).to.equal(true)
+    })
   })
 })
