Starts wait for no version but that of the job's acceptance; one way to read the configuration

Ruled out: dropping the gate altogether: a holder that does not know the version of a job's acceptance may know neither its queue nor the limit of its account, so a job still waits for the version in its record (three cases of configurationOrder.test.ts). Change: required-version/SERVICE, JobRecorder.requireVersion, the guard and the withdrawals of ConfigurationGate, the comparison of repeats, and ConfigurationWatcher.refresh with its own sharing and spacing are gone; requireVersion uses the check that orders answers. A record of an older program version at required-version/SERVICE is ignored. Replaced tests: six cases that the record names the version of a repeat, and four that a start waits for it, said how the promise was kept; the promise itself is in answerOrder.test.ts now, with the same repeats (another key, another queue, the same, each also with a lost first attempt): the host that may start the job answers by the newer version. That a repeat delays nothing is a case of its own. While hosts of two program versions run beside each other, one of the older version may start and answer as before.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -108,9 +108,7 @@
     this.#crashTracker = new CrashTracker({
       log: options.log, tookOverMs: clock.monotonicMs(), count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#saveProgress(job)
     })
-    this.#configurationGate = new ConfigurationGate({
-      ...options, onKnown: () => this.#pacer.request(), withdraw: (run) => this.#registry.closeRun(run, 'not-started')
-    })
+    this.#configurationGate = new ConfigurationGate({ ...options, onKnown: () => this.#pacer.request() })
     const put = (key: string, source: RecordEncoder, isUrgent: boolean): void => this.#writer.put(key, source, isUrgent)
     this.#silentWorkers = this.#createSilentWorkers(put)
     this.#workers = this.#createWorkers()
@@ -289,7 +287,7 @@
         dutyRevision: fencingToken,
         chainKey: chainKey(service),
         onDeposed: () => this.#handleDeposed('the duty has another holder'),
-        guards: [this.#evacuator.guard, this.#configurationGate.guard],
+        guards: [this.#evacuator.guard],
         onStoreError: (error, transactionNumber) => this.#log.warn({ service, error, transactionNumber }, 'records not written, will retry'),
         onCommit: (entries, latencyMs) => {
           metrics.count('records_written', service, entries)
@@ -371,7 +369,6 @@
     }
     if (runs.length === 0) return
     this.#evacuator.addPlacements(runs)
-    this.#configurationGate.addPlacements(runs)
     for (const job of new Set(runs.map(({ task }) => task.job))) {
       const jobRuns = runs.filter(({ task }) => task.job === job)
       this.#log.info({ jobId: job.spec.jobId, version: configuration.version, runs: jobRuns.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -93,7 +93,7 @@
     const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
     const changed = configuration === undefined ? undefined : findChange(configuration, written)
     if (changed !== undefined) onConfigurationChanged?.(changed.record)
-    const outcome = await this.#confirmRepeat(spec, written, submitOutcomeOf(spec, written, changed !== undefined), deadlineMs)
+    const outcome = submitOutcomeOf(spec, written, changed !== undefined)
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
     const submission = { jobId, queue: queueName, service, account: owner?.account, keyTag: owner?.keyTag, version, isConditional: configuration !== undefined }
     const fields = { ...submission, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries }
@@ -104,19 +104,6 @@
     return outcome
   }
 
-  /** Accepts a repeat that the recorded version may not admit only once no scheduler starts the job by that version any more. */
-  async #confirmRepeat (
-    spec: JobSpec, { existing }: RecordingOutcome, outcome: Exclude<SubmitOutcome, OverloadedOutcome>, deadlineMs: number
-  ): Promise<Exclude<SubmitOutcome, OverloadedOutcome>> {
-    if (outcome !== 'accepted' || existing === undefined || hasSameAdmission(spec, existing.spec)) return outcome
-    const { configurationVersion: version = 0, jobId } = spec
-    if (version <= (existing.spec.configurationVersion ?? 0)) return outcome
-    const required = await this.#recorder.requireVersion(existing, version, deadlineMs)
-    if (required.ok) return 'accepted'
-    this.#options.log.warn({ jobId, version, error: required.val }, 'repeat refused: the version that it needs was not recorded')
-    return 'refused'
-  }
-
   /** Refuses a job that would be of no use, unless it was accepted before: that is a promise, and its repeat is handled as always. */
   async #refuse (spec: JobSpec, services: readonly string[], deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
     const { admission, store, log } = this.#options
@@ -300,11 +287,6 @@
   return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
 }
 
-/** Whether a job was submitted both times by the same key and to the same queue, so that a configuration which admits one submission admits the other. */
-function hasSameAdmission (first: JobSpec, second: JobSpec): boolean {
-  return first.queue === second.queue && first.owner?.account === second.owner?.account && first.owner?.keyTag === second.owner?.keyTag
-}
-
 /** Describes the record of an accepted job for the log: its service and revision, and for a repeat by which queue, key and version it was accepted first. */
 function describeRecord ({ result, existing, isOwn }: RecordingOutcome): object {
   if (existing === undefined) return { isRepeat: false, revision: result.ok && result.val.committed ? result.val.modRevision : undefined }
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -7,15 +7,13 @@
  *
  * @module
  */
-import { decodeJson, Err, Ok, type Result } from '@quillscale/utils'
+import { decodeJson, Err } from '@quillscale/utils'
 import { MAX_TRANSACTION_ENTRIES, type KeyValue, type PlatformError, type RevisionCondition, type TransactionOutcome } from '@quillscale/ports'
-import * as z from 'zod'
 import { createSubmissionId, jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
 import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
-import { isServiceName, jobKey, jobServiceKey, requiredVersionKey } from '../records/storeKeys.js'
-import { decodeRequiredVersion, encodeRequiredVersion } from './requiredVersionRecord.js'
+import { isServiceName, jobKey, jobServiceKey } from '../records/storeKeys.js'
 
 /** Dependencies of a {@link JobRecorder}. @public */
 export interface JobRecorderOptions {
@@ -40,9 +38,6 @@
 /** Outcome of the recording; `existing` is set if the id was accepted before, and `isOwn` tells whether by this request. @public */
 export interface RecordingOutcome extends RetryResult<TransactionOutcome> { readonly existing?: RecordedJob | undefined, readonly isOwn?: boolean }
 
-/** Fields of a record, also those that this program version does not know. */
-const recordFieldsSchema = z.looseObject({})
-
 /** Reported when the record of a job in the store cannot be decoded. @public */
 export const RECORD_UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'the record of the job in the store cannot be decoded' }
 
@@ -112,50 +107,6 @@
     }))
   }
 
-  /**
-   * Makes a recorded job depend on a newer configuration than its record tells, so that no scheduler starts it before it knows that configuration. The
-   * version is kept in the record for later duty holders, and for the service as a whole for the present one, which may have read the record already.
-   *
-   * @param recorded - the job
-   * @param version - version of the configuration that it needs
-   * @param deadlineMs - monotonic time at which the client stops waiting
-   * @returns the outcome of the last transaction; a job whose records are gone needs nothing any more
-   */
-  async requireVersion ({ service, record }: RecordedJob, version: number, deadlineMs: number): Promise<Result<void, PlatformError>> {
-    let job: KeyValue | undefined = record
-    let required: KeyValue | undefined
-    for (let round = 1; round <= MAX_ROUNDS; round++) {
-      if (job === undefined || this.#isRequired(job, required, version)) return Ok(undefined)
-      const { result } = await this.#requireVersion(service, job, required, version, deadlineMs)
-      if (result.err) return result
-      if (result.val.committed) return Ok(undefined)
-      const { current } = result.val
-      job = current.find(({ key }) => key === record.key)
-      required = current.find(({ key }) => key === requiredVersionKey(service))
-    }
-    return Err({ kind: 'unavailable', detail: 'the record of the job kept changing' })
-  }
-
-  #isRequired (job: KeyValue, required: KeyValue | undefined, version: number): boolean {
-    return decodeRequiredVersion(required) >= version && (this.#decode(job)?.configurationVersion ?? 0) >= version
-  }
-
-  #requireVersion (
-    service: string, job: KeyValue, required: KeyValue | undefined, version: number, deadlineMs: number
-  ): Promise<RetryResult<TransactionOutcome>> {
-    const { store, calls } = this.#options
-    const key = requiredVersionKey(service)
-    const fields = decodeJson(recordFieldsSchema, job.value).unwrapOr({})
-    return calls.retry(deadlineMs, () => store.transact({
-      conditions: [{ key: job.key, modRevision: job.modRevision }, { key, modRevision: required?.modRevision ?? 0 }],
-      puts: [
-        { key: job.key, value: JSON.stringify({ ...fields, configurationVersion: version }) },
-        { key, value: encodeRequiredVersion(Math.max(version, decodeRequiredVersion(required))) }
-      ],
-      removals: []
-    }))
-  }
-
   #decode (record: KeyValue): JobSpec | undefined {
     return this.#options.records.read(record, (text) => decodeJson(jobSpecSchema, text))
   }
--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -29,8 +29,9 @@
 const RELIST_INTERVAL_MS = 5000
 /** Longest record that serves as a condition: 44 KB on the wire, 50 ms on a link of 7 Mbit/s. */
 const MAX_CONDITION_LENGTH = 32 * 1024
-/** Minimum time between the starts of two extra reads; a store at its rate limit may take some time to answer one. */
-const MIN_READ_INTERVAL_MS = 100
+/** Bounds of the reads for jobs that wait for a version. */
+const READ_TIMEOUT_MS = 1000
+const READ_SPACING_MS = 100
 
 /** Holds the current configuration and the other open requests of operators. @public */
 export class ConfigurationWatcher {
@@ -42,13 +43,11 @@
   readonly #options: ConfigurationWatcherOptions
   readonly #replica: PrefixReplica
   readonly #calls: CallRetrier
-  #pendingRefresh: Promise<boolean> | undefined
   #pendingCheck: Promise<void> | undefined
   /** When the last transaction of {@link ConfigurationWatcher.confirm} was sent. */
   #lastCheckMs = -Infinity
-  /** When the last extra read of the configuration began, and when the last one that was answered began (monotonic). */
-  #lastReadStartMs = -Infinity
-  #lastAnsweredReadStartMs = -Infinity
+  /** When the last check or conflicting transaction that was answered was sent (monotonic). */
+  #lastAnsweredMs = -Infinity
 
   /** @param options - the records to watch and how to decode them */
   constructor (options: ConfigurationWatcherOptions) {
@@ -96,7 +95,7 @@
   acceptConflict (record: KeyValue | undefined, askedMs: number): void {
     if (record === undefined) this.#record = { modRevision: 0, length: 0 }
     else this.#applyConfiguration(record)
-    this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
+    this.#lastAnsweredMs = Math.max(this.#lastAnsweredMs, askedMs)
   }
 
   /**
@@ -106,7 +105,7 @@
    * @returns the time since the last confirmed state
    */
   ageMs (nowMs: number): number {
-    return Math.min(this.#replica.ageMs(nowMs), nowMs - this.#lastAnsweredReadStartMs)
+    return Math.min(this.#replica.ageMs(nowMs), nowMs - this.#lastAnsweredMs)
   }
 
   /**
@@ -129,14 +128,15 @@
   }
 
   /**
-   * Reads the configuration again if it is older than a version that is known to exist. Concurrent callers share one read.
+   * Reads the configuration again if it is older than a version that is known to exist.
    *
    * @param version - the version, as recorded by a host that knew it
    * @param nowMs - the current monotonic time
    * @returns whether that version or a newer one is known now
    */
   async requireVersion (version: number, nowMs: number): Promise<boolean> {
-    if (!this.#isKnown(version)) await this.#readAgain(nowMs)
+    if (!this.#isKnown(version)) await this.#pendingCheck
+    if (!this.#isKnown(version)) await this.confirm(nowMs, nowMs + READ_TIMEOUT_MS, READ_SPACING_MS)
     return this.#isKnown(version)
   }
 
@@ -144,18 +144,6 @@
     return this.#configuration !== undefined && this.#configuration.version >= version
   }
 
-  /** Joins a pending read, or starts one unless the last one has just started. Returns whether the store answered it. */
-  async #readAgain (nowMs: number): Promise<boolean> {
-    // While the store is unresponsive, callers are refused at once instead of after a timeout.
-    if (this.#options.store.isUnresponsive(nowMs)) return false
-    if (this.#pendingRefresh === undefined && nowMs - this.#lastReadStartMs <= MIN_READ_INTERVAL_MS) return false
-    if (this.#pendingRefresh === undefined) this.#lastReadStartMs = nowMs
-    const startMs = this.#lastReadStartMs
-    if (!await this.refresh()) return false
-    this.#lastAnsweredReadStartMs = startMs
-    return true
-  }
-
   /**
    * Makes sure that the configuration is at least as new as the one that the store held at a time. One transaction without a write serves all callers who
    * wait for it, and the store returns the record only if it has changed.
@@ -183,7 +171,7 @@
    * @returns whether a read that began at that time or later was answered
    */
   isConfirmedSince (sinceMs: number): boolean {
-    return this.#lastAnsweredReadStartMs >= sinceMs
+    return this.#lastAnsweredMs >= sinceMs
   }
 
   async #check (deadlineMs: number): Promise<void> {
@@ -194,25 +182,10 @@
       return store.transact({ conditions: [{ key, modRevision: this.#record.modRevision }], puts: [], removals: [] })
     })
     if (result.err) log.warn({ error: result.val }, 'configuration refresh failed')
-    else if (result.val.committed) this.#lastAnsweredReadStartMs = Math.max(this.#lastAnsweredReadStartMs, askedMs)
+    else if (result.val.committed) this.#lastAnsweredMs = Math.max(this.#lastAnsweredMs, askedMs)
     else this.acceptConflict(result.val.current.find((item) => item.key === key), askedMs)
   }
 
-  /**
-   * Reads the configuration now; concurrent callers share one read.
-   *
-   * @returns whether the store answered
-   */
-  refresh (): Promise<boolean> {
-    this.#pendingRefresh ??= this.#options.store.get(this.#options.configurationKey).then((read) => {
-      this.#pendingRefresh = undefined
-      if (read.ok && read.val !== undefined) this.#applyConfiguration(read.val)
-      else if (read.err) this.#options.log.warn({ error: read.val }, 'configuration refresh failed')
-      return read.ok
-    })
-    return this.#pendingRefresh
-  }
-
   /** Puts a configuration into force if it is valid and newer than the current one. */
   #applyConfiguration (item: KeyValue): void {
     const { decodeConfiguration, records, log } = this.#options
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -19,13 +19,6 @@
  * @public
  */
 export const jobServiceKey = (jobId: JobId): string => `job-service/${jobId}`
-/**
- * Key of the newest configuration version that any job of a service needs although it was accepted by an older one. It lies outside the inbox, so that the
- * scheduler learns of it from its own transactions.
- *
- * @public
- */
-export const requiredVersionKey = (service: string): string => `required-version/${service}`
 /** Names of services that keep the keys made from them within the limits of the store. */
 const SERVICE_NAME_PATTERN = /^[^/]{1,120}$/
 /** @param value - value of a {@link jobServiceKey} @returns whether it can name a service; another writer may have left anything there @public */
