--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -155,9 +155,9 @@
    */
   async confirm (sinceMs: number, deadlineMs: number, spacingMs = 0): Promise<boolean> {
     // A check that began before `sinceMs` proves nothing to this caller.
-    await this.#pendingCheck
+    if (!this.isConfirmedSince(sinceMs)) await this.#pendingCheck
     const spacingLeftMs = this.#lastCheckMs + spacingMs - this.#options.clock.monotonicMs()
-    if (spacingLeftMs > 0) await delay(spacingLeftMs)
+    if (!this.isConfirmedSince(sinceMs) && spacingLeftMs > 0) await delay(Math.ceil(spacingLeftMs))
     if (this.isConfirmedSince(sinceMs)) return true
     this.#pendingCheck ??= this.#check(deadlineMs).finally(() => { this.#pendingCheck = undefined })
     await this.#pendingCheck
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -125,6 +125,16 @@
       expect(await first).to.equal(true)
     })
 
+    it('lets no caller wait whose configuration was confirmed meanwhile, though another check is under way', async () => {
+      const calledMs = nowMs()
+      watcher.acceptConflict({ key: KEY, value: '3', modRevision: 3 }, calledMs)
+      const other = confirm()
+      const startMs = nowMs()
+      expect(await watcher.confirm(calledMs, calledMs + DEADLINE_MS, SPACING_MS)).to.equal(true)
+      expect(nowMs() - startMs).to.be.below(10)
+      await other
+    })
+
     it('serves all calls that come during a check by one more', async () => {
       const first = confirm()
       await delay(2)
