Soak: a lagging holder is made to start a job, and asked for counts, states and refusals right after

Change: a 33rd kind of fault. A key and a queue are taken away by one version, which the holder is seen to answer by, and restored by the next, of which no host hears for the time a version may take to apply, while another key and queue go; the job is sent again by what is restored through another host, is told 200, and starts by schedule. From 250 ms after the worker saw the start the holder is asked four questions for 300 ms. No caller calls it meanwhile, and nothing else is submitted.

--- a/packages/soak/src/lib/History.ts
+++ b/packages/soak/src/lib/History.ts
@@ -73,7 +73,7 @@
 export interface StoredJob { readonly jobId: string, readonly revision: number }
 
 /** A host that held the duty of a service, by the token of its orders. @public */
-export interface DutyTenure { readonly fencingToken: number, readonly hostName: string }
+export interface DutyTenure { readonly service: string, readonly fencingToken: number, readonly hostName: string }
 
 /** A request to an undisturbed host with a key that is valid, was revoked, or never existed. @public */
 export interface KeyProbe {
@@ -99,6 +99,18 @@
   readonly status: number
 }
 
+/** What a host answered that lags behind the configuration and had started a job before. @public */
+export interface LagAnswer {
+  readonly hostName: string
+  /** What it was asked for. */
+  readonly name: string
+  readonly startedMs: number
+  readonly sentMs: number
+  readonly status: number
+  /** Whether only an older version allows the answer than one under which the job had been accepted. */
+  readonly isOutdated: boolean
+}
+
 /** An evacuation of an availability zone; `Infinity` as the time of its withdrawal while it is requested. @public */
 export interface Evacuation { readonly availabilityZone: string, readonly acknowledgedMs: number, withdrawnMs: number }
 
@@ -121,6 +133,7 @@
   readonly limits: readonly LimitChange[]
   readonly evacuations: readonly Evacuation[]
   readonly rotatedCalls: readonly RotatedCall[]
+  readonly lagAnswers: readonly LagAnswer[]
   /** How many machines of a wave may be down for maintenance at once. */
   readonly maxInUpkeep: number
 }
--- a/packages/soak/src/lib/RotationCallers.ts
+++ b/packages/soak/src/lib/RotationCallers.ts
@@ -106,8 +106,8 @@
 
   /** Calls any host by the current or the last replaced key or queue, and records the answer. */
   async #send (method: 'POST' | 'GET', jobId: string, body?: unknown): Promise<CallOutcome> {
-    const { hosts, rotations } = this.#environment
-    const host = this.#random.pick(hosts)
+    const { callableHosts, rotations } = this.#environment
+    const host = this.#random.pick(callableHosts)
     const replaced = this.#random.next() < REPLACED_SHARE ? rotations.all.at(-2) : undefined
     const rotation = replaced ?? rotations.current
     const isByQueue = this.#random.next() < BY_QUEUE_SHARE
--- a/packages/soak/src/lib/SoakCallers.ts
+++ b/packages/soak/src/lib/SoakCallers.ts
@@ -10,6 +10,7 @@
 import { createJobView } from './createJobView.js'
 import type { EntryProcess } from './EntryProcess.js'
 import type { BrokenRequest, ConfigurationProbe, JobView, KeyProbe, QueueLookup, RotatedCall, SubmitOutcome } from './History.js'
+import { LagProbe } from './LagProbe.js'
 import { RotationCallers } from './RotationCallers.js'
 import { LASTING_KEY, ROTATING_ACCOUNT } from './Rotations.js'
 import { ACCOUNTS, APPLY_MS, TASK_CPU_MILLIS, type SoakAccount } from './SoakAccounts.js'
@@ -34,6 +35,7 @@
 /** Time since the last disturbance after which a host counts as undisturbed, as at the users' sites. */
 const UNDISTURBED_MS = 3000
 const RETRY_PAUSE_MS = 200
+const AVOIDANCE_POLL_MS = 20
 const RESENDS = 5
 const RESEND_PAUSE_MS = 800
 const MS_PER_S = 1000
@@ -55,6 +57,7 @@
   readonly #stop = new AbortController()
   readonly #pending: Array<Promise<void>> = []
   readonly #rotationCallers: RotationCallers
+  readonly #lagProbe: LagProbe
   /** The request path of each job, by its id. */
   readonly #paths = new Map<string, string>()
   #nextJobNumber = 1
@@ -67,10 +70,14 @@
   constructor (environment: SoakEnvironment, random: SeededRandom, rotationRandom: SeededRandom) {
     this.#environment = environment
     this.#random = random
-    this.#rotationCallers = new RotationCallers(environment, rotationRandom, (...call) => this.#callHost(...call), (job) => {
+    this.#rotationCallers = new RotationCallers(environment, rotationRandom, (...call) => this.#callWhenAllowed(...call), (job) => {
       this.jobs.push(job)
       this.#paths.set(job.jobId, `/${SERVICES[0]}/${job.jobId}`)
     })
+    this.#lagProbe = new LagProbe(environment, (...call) => this.#callHost(...call), (job, path) => {
+      this.jobs.push(job)
+      this.#paths.set(job.jobId, path)
+    })
     // Each pending delay adds a listener.
     setMaxListeners(0, this.#stop.signal)
   }
@@ -80,10 +87,15 @@
     return this.#rotationCallers.calls
   }
 
+  /** The meetings with lagging holders. */
+  get lagProbe (): LagProbe {
+    return this.#lagProbe
+  }
+
   /** Submits the lasting jobs, then other jobs until {@link stop} is called. */
   async run (): Promise<void> {
     for (const service of SERVICES) this.#addJob(service, [{ taskCount: LASTING_TASK_COUNT, dependsOn: [], isLasting: true, maxAway: 1 }], 0)
-    this.#pending.push(this.#probeConfiguration(), this.#probeKeys(), this.#rotationCallers.run(this.#stop.signal))
+    this.#pending.push(this.#probeConfiguration(), this.#probeKeys(), this.#rotationCallers.run(this.#stop.signal), this.#lagProbe.run(this.#stop.signal))
     while (await delay(this.#random.exponentialMs(JOB_GAP_MS), this.#stop.signal)) this.#addJob(this.#random.pick(SERVICES), this.#drawSteps(), this.#drawMs())
   }
 
@@ -164,11 +176,13 @@
 
   /** Asks all hosts in turn for the state of a job until {@link stop} is called. */
   async #followState (job: JobView): Promise<void> {
-    const { hosts } = this.#environment
-    for (let turn = 0; await delay(PROBE_INTERVAL_MS, this.#stop.signal); turn++) await this.#readState(job, hosts[turn % hosts.length])
+    for (let turn = 0; await delay(PROBE_INTERVAL_MS, this.#stop.signal); turn++) {
+      const { callableHosts } = this.#environment
+      await this.#readState(job, callableHosts[turn % callableHosts.length])
+    }
   }
 
-  async #readState (job: JobView, host = this.#random.pick(this.#environment.hosts)): Promise<HostAnswer> {
+  async #readState (job: JobView, host = this.#random.pick(this.#environment.callableHosts)): Promise<HostAnswer> {
     const answer = await this.#callHost(host, 'GET', this.#paths.get(job.jobId) ?? '', this.#currentKey(job.account))
     if (answer.outcome.kind === 'answer' && decodeJobState(answer.outcome.body) === 'failed') job.failedAtMs.push(this.#nowMs())
     return answer
@@ -209,7 +223,7 @@
   }
 
   async #callAnyHost (method: 'POST' | 'DELETE', job: JobView, body?: unknown, path = this.#paths.get(job.jobId) ?? ''): Promise<HostAnswer> {
-    return await this.#callHost(this.#random.pick(this.#environment.hosts), method, path, this.#currentKey(job.account), body)
+    return await this.#callWhenAllowed(this.#random.pick(this.#environment.callableHosts), method, path, this.#currentKey(job.account), body)
   }
 
   #currentKey (account: SoakAccount): string {
@@ -217,6 +231,19 @@
     return this.#environment.accounts.currentKey(account, this.#nowMs())
   }
 
+  /** Like {@link SoakCallers.#callHost}, but submits nothing while a host is avoided. */
+  async #callWhenAllowed (host: EntryProcess, method: 'POST' | 'GET' | 'DELETE', path: string, key: string, body?: unknown): Promise<HostAnswer> {
+    const environment = this.#environment
+    if (method !== 'POST') return await this.#callHost(host, method, path, key, body)
+    while (environment.avoidedHost !== undefined) await delay(AVOIDANCE_POLL_MS)
+    environment.submissionsInFlight++
+    try {
+      return await this.#callHost(host, method, path, key, body)
+    } finally {
+      environment.submissionsInFlight--
+    }
+  }
+
   async #callHost (host: EntryProcess, method: 'POST' | 'GET' | 'DELETE', path: string, key: string, body?: unknown): Promise<HostAnswer> {
     const sentMs = this.#nowMs()
     const wasUndisturbed = this.#environment.isUndisturbed(host, UNDISTURBED_MS)
@@ -231,7 +258,7 @@
 
   async #probeConfiguration (): Promise<void> {
     while (await delay(this.#environment.remainingExtraJobs > 0 ? SHORT_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS, this.#stop.signal)) {
-      const host = this.#random.pick(this.#environment.hosts)
+      const host = this.#random.pick(this.#environment.callableHosts)
       const sentMs = this.#nowMs()
       const wasUndisturbed = this.#environment.isUndisturbed(host, UNDISTURBED_MS)
       const { outcome } = await this.#callHost(host, 'GET', EXTRA_QUEUE_PATH, this.#currentKey(ACCOUNTS[1]))
@@ -248,8 +275,9 @@
 
   /** Alternates between a valid key, the most recently revoked key, and a key that never existed. */
   async #probeKeys (): Promise<void> {
-    const { accounts, hosts } = this.#environment
+    const { accounts } = this.#environment
     for (let probe = 0; await delay(PROBE_INTERVAL_MS, this.#stop.signal); probe++) {
+      const { callableHosts: hosts } = this.#environment
       const host = hosts[probe % hosts.length]
       if (host === undefined) return
       const sentMs = this.#nowMs()
--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -10,8 +10,9 @@
 import { EntryProcess } from './EntryProcess.js'
 import { FaultProxy } from './FaultProxy.js'
 import type { DutyTenure, Evacuation, ExtraQueueChange, StoredConfiguration, StoredJob } from './History.js'
+import type { LagContent } from './LagContent.js'
 import { Rotations } from './Rotations.js'
-import { SoakAccounts } from './SoakAccounts.js'
+import { APPLY_MS, SoakAccounts } from './SoakAccounts.js'
 
 /** The number of hosts and machines of a run. @public */
 export interface SoakSize { readonly hosts: number, readonly machinesPerService: number }
@@ -68,6 +69,13 @@
   readonly rotations = new Rotations()
   /** How many of the next jobs are sent again by the keys and to the queues that replace those of their first submission. */
   remainingRotatedJobs = 0
+  /** How many meetings of {@link LagProbe} are to come. */
+  remainingLagProbes = 0
+  /** A host that no caller calls, so that it does not learn of configurations by requests; no caller submits a job meanwhile. */
+  avoidedHost: EntryProcess | undefined
+  /** Number of submissions in progress, those of a {@link LagProbe} aside. */
+  submissionsInFlight = 0
+  #lagContent: readonly LagContent[] = []
   /** Whether the configuration is large. */
   isConfigurationLarge = false
   /** How many of the next jobs crash the workers that start them. */
@@ -130,9 +138,28 @@
   }
 
   /** Records which host held which duty, by the revision of its key, which is the token of its orders. */
-  #recordTenure ({ value, modRevision }: KeyValue): void {
+  #recordTenure ({ key, value, modRevision }: KeyValue): void {
     // The value is the name of the host and the number of its claim.
-    this.tenures.push({ fencingToken: modRevision, hostName: value.split('#')[0] ?? '' })
+    this.tenures.push({ service: key.slice(DUTY_PREFIX.length), fencingToken: modRevision, hostName: value.split('#')[0] ?? '' })
+  }
+
+  /** @param service - the service @returns the host that took its duty last */
+  holderOf (service: string): EntryProcess | undefined {
+    return this.#hostOf(this.tenures.findLast((tenure) => tenure.service === service))
+  }
+
+  /** @param fencingToken - the token of an order @returns the host that sent it */
+  hostOfToken (fencingToken: number): EntryProcess | undefined {
+    return this.#hostOf(this.tenures.find((tenure) => tenure.fencingToken === fencingToken))
+  }
+
+  #hostOf (tenure: DutyTenure | undefined): EntryProcess | undefined {
+    return this.hosts.find(({ hostSettings }) => hostSettings.hostName === tenure?.hostName)
+  }
+
+  /** The hosts that callers call. */
+  get callableHosts (): readonly EntryProcess[] {
+    return this.hosts.filter((host) => host !== this.avoidedHost)
   }
 
   #recordJob ({ key, modRevision }: KeyValue): void {
@@ -174,12 +201,27 @@
     replaced.removedMs = this.clock.monotonicMs()
   }
 
+  /** Writes a configuration that has some of the keys and queues of a {@link LagProbe}. @param content - what it has */
+  async setLagContent (content: readonly LagContent[]): Promise<void> {
+    this.#lagContent = content
+    await this.writeConfiguration()
+  }
+
+  /** Lets no host hear of configurations for the time that one may take to apply. @returns ends it for later changes */
+  silenceConfiguration (): () => void {
+    this.store.watchDelayMs = (prefix) => prefix === CONFIGURATION_PREFIX ? APPLY_MS : 0
+    this.store.refusesList = (prefix) => prefix === CONFIGURATION_PREFIX
+    return () => this.restoreConfiguration()
+  }
+
   /** Writes the current configuration under the next version. */
   async writeConfiguration (): Promise<void> {
     const hasExtraQueue = this.extraQueueChanges.at(-1)?.exists === true
-    const changing = [...(hasExtraQueue ? [this.#extraQueue] : []), this.rotations.queueSettings(EXTRA_QUEUE)]
+    const lagQueues = this.#lagContent.map(({ path }): QueueSettings => ({ ...EXTRA_QUEUE, pathPrefix: path }))
+    const changing = [...(hasExtraQueue ? [this.#extraQueue] : []), this.rotations.queueSettings(EXTRA_QUEUE), ...lagQueues]
     const queues = [...PERMANENT_QUEUES, ...changing, ...(this.isConfigurationLarge ? FILLER_QUEUES : [])]
-    const accounts = [...this.accounts.accountSettings, this.rotations.accountSettings]
+    const rotating = this.rotations.accountSettings
+    const accounts = [...this.accounts.accountSettings, { ...rotating, keys: [...rotating.keys, ...this.#lagContent.map(({ key }) => key)] }]
     const revision = await this.#write(encodeConfiguration(++this.#configurationVersion, queues, SERVICES, accounts))
     this.configurations.push({ revision, writtenMs: this.clock.monotonicMs(), hasExtraQueue })
   }
@@ -200,6 +242,7 @@
   restoreConfiguration (): void {
     this.store.watchDelayMs = () => 0
     this.store.refusesRead = () => false
+    this.store.refusesList = () => false
     this.store.losesAnswer = () => false
   }
 
--- a/packages/soak/src/lib/checkPromises.ts
+++ b/packages/soak/src/lib/checkPromises.ts
@@ -236,6 +236,11 @@
   })
 }
 
+function findLagsShown ({ lagAnswers }: History): string[] {
+  return lagAnswers.filter(({ isOutdated }) => isOutdated)
+    .map(({ hostName, name, status, sentMs, startedMs }) => `${hostName} answered ${status} to ${name}, ${Math.round(sentMs - startedMs)} ms after it had started the job of a newer version`)
+}
+
 /** Whether an answer can only come from a version before the given one. */
 function isOlderThan (version: number, { status, isByQueue, rotation: { fromVersion, toVersion, removingMs }, answeredMs }: RotatedCall): boolean {
   if (status === OK) return toVersion <= version
@@ -290,6 +295,7 @@
   'a job is accepted only while its queue exists': findJobsOfMissingQueues,
   'a submission is answered by no older configuration than the store held': findOutdatedAcceptances,
   'no host goes back from a version': findAnswersGoneBack,
+  'no host that lags goes back from what it has started': findLagsShown,
   'a task that crashes workers is given up': findUnboundedCrashes,
   'no job is shown as failed without a cause': findUncausedFailures,
   'no worker is overloaded': findOverloads,
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -230,6 +230,10 @@
     for (let atMs = ROTATION_GAP_MS; atMs < lengthMs; atMs += ROTATION_GAP_MS) setTimeout(() => { if (!environment.isHealed) void environment.rotate() }, atMs)
     setTimeout(restoreStore, lengthMs)
     return undefined
+  },
+  'a holder starts a job under a version that it has not heard of, and is asked right after': (environment) => {
+    environment.remainingLagProbes++
+    return undefined
   }
 }
 
@@ -247,12 +251,13 @@
  * @param random - random numbers of the seed
  * @param lengthMs - length of the run
  * @param kindCount - how many kinds to draw from, in the order of {@link FAULTS}
+ * @param firstKind - the first of them, from 1
  * @returns the faults, by time
  * @public
  */
-export function planFaults (random: SeededRandom, lengthMs: number, kindCount = Infinity): PlannedFault[] {
+export function planFaults (random: SeededRandom, lengthMs: number, kindCount = Infinity, firstKind = 1): PlannedFault[] {
   const planned: PlannedFault[] = []
-  const kinds = Object.keys(FAULTS).slice(0, kindCount)
+  const kinds = Object.keys(FAULTS).slice(firstKind - 1, kindCount)
   for (let atMs = random.exponentialMs(MEAN_FAULT_GAP_MS); atMs < lengthMs; atMs += random.exponentialMs(MEAN_FAULT_GAP_MS)) {
     planned.push({ kind: random.pick(kinds), atMs, forMs: MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS) })
   }
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -21,6 +21,8 @@
   readonly machinesPerService: number
   /** How many kinds of faults to draw from, in the order of `FAULTS`; all by default. */
   readonly kindCount?: number | undefined
+  /** The first of them, from 1. */
+  readonly firstKind?: number | undefined
 }
 
 /** Broken promises and counts of a run. @public */
@@ -33,6 +35,8 @@
   readonly runs: number
   readonly orders: number
   readonly probes: number
+  /** How often a lagging holder was asked after a start. */
+  readonly meetings: number
   /** Directory with logs and history; removed if no promise was broken. */
   readonly directory: string
 }
@@ -43,12 +47,12 @@
 const SETTLE_MS = 25_000
 
 /** Runs the soak once and checks all promises. @param options - parameters of the run @returns broken promises and counts @public */
-export async function runSoak ({ seed, lengthMs, hosts, machinesPerService, kindCount }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, lengthMs, hosts, machinesPerService, kindCount, firstKind }: SoakOptions): Promise<SoakResult> {
   const directory = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
   const random = new SeededRandom(seed)
   const environment = new SoakEnvironment(systemClock, { hosts, machinesPerService })
   const callers = new SoakCallers(environment, new SeededRandom(seed + 1), new SeededRandom(seed + 2))
-  const faults = planFaults(random, lengthMs, kindCount)
+  const faults = planFaults(random, lengthMs, kindCount, firstKind)
   try {
     await environment.start(hosts, directory, random)
     await delay(STARTUP_MS)
@@ -78,6 +82,7 @@
     limits: environment.accounts.limits,
     evacuations: environment.evacuations,
     rotatedCalls: callers.rotatedCalls,
+    lagAnswers: callers.lagProbe.answers,
     maxInUpkeep: MAX_IN_MAINTENANCE
   }
   const broken = checkPromises(history)
@@ -85,7 +90,8 @@
   else writeFileSync(join(directory, 'history.json'), JSON.stringify({ broken, faults, history }, null, 1))
   const accepted = history.jobs.filter(({ submitted }) => submitted === 'accepted').length
   const { jobs, runs, orders, probes } = history
-  return { seed, broken, faults, directory, accepted, jobs: jobs.length, runs: runs.length, orders: orders.length, probes: probes.length }
+  const { meetings } = callers.lagProbe
+  return { seed, broken, faults, directory, accepted, meetings, jobs: jobs.length, runs: runs.length, orders: orders.length, probes: probes.length }
 }
 
 async function playFaults (environment: SoakEnvironment, random: SeededRandom, faults: readonly PlannedFault[], lengthMs: number): Promise<void> {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -17,16 +17,17 @@
     count: option({ type: number, long: 'count', defaultValue: () => 1, description: 'Number of random seeds' }),
     seconds: option({ type: number, long: 'seconds', defaultValue: () => 15, description: 'For how long faults are injected in each run, in seconds' }),
     kinds: option({ type: number, long: 'kinds', defaultValue: () => Infinity, description: 'How many kinds of faults to draw from, to repeat a seed of an earlier build' }),
+    firstKind: option({ type: number, long: 'first-kind', defaultValue: () => 1, description: 'The first of these kinds, from 1' }),
     hosts: option({ type: number, long: 'hosts', defaultValue: () => 4, description: 'Number of entry hosts, each a process' }),
     machines: option({ type: number, long: 'machines', defaultValue: () => 5, description: 'Number of machines of each service' })
   },
-  handler: async ({ seeds, count, seconds, kinds, hosts, machines }) => {
+  handler: async ({ seeds, count, seconds, kinds, firstKind, hosts, machines }) => {
     const chosen = seeds?.split(',').map(Number) ?? Array.from({ length: count }, () => Math.floor(Math.random() * SEED_RANGE))
     let failed = 0
     for (const seed of chosen) {
-      const result = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount: kinds, hosts, machinesPerService: machines })
-      const { jobs, accepted, runs, orders, probes, broken, faults, directory } = result
-      process.stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} of ${jobs} jobs accepted, ${runs} runs, ${orders} orders for machines, ${probes} probes, ` +
+      const result = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount: kinds, firstKind, hosts, machinesPerService: machines })
+      const { jobs, accepted, runs, orders, probes, meetings, broken, faults, directory } = result
+      process.stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} of ${jobs} jobs accepted, ${runs} runs, ${orders} orders for machines, ${probes} probes, ${meetings} meetings, ` +
         `${broken.length} broken promises${broken.length > 0 ? `, logs in ${directory}` : ''}\n`)
       for (const { promise, detail } of broken.slice(0, 20)) process.stdout.write(`  ${promise}: ${detail}\n`)
       if (broken.length > 0) failed++
--- a/packages/soak/src/test/checkPromises.test.ts
+++ b/packages/soak/src/test/checkPromises.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { QUEUE_ATTEMPTS, type FleetRunRecord, type MachineOrderRecord } from '@quillscale/platform-fleet'
 import { checkPromises, PROMISES } from '../lib/checkPromises.js'
-import type { History, JobView, QueueLookup, RotatedCall } from '../lib/History.js'
+import type { History, JobView, LagAnswer, QueueLookup, RotatedCall } from '../lib/History.js'
 import type { Rotation } from '../lib/Rotations.js'
 
 const job = (changes: Partial<JobView> = {}): JobView => ({
@@ -24,6 +24,7 @@
 })
 const order = (changes: Partial<MachineOrderRecord> = {}): MachineOrderRecord =>
   ({ machineId: 'm', holder: 'host-0', fencingToken: 5, kind: 'upkeep', wave: 1, atMs: 1000, inUpkeep: 1, ...changes })
+const lagAnswer: LagAnswer = { hostName: 'host-0', name: 'a count', startedMs: 100, sentMs: 400, status: 200, isOutdated: false }
 const history = (changes: Partial<History> = {}): History =>
   ({
     jobs: [job()],
@@ -37,11 +38,12 @@
     extraQueueChanges: [],
     configurations: [{ revision: 10, writtenMs: 40, hasExtraQueue: true }, { revision: 20, writtenMs: 80, hasExtraQueue: false }],
     storedJobs: [],
-    tenures: [{ fencingToken: 7, hostName: 'host-0' }],
+    tenures: [{ service: 'grids', fencingToken: 7, hostName: 'host-0' }],
     keyProbes: [],
     limits: [{ atMs: -Infinity, tasks: 1 }],
     evacuations: [],
     rotatedCalls: [],
+    lagAnswers: [],
     maxInUpkeep: 2,
     ...changes
   })
@@ -162,6 +164,7 @@
       { how: 'its runs failed once less than allowed', jobs: [job({ failedAtMs: [9000] })], runs: failures(QUEUE_ATTEMPTS - 1) },
       { how: 'the failures are those of two tasks', jobs: [job({ failedAtMs: [9000] })], runs: failures(QUEUE_ATTEMPTS).map((run, index) => ({ ...run, taskKey: `a.0.0.${index % 2}` })) }
     ].map(({ how, ...seen }) => ({ promise: 'no job is shown as failed without a cause', how, seen: history(seen) })),
+    { promise: 'no host that lags goes back from what it has started', how: 'it counts a queue that is gone', seen: history({ lagAnswers: [lagAnswer, { ...lagAnswer, isOutdated: true }] }) },
     { promise: 'an evacuated zone gets no new runs', how: 'one starts there 6 s later', seen: history({ evacuations, runs: [runOf({ startedMs: 7000, endedMs: 7100 })] }) },
     { promise: 'no worker is overloaded', how: 'its capacity was reduced 5 s ago', seen: history({ overloads: [{ machineId: 'm', atMs: 6000, shrunkMs: 1000 }] }) }
   ]
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -7,6 +7,9 @@
 const MS_PER_S = 1000
 /** Time for startup, settling, and a busy machine, in addition to the faults. */
 const EXTRA_MS = 60_000
+/** The kind of fault that makes the meetings, and for how long nothing else is drawn. */
+const LAG_KIND = 33
+const MEETINGS_MS = 8000
 
 describe('fault soak', () => {
   const cases = [
@@ -17,6 +20,7 @@
     { seed: 132, seconds: 15, cause: 'all kinds of faults; queues move while their jobs are sent again', kindCount: 30 },
     { seed: 20_261_221, seconds: 10, cause: 'all kinds of faults; workers are lost in series three times', kindCount: 31 },
     { seed: 20_261_342, seconds: 10, cause: 'all kinds of faults; keys and queues are replaced twice while hosts learn of it late', kindCount: 32 },
+    { seed: 20_261_433, seconds: 10, cause: 'all kinds of faults; lagging holders are asked after their starts', kindCount: 33 },
     ...FAILED_SEEDS
   ]
   for (const { seed, seconds, cause, kindCount } of cases) {
@@ -28,4 +32,13 @@
       expect(accepted).to.be.above(0)
     })
   }
+
+  // A host went back from a version that it had started a job under without knowing it (kc-quill-now-grown).
+  it('meets holders that lag, and none of them goes back', async function () {
+    this.timeout(MEETINGS_MS + EXTRA_MS)
+    const size = { hosts: HOSTS, machinesPerService: MACHINES_PER_SERVICE }
+    const { broken, meetings, directory } = await runSoak({ seed: 7, lengthMs: MEETINGS_MS, firstKind: LAG_KIND, kindCount: LAG_KIND, ...size })
+    expect(broken, `see ${directory}`).to.deep.equal([])
+    expect(meetings).to.be.above(0)
+  })
 })
