--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -67,6 +67,9 @@
   advice: z.object({ decisionMs: z.number(), perWorkerMs: z.number(), validMs: z.number() }).optional()
 })
 
+/** Most tasks of a job, all its runs together: the holder of its service keeps each in memory. */
+const MAX_TASKS = 100_000
+
 /** Validates a stored job. @public */
 export const jobSpecSchema = z.object({
   jobId: z.custom<JobId>(isJobId),
@@ -87,6 +90,11 @@
   queueTerms: queueTermsSchema.optional(),
   /** Runs of the whole job: the first at `firstRunMs`, then every `intervalMs`; `undefined` for one run at once. */
   schedule: z.object({ runs: count.min(1), firstRunMs: z.number(), intervalMs: z.number() }).optional()
+}).superRefine(({ steps, schedule }, context) => {
+  const tasks = steps.reduce((sum, { taskCount }) => sum + taskCount, 0)
+  const message = `more than ${MAX_TASKS} tasks`
+  if (tasks > MAX_TASKS) context.addIssue({ code: 'custom', path: ['steps'], message })
+  else if (tasks * (schedule?.runs ?? 1) > MAX_TASKS) context.addIssue({ code: 'custom', path: ['schedule', 'runs'], message })
 })
 
 /** A step of a job. @public */
--- a/packages/scheduler/src/test/foreignRecords.test.ts
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -7,6 +7,12 @@
 
 const DEADLINE_MS = 2000
 const JUNK = ['', '{', 'null', '[]', '7', '"text"', '{"status":"paused","tasks":[]}', '{"jobId":7}', '\uFFFD\uFFFD']
+/** A valid job but for what would keep a holder busy, or end it for lack of memory, each time that it reads the job. */
+const LARGE_JOB = { jobId: 'a'.repeat(16), queue: QUEUE, command: '', submittedMs: 0, steps: [{ taskCount: 1 }] }
+const LARGE_JOBS = [
+  { ...LARGE_JOB, schedule: { runs: 2 ** 53 - 1, firstRunMs: 0, intervalMs: 0 } },
+  { ...LARGE_JOB, steps: Array.from({ length: 5000 }, () => ({ taskCount: 10_000 })) }
+]
 const OTHER_JOB = 'a'.repeat(16) as JobId
 
 /** Guards against failures caused by records that another writer left, or that are truncated. */
@@ -44,6 +50,17 @@
     })
   }
 
+  // The holder of a service ended each time that it read a job of more tasks than it can hold, and so did the next ones.
+  for (const [index, job] of LARGE_JOBS.entries()) {
+    it(`of a job of too many tasks (${index}): it is not used, and other jobs still run`, async () => {
+      service = new TestService(2)
+      service.write(jobKey(SERVICE, OTHER_JOB), JSON.stringify(job))
+      await service.takeOver()
+      await service.untilStatus(await service.submit(1, { runMs: 10 }), 'succeeded')
+      expect(unreadableLines()).to.have.length(1)
+    })
+  }
+
   it('logs each malformed revision once, and counts them by reason', async () => {
     service = new TestService(1)
     service.write('workers/w9-1', '{')
