--- a/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
+++ b/packages/scheduler/src/lib/records/ConfigurationWatcher.ts
@@ -159,6 +159,7 @@
     const spacingLeftMs = this.#lastCheckMs + spacingMs - this.#options.clock.monotonicMs()
     if (!this.isConfirmedSince(sinceMs) && spacingLeftMs > 0) await delay(Math.ceil(spacingLeftMs))
     if (this.isConfirmedSince(sinceMs)) return true
+    if (this.#options.clock.monotonicMs() >= deadlineMs) return false
     this.#pendingCheck ??= this.#check(deadlineMs).finally(() => { this.#pendingCheck = undefined })
     await this.#pendingCheck
     return this.isConfirmedSince(sinceMs)
--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -135,6 +135,14 @@
       await other
     })
 
+    it('makes no check for a caller that has stopped waiting', async () => {
+      const first = confirm()
+      const startsBefore = store.checkStartsMs.length
+      expect(await watcher.confirm(nowMs(), nowMs() + 5, SPACING_MS)).to.equal(false)
+      expect(store.checkStartsMs).to.have.length(startsBefore)
+      await first
+    })
+
     it('serves all calls that come during a check by one more', async () => {
       const first = confirm()
       await delay(2)
