The case of a caller that has stopped waiting starts after the first check

Cause: the case was committed red: its call came before the first check had begun, so that this check confirmed the configuration for it. Change: it waits for 2 ms after the first call, as the case beside it does. No assertion is changed. Conclusion: a fault of the test.

--- a/packages/scheduler/src/test/ConfigurationWatcher.test.ts
+++ b/packages/scheduler/src/test/ConfigurationWatcher.test.ts
@@ -137,6 +137,7 @@
 
     it('makes no check for a caller that has stopped waiting', async () => {
       const first = confirm()
+      await delay(2)
       const startsBefore = store.checkStartsMs.length
       expect(await watcher.confirm(nowMs(), nowMs() + 5, SPACING_MS)).to.equal(false)
       expect(store.checkStartsMs).to.have.length(startsBefore)
