Test: a crashing task is not started a sixth time by the repeat of its order

Cause sought: a task that crashes each worker was seen to be started six times over three killed hosts. Suspected here: an order without an answer is sent again, and the crashed worker's next lifetime under the same id carries it out. Change: four of these cases stay as a test; no code is changed.

--- a/packages/scheduler/src/test/restartedWorkers.test.ts
+++ b/packages/scheduler/src/test/restartedWorkers.test.ts
@@ -3,7 +3,7 @@
  * state of the previous lifetime (runs, registrations, clocks, fencing tokens, silence, machine lists), which must not be applied to the new one.
  */
 import { expect } from 'chai'
-import { delay } from '@quillscale/utils'
+import { delay, Err } from '@quillscale/utils'
 import type { StandInWorker } from '@quillscale/standins'
 import { TestService, type Tenure } from './TestService.js'
 
@@ -19,6 +19,8 @@
 const LATER_MS = 60_000
 /** Longer than the period that counts as soon after a start. */
 const SETTLED_RUN_MS = 600
+/** Time after the start of a crashing task at which its worker ends. */
+const CRASH_DELAY_MS = 10
 
 describe('workers that restart under their id', () => {
   let service: TestService
@@ -233,6 +235,41 @@
     })
   }
 
+  // Guards against a sixth start: an order without an answer is sent again, and the next lifetime of the crashed worker may carry it out.
+  for (const { isLasting, killDelayMs } of [false, true].flatMap((isLasting) => [0, 50].map((killDelayMs) => ({ isLasting, killDelayMs })))) {
+    it(`are not told again to start a task whose order may have ended their previous lifetime: a ${isLasting ? 'lasting' : 'finite'} task, holders killed after ${killDelayMs} ms`, async () => {
+      service = new TestService(WORKERS, CPU_MILLIS, BORN_MS)
+      service.maxLeaseMs = 10_000
+      service.runs.onCrash = (worker) => {
+        setTimeout(() => service.restartWorker(worker), 30).unref()
+        setTimeout(() => service.reportGone(worker.instance), MACHINE_LIST_DELAY_MS).unref()
+      }
+      // The answer to a start takes longer than the worker lasts.
+      const start = service.runs.start.bind(service.runs)
+      service.runs.start = async (instance, order) => {
+        const crashesBefore = crashCount()
+        const answer = await start(instance, order)
+        await delay(CRASH_DELAY_MS + 10)
+        return crashCount() > crashesBefore && answer.ok ? Err({ kind: 'unknown-effect', detail: 'the connection was reset' }) : answer
+      }
+      const crashCount = (): number => service.runs.records.filter(({ end, endedMs }) => end === undefined && endedMs !== undefined).length
+      let tenure = await service.takeOver()
+      const jobId = await service.submit(1, { runMs: isLasting ? 0 : 400, crashesAfterMs: CRASH_DELAY_MS }, [{ isLasting }])
+      // Three holders are killed, each some time after a crash: the next ones do not know whether other workers are lost.
+      for (let crashes = 1; crashes <= 3; crashes++) {
+        await service.until('a worker has crashed', () => crashCount() >= crashes)
+        await delay(killDelayMs)
+        tenure.scheduler.close()
+        tenure = await service.takeOver()
+      }
+      await service.until('the task is given up', () => service.log.lines.some((line) => line.startsWith('task given up')), 8000)
+      await delay(1000)
+      const starts = service.runs.records.filter(({ taskKey }) => taskKey.startsWith(jobId))
+      const thirdCrashMs = starts[2]?.endedMs ?? Infinity
+      expect(starts.filter(({ startedMs }) => startedMs > thirdCrashMs).length, service.log.lines.filter((line) => line.startsWith('worker ended')).join('\n')).to.be.at.most(2)
+    }).timeout(20_000)
+  }
+
   it('count crashes for the tasks that caused them', async () => {
     service = new TestService(WORKERS, CPU_MILLIS, BORN_MS)
     service.maxLeaseMs = 10_000
