Tests: valid worker entries that ask for much keep nobody from running jobs

Cause sought: whether room of 2^53 - 1, a warm-up of 1.8e308 ms or 20,000 labels reach a timer, a loop or a list of that length. Change: three cases of foreignRecords.test.ts beside those of malformed entries.

--- a/packages/scheduler/src/test/foreignRecords.test.ts
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -61,6 +61,24 @@
     })
   }
 
+  // No timer, loop or list may be as long as a valid entry says.
+  const extremes = [
+    { name: 'room without end', change: { capacity: { cpuMillis: Number.MAX_SAFE_INTEGER, memoryMb: Number.MAX_SAFE_INTEGER, gpus: Number.MAX_SAFE_INTEGER } } },
+    { name: 'a warm-up without end', change: { warmupLeftMs: Number.MAX_VALUE } },
+    { name: 'very many labels', change: { labels: Array.from({ length: 20_000 }, (_, index) => `l${index}`) } }
+  ]
+  for (const { name, change } of extremes) {
+    it(`jobs still run beside a valid worker with ${name}`, async () => {
+      service = new TestService(2)
+      const { instance } = service.addWorker(9, 1)
+      service.list({ ...instance, ...change })
+      await service.takeOver()
+      await service.until('it is met', () => service.log.lines.some((line) => line.startsWith('worker met') && line.includes(instance.instanceId)))
+      for (let number = 1; number <= 3; number++) await service.untilStatus(await service.submit(number, { runMs: 10 }, [{ taskCount: 6 }]), 'succeeded')
+      expect(service.duplicatedTasks).to.deep.equal([])
+    })
+  }
+
   it('logs each malformed revision once, and counts them by reason', async () => {
     service = new TestService(1)
     service.write('workers/w9-1', '{')
