--- a/packages/soak/src/lib/SoakEnvironment.ts
+++ b/packages/soak/src/lib/SoakEnvironment.ts
@@ -13,6 +13,7 @@
 import type { LagContent } from './LagContent.js'
 import { Rotations } from './Rotations.js'
 import { APPLY_MS, SoakAccounts } from './SoakAccounts.js'
+import { StallMonitor } from './StallMonitor.js'
 
 /** The number of hosts and machines of a run. @public */
 export interface SoakSize { readonly hosts: number, readonly machinesPerService: number }
@@ -37,6 +38,7 @@
 /** With this delay, a version is still in force within the bound of the users' sites. */
 const MAX_CONFIGURATION_DELAY_MS = 1000
 const RECORD_WATCH_MS = 1000
+const BEAT_INTERVAL_MS = 100
 /** CPU of each machine, enough for six tasks. */
 const MACHINE_CPU_MILLIS = 6000
 const MAX_CLOCK_OFFSET_MS = 400
@@ -92,10 +94,15 @@
   #configurationVersion = 0
   #lastWave = 0
   readonly #stop = new AbortController()
+  /** Tells when this process stood still, and with it the stand-ins and all callers. */
+  readonly stalls: StallMonitor
+  readonly #beats: NodeJS.Timeout
 
   /** @param clock - the clock of all stand-ins and records @param size - the number of hosts and machines */
   constructor (clock: Clock, size: SoakSize) {
     this.clock = clock
+    this.stalls = new StallMonitor(clock.monotonicMs())
+    this.#beats = setInterval(() => this.stalls.beat(clock.monotonicMs()), BEAT_INTERVAL_MS).unref()
     this.memory = new MemoryKeyValueStore(clock)
     this.store = new StandInWireStore(this.memory)
     this.fleet = new StandInWireFleet({
@@ -303,6 +310,7 @@
   /** Stops all hosts, proxies and stand-ins. */
   async close (): Promise<void> {
     this.#stop.abort()
+    clearInterval(this.#beats)
     await Promise.all(this.hosts.map((host) => host.close()))
     for (const link of [...this.storeLinks, ...this.machineLinks.values()]) link.close()
     this.fleet.close()
--- a/packages/soak/src/lib/runSoak.ts
+++ b/packages/soak/src/lib/runSoak.ts
@@ -35,6 +35,8 @@
   readonly runs: number
   readonly orders: number
   readonly probes: number
+  /** Time for which the process of the soak stood still at the longest. */
+  readonly stalledMs: number
   /** How often a lagging holder was asked after a start. */
   readonly meetings: number
   /** Directory with logs and history; removed if no promise was broken. */
@@ -91,7 +93,8 @@
   const accepted = history.jobs.filter(({ submitted }) => submitted === 'accepted').length
   const { jobs, runs, orders, probes } = history
   const { meetings } = callers.lagProbe
-  return { seed, broken, faults, directory, accepted, meetings, jobs: jobs.length, runs: runs.length, orders: orders.length, probes: probes.length }
+  const stalledMs = Math.round(environment.stalls.longestMs)
+  return { seed, broken, faults, directory, accepted, meetings, stalledMs, jobs: jobs.length, runs: runs.length, orders: orders.length, probes: probes.length }
 }
 
 async function playFaults (environment: SoakEnvironment, random: SeededRandom, faults: readonly PlannedFault[], lengthMs: number): Promise<void> {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -26,8 +26,8 @@
     let failed = 0
     for (const seed of chosen) {
       const result = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount: kinds, firstKind, hosts, machinesPerService: machines })
-      const { jobs, accepted, runs, orders, probes, meetings, broken, faults, directory } = result
-      process.stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} of ${jobs} jobs accepted, ${runs} runs, ${orders} orders for machines, ${probes} probes, ${meetings} meetings, ` +
+      const { jobs, accepted, runs, orders, probes, meetings, stalledMs, broken, faults, directory } = result
+      process.stdout.write(`seed ${seed}: ${faults.length} faults, ${accepted} of ${jobs} jobs accepted, ${runs} runs, ${orders} orders for machines, ${probes} probes, ${meetings} meetings, ${stalledMs > 0 ? `stood still for ${stalledMs} ms, ` : ''}` +
         `${broken.length} broken promises${broken.length > 0 ? `, logs in ${directory}` : ''}\n`)
       for (const { promise, detail } of broken.slice(0, 20)) process.stdout.write(`  ${promise}: ${detail}\n`)
       if (broken.length > 0) failed++
--- a/packages/soak/src/test/soak.test.ts
+++ b/packages/soak/src/test/soak.test.ts
@@ -27,8 +27,8 @@
     it(`keeps all promises with seed ${seed} (${cause})`, async function () {
       this.timeout(seconds * MS_PER_S + EXTRA_MS)
       const size = { hosts: HOSTS, machinesPerService: MACHINES_PER_SERVICE }
-      const { broken, accepted, directory } = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount, ...size })
-      expect(broken, `see ${directory}`).to.deep.equal([])
+      const { broken, accepted, stalledMs, directory } = await runSoak({ seed, lengthMs: seconds * MS_PER_S, kindCount, ...size })
+      expect(broken, `see ${directory}; this process stood still for ${stalledMs} ms`).to.deep.equal([])
       expect(accepted).to.be.above(0)
     })
   }
