Soak: one type for calls to hosts

Cause: read again as a newcomer: the type of a call stood in two files, and two comments did not say what they bound. Change: CallHost.ts; comments of LagProbe. No behaviour. Conclusion: none needed.

--- a/packages/soak/src/lib/LagProbe.ts
+++ b/packages/soak/src/lib/LagProbe.ts
@@ -5,7 +5,8 @@
  * @module
  */
 import { delay } from '@quillscale/utils'
-import { encodeSubmission, type CallOutcome, type FleetRunRecord } from '@quillscale/platform-fleet'
+import { encodeSubmission, type FleetRunRecord } from '@quillscale/platform-fleet'
+import type { CallHost } from './CallHost.js'
 import { createJobView } from './createJobView.js'
 import type { EntryProcess } from './EntryProcess.js'
 import type { JobView, LagAnswer } from './History.js'
@@ -14,16 +15,14 @@
 import { TASK_CPU_MILLIS } from './SoakAccounts.js'
 import { SERVICES, type SoakEnvironment } from './SoakEnvironment.js'
 
-/** Sends a request to a host. */
-type CallHost = (host: EntryProcess, method: 'POST' | 'GET', path: string, key: string, body?: unknown) => Promise<{ readonly outcome: CallOutcome }>
-
+/** A question to the holder, and the answers that only a version before the job's allows. */
 interface Question { readonly name: string, readonly path: string, readonly key: string, readonly outdatedStatuses: readonly number[] }
 
 const IDLE_GAP_MS = 50
 const POLL_GAP_MS = 10
 /** Time for hosts to learn of a version, or for the submissions in progress to end. */
 const STEP_TIMEOUT_MS = 1000
-/** Time from the first submission of the job to its scheduled start, which no host takes to come earlier than by its clock lead. */
+/** Time from the first submission of the job to its scheduled start. A host whose clock is ahead starts it earlier by that lead. */
 const START_DELAY_MS = 1100
 const MAX_CLOCK_LEAD_MS = 450
 const START_TIMEOUT_MS = START_DELAY_MS + STEP_TIMEOUT_MS
--- a/packages/soak/src/lib/RotationCallers.ts
+++ b/packages/soak/src/lib/RotationCallers.ts
@@ -6,16 +6,13 @@
  */
 import { delay, type SeededRandom } from '@quillscale/utils'
 import { encodeSubmission, type CallOutcome } from '@quillscale/platform-fleet'
+import type { CallHost } from './CallHost.js'
 import { createJobView } from './createJobView.js'
-import type { EntryProcess } from './EntryProcess.js'
 import type { JobView, RotatedCall } from './History.js'
 import { LASTING_KEY, ROTATING_ACCOUNT } from './Rotations.js'
 import { TASK_CPU_MILLIS } from './SoakAccounts.js'
 import { SERVICES, type SoakEnvironment } from './SoakEnvironment.js'
 
-/** Sends a request to a host. */
-type CallHost = (host: EntryProcess, method: 'POST' | 'GET', path: string, key: string, body?: unknown) => Promise<{ readonly outcome: CallOutcome }>
-
 /** Time from the first submission of a job to its scheduled start. */
 const START_DELAY_MS = 2500
 /** No host's wall clock is further ahead than this, unless it has stepped. */
