One log line for the first start of a job instead of one for each run

Change: `job started`, when a worker confirms the first start of a task of the job, takes the place of `run started`.

--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -77,10 +77,9 @@
   started (run: Run): void {
     if (run.phase !== 'starting') return
     run.phase = 'running'
-    this.#markJobRunning(run.task.job)
+    this.#markJobRunning(run)
     run.startedMs = run.progressMs = this.#options.clock.monotonicMs()
     this.#updateWorkerClockStart(run, run.startedMs)
-    this.#logStart(run)
     this.#options.count('runs_started')
     this.#watchStart(run)
   }
@@ -115,21 +114,13 @@
     if (run.phase !== 'stopping') void this.#options.linkOf(run)?.stop(run)
   }
 
-  /** Logs a start that the worker has confirmed, by its answer or its list, with the version that the record of the job names. */
-  #logStart ({ taskKey, runNumber, instanceId, task }: Run): void {
-    this.#options.log.info({ taskKey, runNumber, instanceId, recordVersion: task.job.spec.configurationVersion }, 'run started')
-  }
-
   #updateListedRun (link: WorkerLink, run: Run, { percent, load, checkpoint }: RunReport, askedMs: number): void {
     const nowMs = this.#options.clock.monotonicMs()
     if (run.phase === 'unconfirmed') run.previousStartMs = previousStartMsOf(link, run, nowMs)
     if (run.phase === 'unconfirmed' || run.phase === 'starting') {
-      if (run.phase === 'starting') {
-        this.#updateWorkerClockStart(run, nowMs)
-        this.#logStart(run)
-      }
+      if (run.phase === 'starting') this.#updateWorkerClockStart(run, nowMs)
       run.phase = 'running'
-      this.#markJobRunning(run.task.job)
+      this.#markJobRunning(run)
       run.startedMs = nowMs
       if (hasEnded(run.task.job) || run.task.isDone || run.shouldStop) this.stopRun(run)
     }
@@ -175,8 +166,11 @@
   }
 
   /** Marks a job as running once a worker has started one of its runs. A placement alone is not enough, as its start may still fail. */
-  #markJobRunning (job: Job): void {
-    if (this.#options.registry.markBegun(job)) this.#options.onChanged(job)
+  #markJobRunning ({ taskKey, instanceId, task: { job } }: Run): void {
+    const { registry, log, onChanged } = this.#options
+    if (!registry.markBegun(job)) return
+    log.info({ jobId: job.spec.jobId, taskKey, instanceId, recordVersion: job.spec.configurationVersion }, 'job started')
+    onChanged(job)
   }
 }
 
