--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -166,10 +166,12 @@
   }
 
   /** Marks a job as running once a worker has started one of its runs. A placement alone is not enough, as its start may still fail. */
-  #markJobRunning ({ taskKey, instanceId, task: { job } }: Run): void {
+  #markJobRunning ({ taskKey, instanceId, task }: Run): void {
+    const { job } = task
     const { registry, log, onChanged } = this.#options
     if (!registry.markBegun(job)) return
-    log.info({ jobId: job.spec.jobId, taskKey, instanceId, recordVersion: job.spec.configurationVersion }, 'job started')
+    // The end of a finite job follows soon, and has a line of its own.
+    if (stepOf(task).isLasting) log.info({ jobId: job.spec.jobId, taskKey, instanceId, recordVersion: job.spec.configurationVersion }, 'job started')
     onChanged(job)
   }
 }
