Review case 6: the last entry host loses its duties again and again

Looked for what one host holds when all others are gone. Two of three hosts are killed for good in a deployment of five services with tenants.

--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,45 +1,49 @@
-// A worker under a gang that saves checkpoints crashes. The members are started again with different checkpoints, each time, and end `alone`.
+// All entry hosts but one are lost for good. The one that is left loses its duties again and again, and jobs wait.
 import { fileURLToPath } from 'node:url'
-import { CannotRun, newJobId, runCase, sleep } from '../lib-2/deployment.mjs'
+import { CannotRun, newJobId, runCase, sleep, SMALL_CONTRACTS } from '../lib-2/deployment.mjs'
+import { longestIdleMs, mostUsedShare } from '../lib-2/checks.mjs'
 
-const route = { Name: 'r-proofs', Host: 'proofs.example', PathPrefix: '/proofs/', Service: 'proofs' }
+const names = ['nord-grids', 'nord-proofs', 'syd-grids', 'syd-proofs', 'solution-check']
+const routes = names.map((name) => ({ Name: `r-${name}`, Host: 'jobs.example', PathPrefix: `/${name}/`, Service: name }))
 const worker = { capacity: { Cpu: 16000, MemMb: 32768, Gpu: 0 }, labels: ['a', 'r1-1'] }
-const gang = [{ Count: 4, Cpu: 1900, MemMb: 2700, EstimateMs: 4000, runMs: 4200, Gang: true, Checkpointing: true, AntiAffinity: 1 }]
-const BACK_AFTER_MS = 3000
+const ordinary = [{ Count: 3, Cpu: 880, MemMb: 1300, EstimateMs: 500, runMs: 500 }]
+const tenants = [{ Name: 'tenant-1', ApiKeys: ['key-1'], Priority: 1, Weight: 100, MaxCount: { Cpu: 2_000_000, MemMb: 3_900_000, Gpu: 0 } }]
+const LOST_MS = 3000
+const CALM_BEFORE_MS = 4000
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), {}, async (deployment, hasTrouble) => {
-  const { bounds } = deployment
-  await deployment.startPlatform({ services: [{ name: 'proofs', workers: Array(8).fill(worker) }] })
-  deployment.configure({ routes: [route], services: [{ Name: 'proofs' }] })
+await runCase(fileURLToPath(new URL('.', import.meta.url)), { contracts: [...SMALL_CONTRACTS, 'tenants', 'quota'] }, async (deployment, hasTrouble) => {
+  await deployment.startPlatform({ services: names.map((name) => ({ name, workers: Array(8).fill(worker) })) })
+  deployment.configure({ routes, services: names.map((Name) => ({ Name })), tenants })
   await deployment.startHosts(3)
-  await sleep(2500)
-  const jobId = newJobId()
-  if (!await deployment.submitUntilAccepted(route, jobId, gang)) throw new CannotRun('the job was not accepted')
-  let calmMs = performance.now()
-  if (hasTrouble) {
-    // The crash comes in the middle of the work, at a moment at which the member on that worker has saved since the worker was last looked at.
-    await sleep(1800)
-    const endMs = performance.now() + 2000
-    const members = () => deployment.startsOf(jobId).filter(({ runId, endedMs }) => runId === 1 && endedMs === undefined)
-    const hasNewCheckpoint = (run) => run.saved !== (run.life.lastListed.get(run.task) ?? '')
-    while (performance.now() < endMs && !members().some(hasNewCheckpoint)) await sleep(10)
-    const victim = members().find(hasNewCheckpoint)
-    if (victim === undefined) throw new CannotRun('no member had a new checkpoint')
-    victim.life.worker.crash(BACK_AFTER_MS)
-    calmMs = performance.now() + BACK_AFTER_MS + bounds.ContactMs
-  }
-  let state = ''
-  const endMs = performance.now() + 35_000
-  while (performance.now() < endMs && state !== 'succeeded') {
-    await sleep(1000)
-    state = await deployment.stateOf(route, jobId)
+  await sleep(4000)
+  const [survivor, ...others] = deployment.hosts.hosts
+  if (hasTrouble) for (const host of others) deployment.hosts.kill(host, { forGood: true })
+  const troubleMs = performance.now()
+  await sleep(8000)
+
+  const jobs = []
+  const endSubmitMs = performance.now() + 50_000
+  for (let at = 0; performance.now() < endSubmitMs; at++) {
+    const route = routes[at % routes.length]
+    const job = { jobId: newJobId(), route, ackMs: undefined }
+    jobs.push(job)
+    // Clients do not wait for each other.
+    void deployment.submitUntilAccepted(route, job.jobId, ordinary, { key: 'key-1' }).then((isAccepted) => { if (isAccepted) job.ackMs = performance.now() })
+    await sleep(500)
   }
-  const runs = deployment.startsOf(jobId)
-  const alone = runs.filter(({ how, startedMs }) => how === 'alone' && startedMs > calmMs)
-  const checkpointsOf = (id) => new Set(runs.filter(({ runId }) => runId === id).map(({ startedFrom }) => startedFrom))
-  const mixed = [...new Set(runs.map(({ runId }) => runId))].filter((id) => checkpointsOf(id).size > 1)
+  await sleep(14_000)
+  const endMs = performance.now()
+  if (survivor.ends.length > 0) throw new CannotRun('the host that is left ended')
+  const accepted = jobs.filter(({ ackMs }) => ackMs !== undefined)
+  if (accepted.length < jobs.length / 2) throw new CannotRun('most jobs were not accepted')
+  const calmMs = troubleMs + CALM_BEFORE_MS
+  const idle = accepted.map(({ jobId, ackMs }) => longestIdleMs(deployment.fleet, jobId, Math.max(ackMs, calmMs), endMs))
+  const lost = idle.filter((ms) => ms >= LOST_MS)
+  const used = Math.max(...names.map((name) => mostUsedShare(deployment.fleet, name, calmMs, endMs)))
+  const log = deployment.hosts.log(survivor)
+  const count = (text) => log.split(text).length - 1
   return {
-    broken: alone.length > 0,
-    text: `${alone.length} members that were started more than ContactMs after the disruption ended "alone"; the gang was started ${new Set(runs.map(({ runId }) => runId)).size} times, ${mixed.length} times with different checkpoints; the job is ${state}`
+    broken: lost.length > 0 && used < 0.5,
+    text: `${lost.length} of ${accepted.length} accepted jobs had nothing running for 3 s, the longest for ${(Math.max(...idle) / 1000).toFixed(1)} s; at most ${(used * 100).toFixed(1)}% of a service in use; by its log, host ${survivor.name} took a duty ${count('"duty taken"')} times and gave one up ${count('"duty given up"')} times`
   }
 })
