--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,7 +1,7 @@
 // One tenant sends several times its usual for some seconds. After that none of its jobs is started any more, in any service, with nothing running.
 import { fileURLToPath } from 'node:url'
 import { CannotRun, newJobId, runCase, sleep, SMALL_CONTRACTS } from '../lib-2/deployment.mjs'
-import { longestIdleMs, mostUsedShare } from '../lib-2/checks.mjs'
+import { doneAtMs, mostUsedShare } from '../lib-2/checks.mjs'
 
 const names = ['nord-grids', 'nord-proofs', 'syd-grids', 'syd-proofs']
 const routes = names.map((name) => ({ Name: `r-${name}`, Host: 'jobs.example', PathPrefix: `/${name}/`, Service: name }))
@@ -40,20 +40,17 @@
   if (accepted.length < JOBS / 2) throw new CannotRun('most jobs were not accepted')
   const calmMs = troubleMs + CALM_BEFORE_MS
   const { fleet } = deployment
-  const idle = accepted.map(({ jobId, ackMs }) => longestIdleMs(fleet, jobId, Math.max(ackMs, calmMs), endMs))
   const used = Math.max(...names.map((name) => mostUsedShare(fleet, name, calmMs, endMs)))
-  // All work is the tenant's: what it has running at the end of the calm time, and the longest time in it with nothing running.
-  const lastEndMs = Math.max(calmMs, ...fleet.starts.map(({ endedMs }) => endedMs ?? endMs))
-  const running = fleet.starts.filter(({ endedMs }) => endedMs === undefined).reduce((sum, { step }) => sum + step.Cpu, 0)
-  const nothingMs = endMs - lastEndMs
-  const lost = idle.filter((ms) => ms >= LOST_MS)
+  // All work is the tenant's: how long it has had nothing running at the end, within the calm time. A job that is not done then has waited as long.
+  const nothingMs = endMs - Math.max(calmMs, ...accepted.map(({ ackMs }) => ackMs), ...fleet.starts.map(({ endedMs }) => endedMs ?? endMs))
+  const lost = nothingMs < LOST_MS ? [] : accepted.filter(({ jobId }) => doneAtMs(fleet, jobId) > endMs)
   const states = {}
   for (const { jobId, route } of accepted) {
     const state = await deployment.stateOf(route, jobId, { key: KEY })
     states[state] = (states[state] ?? 0) + 1
   }
   return {
-    broken: lost.length > 0 && nothingMs >= LOST_MS && running < MAX_CPU / 2 && used < 0.5,
+    broken: lost.length > 0 && used < 0.5,
     text: `${lost.length} of ${accepted.length} accepted jobs had nothing running for 3 s; states at the end ${JSON.stringify(states)}; ` +
       `by then the tenant had had nothing running for ${(nothingMs / 1000).toFixed(1)} s; at most ${(used * 100).toFixed(1)}% of a service in use`
   }
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,6 +1,6 @@
 // All entry hosts but one are lost for good. The one that is left loses its duties again and again, and jobs wait.
 import { fileURLToPath } from 'node:url'
-import { CannotRun, newJobId, runCase, sleep, SMALL_CONTRACTS } from '../lib-2/deployment.mjs'
+import { CannotRun, newJobId, runCase, sleep, SMALL_CONTRACTS, ZONES } from '../lib-2/deployment.mjs'
 import { longestIdleMs, mostUsedShare } from '../lib-2/checks.mjs'
 
 const names = ['nord-grids', 'nord-proofs', 'syd-grids', 'syd-proofs', 'solution-check']
@@ -14,7 +14,8 @@
 await runCase(fileURLToPath(new URL('.', import.meta.url)), { contracts: [...SMALL_CONTRACTS, 'tenants', 'quota'] }, async (deployment, hasTrouble) => {
   await deployment.startPlatform({ services: names.map((name) => ({ name, workers: Array(8).fill(worker) })) })
   deployment.configure({ routes, services: names.map((Name) => ({ Name })), tenants })
-  await deployment.startHosts(3)
+  // Two machines and one zone may be lost at once: the hosts that are killed are the two of one zone.
+  await deployment.startHosts(3, [ZONES[0], ZONES[1], ZONES[1]])
   await sleep(4000)
   const [survivor, ...others] = deployment.hosts.hosts
   if (hasTrouble) for (const host of others) deployment.hosts.kill(host, { forGood: true })
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -35,11 +35,12 @@
     }
   }
 
-  async startHosts (count) {
+  /** The zone of each host may be given. */
+  async startHosts (count, zones = ZONES) {
     const { record, contracts, bounds, adviceAddress = null } = this
     const addresses = { storeAddress: this.store.address, cloudAddress: this.fleet.cloudAddress, adviceAddress }
     this.hosts = new Hosts({ record, zones: ZONES, ...addresses, contracts, bounds })
-    for (let at = 0; at < count; at++) await this.hosts.add(`edge-${at + 1}`, ZONES[at % ZONES.length])
+    for (let at = 0; at < count; at++) await this.hosts.add(`edge-${at + 1}`, zones[at % zones.length])
     const endMs = performance.now() + 20_000
     const isReady = async ({ readiness }) => (await call({ address: readiness, method: 'GET', path: '/quillscale/ready', waitMs: 500 })).status === 200
     while (performance.now() < endMs) {
@@ -126,6 +127,7 @@
   process.once('SIGINT', () => { void finish(2, 'stopped') })
   try {
     const { broken, text } = await play(deployment, process.env.TROUBLE !== '0')
+    if (deployment.fleet.machineOrders > 0) throw new CannotRun('an order for a machine came, which the stand-in does not carry out')
     await finish(broken ? 1 : 0, text)
   } catch (error) {
     await finish(2, error instanceof CannotRun ? error.message : error.stack)
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -16,6 +16,7 @@
     this.starts = []
     this.ends = []
     this.nextId = 1
+    this.machineOrders = 0
     /** Tells whether a worker accepts a ticket for a step; without it, none is needed. */
     this.acceptsTicket = undefined
   }
@@ -29,11 +30,14 @@
     return worker
   }
 
-  /** Serves the list of machines; moves and upkeep are refused as `busy`, since no case asks for them. */
+  /** Serves the list of machines. No case has a reason for a move or an upkeep: one that comes is not answered, and the case could not run. */
   async listenCloud () {
     this.cloud = createServer((request, response) => {
       request.resume()
-      if (request.method !== 'GET') return sendJson(response, 409, { Reason: 'busy' })
+      if (request.method !== 'GET') {
+        this.machineOrders++
+        return response.destroy()
+      }
       const Machines = this.workers.map(({ machine, life }) => ({
         Machine: machine.id, Pool: machine.service, State: life === undefined ? 'down' : 'up', Zone: machine.zone, Labels: machine.labels, Capacity: machine.capacity, Id: life?.id ?? ''
       }))
