--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -36,6 +36,7 @@
 export type { PlacementGroup, WorkerRoom } from './lib/placement/WorkerRoom.js'
 export { planPaces, type PaceChange } from './lib/placement/planPaces.js'
 export { isLacking, planGrant, sumGranted, type QuotaClaim, type GrantPlan, type OwnClaim } from './lib/quotas/planGrant.js'
+export { createEmptyClaim, createNextClaim, createOwnClaim, needsWrite, type ClaimInputs } from './lib/quotas/quotaClaims.js'
 export type { Backlog, BacklogRow } from './lib/pressure/Backlog.js'
 export { computeBacklog, type BacklogSources } from './lib/pressure/computeBacklog.js'
 export { decideAdmission, type AdmissionDecision, type AdmissionInput } from './lib/pressure/decideAdmission.js'
--- /dev/null
+++ b/packages/policy/src/lib/quotas/quotaClaims.ts
@@ -0,0 +1,78 @@
+/**
+ * A service's claim to an account's limit: how it follows from the service's runs and waiting tasks, and when it is worth a write.
+ *
+ * @module
+ */
+import { isLacking, type OwnClaim, type QuotaClaim } from './planGrant.js'
+import type { QuotaShortage } from './QuotaAdmission.js'
+import { fitsWithin, mapResources, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, times } from './resources.js'
+
+/** A grant grows before it is used up, so that tasks rarely wait for the store. */
+const GRANT_HEADROOM_FACTOR = 1.25
+/** A recorded shortage is updated when the wanted amount has changed by more than this share. */
+const SIGNIFICANT_CHANGE_SHARE = 0.5
+
+/** What a service's claim follows from. @public */
+export interface ClaimInputs {
+  readonly service: string
+  /** Resources of its runs. */
+  readonly used: Resources
+  /** Shortage of its last placement round. */
+  readonly shortage: QuotaShortage | undefined
+  /** Its claim as stored. */
+  readonly recorded: QuotaClaim | undefined
+  /** Wall-clock time since when it has been waiting, if this holder knows it. */
+  readonly lackingSinceMs: number | undefined
+  readonly limit: Resources
+}
+
+/** @param inputs - the service's state @returns its present claim, in the limited resources only @public */
+export function createOwnClaim ({ service, used: usedInAll, shortage, recorded, lackingSinceMs, limit }: ClaimInputs): OwnClaim {
+  const keepLimited = (amounts: Resources): Resources => mapResources((kind) => Number.isFinite(limit[kind]) ? amounts[kind] : 0)
+  const used = keepLimited(usedInAll)
+  const isIdle = fitsWithin(used, NO_RESOURCES)
+  return {
+    service,
+    used,
+    granted: recorded?.granted ?? NO_RESOURCES,
+    wanted: keepLimited(plus(used, shortage?.wanted ?? NO_RESOURCES)),
+    first: isIdle ? keepLimited(shortage?.first ?? NO_RESOURCES) : NO_RESOURCES,
+    lackingSinceMs: lackingSinceMs ?? recorded?.lackingSinceMs
+  }
+}
+
+/** @param claim - a service's present claim @param granted - its planned grant @param nowMs - wall-clock time @returns the claim to store @public */
+export function createNextClaim ({ service, wanted, first, used, lackingSinceMs }: OwnClaim, granted: Resources, nowMs: number): QuotaClaim {
+  const next = { service, granted, wanted, first, lackingSinceMs: undefined }
+  if (!isLacking(next)) return { ...next, wanted: NO_RESOURCES, first: NO_RESOURCES }
+  // The waiting time restarts while any task runs, so that services that run nothing come first.
+  return { ...next, lackingSinceMs: fitsWithin(used, NO_RESOURCES) ? lackingSinceMs ?? nowMs : nowMs }
+}
+
+/**
+ * A write is due for any amount given up, for growth once the grant is almost used, and for a significant change of the shortage.
+ *
+ * @param claim - the service's present claim
+ * @param next - the claim that a write would store
+ * @param recorded - the claim as stored
+ * @returns whether to write
+ * @public
+ */
+export function needsWrite (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined): boolean {
+  const isLess = !fitsWithin(claim.granted, next.granted)
+  const isMore = !fitsWithin(next.granted, claim.granted)
+  const isNeeded = !fitsWithin(times(claim.wanted, GRANT_HEADROOM_FACTOR), claim.granted)
+  if (isLess || (isMore && isNeeded)) return true
+  const isStillLacking = next.lackingSinceMs !== undefined
+  if (isStillLacking !== (recorded?.lackingSinceMs !== undefined)) return true
+  if (!isStillLacking || recorded === undefined) return false
+  return hasChangedSignificantly(recorded.wanted, next.wanted) || RESOURCE_KINDS.some((kind) => recorded.first[kind] !== next.first[kind])
+}
+
+function hasChangedSignificantly (before: Resources, now: Resources): boolean {
+  return RESOURCE_KINDS.some((kind) => Math.abs(now[kind] - before[kind]) > SIGNIFICANT_CHANGE_SHARE * Math.max(now[kind], before[kind]))
+}
+
+/** @param service - its name @returns the claim of a service that wants nothing and holds nothing @public */
+export const createEmptyClaim = (service: string): QuotaClaim =>
+  ({ service, granted: NO_RESOURCES, wanted: NO_RESOURCES, first: NO_RESOURCES, lackingSinceMs: undefined })
--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -11,8 +11,8 @@
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
 import type { AccountName, FleetConfiguration, KeyValue, KeyValueStore } from '@quillscale/ports'
 import {
-  fitsWithin, isLacking, least, mapResources, minus, NO_RESOURCES, planGrant, plus, RESOURCE_KINDS, resourcesOf, stepOf, times,
-  type AccountQuota, type QuotaClaim, type GrantPlan, type OwnClaim, type QuotaShortage, type Resources, type Run, type Task
+  createEmptyClaim, createNextClaim, createOwnClaim, fitsWithin, isLacking, least, mapResources, minus, needsWrite, NO_RESOURCES, planGrant, plus,
+  resourcesOf, stepOf, type AccountQuota, type QuotaClaim, type GrantPlan, type OwnClaim, type QuotaShortage, type Resources, type Run, type Task
 } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { createReplica } from '../records/createReplica.js'
@@ -41,10 +41,6 @@
 /** Minimum intervals between writes of one account's record, since demand changes with each task; the shorter one if waiting tasks gain quota. */
 const MIN_WRITE_INTERVAL_MS = 100
 const URGENT_WRITE_INTERVAL_MS = 20
-/** A grant grows before it is used up, so that tasks rarely wait for the store. */
-const GRANT_HEADROOM_FACTOR = 1.25
-/** A recorded shortage is updated when the wanted amount has changed by more than this share. */
-const SIGNIFICANT_CHANGE_SHARE = 0.5
 /** No holder starts tasks while the record is unreadable. After this time all holders have seen that, and it is written anew. */
 const UNREADABLE_RECORD_WAIT_MS = 2000
 /** Steps remembered so that each is logged only once; the oldest are dropped. */
@@ -170,21 +166,17 @@
     const record = this.#records.get(account) ?? NO_RECORD
     if (record.unreadableSinceMs !== undefined && nowMs - record.unreadableSinceMs < UNREADABLE_RECORD_WAIT_MS) return undefined
     const { service } = this.#options
-    const keepLimited = (amounts: Resources): Resources => mapResources((kind) => Number.isFinite(limit[kind]) ? amounts[kind] : 0)
-    const used = keepLimited(this.#used.get(account) ?? NO_RESOURCES)
-    const shortage = this.#shortages.get(account)
-    const isIdle = fitsWithin(used, NO_RESOURCES)
     const recorded = this.#recordedClaim(account)
-    const claim: OwnClaim = {
+    const claim = createOwnClaim({
       service,
-      used,
-      granted: recorded?.granted ?? NO_RESOURCES,
-      wanted: keepLimited(plus(used, shortage?.wanted ?? NO_RESOURCES)),
-      first: isIdle ? keepLimited(shortage?.first ?? NO_RESOURCES) : NO_RESOURCES,
-      lackingSinceMs: this.#lackingSinceMs.get(account) ?? recorded?.lackingSinceMs
-    }
+      used: this.#used.get(account) ?? NO_RESOURCES,
+      shortage: this.#shortages.get(account),
+      recorded,
+      lackingSinceMs: this.#lackingSinceMs.get(account),
+      limit
+    })
     const others = record.claims.filter((other) => other.service !== service && !this.#isRemovedService(other.service, nowMs))
-    return { claim, others, limit, plan: planGrant(claim, others, limit, recorded ?? emptyClaim(service)) }
+    return { claim, others, limit, plan: planGrant(claim, others, limit, recorded ?? createEmptyClaim(service)) }
   }
 
   #recordedClaim (account: AccountName): QuotaClaim | undefined {
@@ -204,17 +196,10 @@
   }
 
   #nextClaim (account: AccountName, { claim, plan }: ClaimState): QuotaClaim {
-    const { service, wanted, first } = claim
-    const next = { service, granted: plan.granted, wanted, first, lackingSinceMs: undefined }
-    if (!isLacking(next)) {
-      this.#lackingSinceMs.delete(account)
-      return { ...next, wanted: NO_RESOURCES, first: NO_RESOURCES }
-    }
-    const nowMs = this.#options.clock.wallMs()
-    // The waiting time restarts while any task runs, so that services that run nothing come first.
-    const lackingSinceMs = fitsWithin(claim.used, NO_RESOURCES) ? claim.lackingSinceMs ?? nowMs : nowMs
-    this.#lackingSinceMs.set(account, lackingSinceMs)
-    return { ...next, lackingSinceMs }
+    const next = createNextClaim(claim, plan.granted, this.#options.clock.wallMs())
+    if (next.lackingSinceMs === undefined) this.#lackingSinceMs.delete(account)
+    else this.#lackingSinceMs.set(account, next.lackingSinceMs)
+    return next
   }
 
   async #writeClaim (account: AccountName, { claim, others, limit }: ClaimState, next: QuotaClaim): Promise<void> {
@@ -277,25 +262,6 @@
   }
 }
 
-const emptyClaim = (service: string): QuotaClaim =>
-  ({ service, granted: NO_RESOURCES, wanted: NO_RESOURCES, first: NO_RESOURCES, lackingSinceMs: undefined })
-
-/** A write is due for any amount given up, for growth once the grant is almost used, and for a significant change of the shortage. */
-function needsWrite (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined): boolean {
-  const isLess = !fitsWithin(claim.granted, next.granted)
-  const isMore = !fitsWithin(next.granted, claim.granted)
-  const isNeeded = !fitsWithin(times(claim.wanted, GRANT_HEADROOM_FACTOR), claim.granted)
-  if (isLess || (isMore && isNeeded)) return true
-  const isStillLacking = next.lackingSinceMs !== undefined
-  if (isStillLacking !== (recorded?.lackingSinceMs !== undefined)) return true
-  if (!isStillLacking || recorded === undefined) return false
-  return hasChangedSignificantly(recorded.wanted, next.wanted) || RESOURCE_KINDS.some((kind) => recorded.first[kind] !== next.first[kind])
-}
-
-function hasChangedSignificantly (before: Resources, now: Resources): boolean {
-  return RESOURCE_KINDS.some((kind) => Math.abs(now[kind] - before[kind]) > SIGNIFICANT_CHANGE_SHARE * Math.max(now[kind], before[kind]))
-}
-
 function accountFromKey (key: string): AccountName | undefined {
   try {
     return decodeURIComponent(key.slice(QUOTA_PREFIX.length)) as AccountName
