Services that wait for a grant keep their place and hold no part of it

Cause: a service lost its place among the waiting ones once its grant sufficed, not once a task had started, so later ones took precedence and it might use nothing. One that could not get all of its next task kept the part it had. And only a service that ran nothing had a place at all.

Ruled out: delays and lost answers of the store, and clocks: the model stands still without any.

Change: the place is kept until a task starts, also beside runs of the service. What does not fit beside all grants and longer waiting tasks gives up all but its runs' use. A task that only runs keep from starting is reserved for, and may be overtaken up to half of the limit, in turns of two seconds. The time of waiting is stored again when the order changes.

Evidence: quotaProgress.test.ts plays a model with any delays between reads and writes.

Conclusion: the longest waiting service that can start never depends on what another one holds without using it.

--- a/packages/policy/src/lib/quotas/planGrant.ts
+++ b/packages/policy/src/lib/quotas/planGrant.ts
@@ -5,6 +5,9 @@
  * without coordination, and the account's limit holds even under network partitions. A grant grows with the demand of its service, and its unused
  * part is given up as soon as another service wants more than it has.
  *
+ * Services that wait for a grant are served in the order in which they began to wait. One that cannot get all that its next task needs keeps nothing
+ * of it: services that each kept a part would wait for each other forever.
+ *
  * @module
  */
 import { fitsWithin, least, mapResources, minus, most, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, times } from './resources.js'
@@ -16,9 +19,9 @@
   readonly granted: Resources
   /** Resources of its runs and of the tasks that wait for a grant. */
   readonly wanted: Resources
-  /** Needed to start its first task; zero once anything runs. */
+  /** Grant needed to start its next waiting task or gang beside its runs; zero while nothing waits for a grant. */
   readonly first: Resources
-  /** Wall-clock time since when it has wanted more than its grant and run nothing; `undefined` while the grant suffices. */
+  /** Wall-clock time since when something has been waiting for a grant and nothing was started; `undefined` while nothing waits. */
   readonly lackingSinceMs: number | undefined
 }
 
@@ -39,6 +42,12 @@
 const GROWTH_FACTOR = 2
 /** Share of the limit that an idle service keeps, so that its first jobs start without waiting for the store. */
 const IDLE_SHARE = 1 / 8
+/**
+ * A task that needs more than is left waits for runs to end, which may last. By turns, everything beyond is reserved for it, and later tasks may
+ * overtake it up to a share of the limit. The turns follow the wall clock, so that they are the same for all services.
+ */
+const OVERTAKING_SHARE = 1 / 2
+const OVERTAKING_TURN_MS = 2000
 
 /** @param claim - the claim of a service @returns whether it wants more than its grant @public */
 export const isLacking = ({ wanted, granted }: QuotaClaim): boolean => !fitsWithin(wanted, granted)
@@ -52,11 +61,12 @@
  * @param own - the service's current claim
  * @param others - stored claims of all other services
  * @param limit - limit of the account, infinite if there is none
+ * @param nowMs - wall-clock time
  * @param recorded - the service's own claim as stored
  * @returns its new grant; the sum of all grants stays within the limit, unless a lowered limit is exceeded already
  * @public
  */
-export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources, recorded: QuotaClaim = own): GrantPlan {
+export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources, nowMs: number, recorded: QuotaClaim = own): GrantPlan {
   const free = mapResources((kind) => Math.max(0, limit[kind] - sumGranted(others)[kind]))
   const isOver = !fitsWithin(plus(own.granted, sumGranted(others)), limit)
   if (!isOver && !others.some(isLacking)) {
@@ -65,33 +75,74 @@
     return { granted, usable: granted }
   }
   // An excess is divided by the stored claims alone: services that divided differing claims could exceed the limit forever.
-  const share = fairShareOf(isOver ? recorded : own, others, limit)
-  const target = most(own.used, least(share, own.wanted))
-  if (isOver) return { granted: least(own.granted, target), usable: NO_RESOURCES }
+  if (isOver) {
+    const share = fairShareOf(recorded, others, limit)
+    return { granted: least(own.granted, most(own.used, least(share, own.wanted))), usable: NO_RESOURCES }
+  }
+  return planSharedGrant(own, others, { limit, free, mayOvertake: Math.floor(nowMs / OVERTAKING_TURN_MS) % 2 === 1 })
+}
+
+interface LimitState {
+  readonly limit: Resources
+  /** Part of the limit that the other services' grants leave. */
+  readonly free: Resources
+  readonly mayOvertake: boolean
+}
+
+function planSharedGrant (own: OwnClaim, others: readonly QuotaClaim[], state: LimitState): GrantPlan {
+  const { limit, free } = state
+  const { startable, ceiling } = findStartable(own, others, state)
+  const canStart = startable.has(own.service)
+  if (isWaiting(own) && !canStart) return { granted: least(own.granted, own.used), usable: NO_RESOURCES }
+  const reserved = others.reduce((sum, other) => plus(sum, startable.has(other.service) ? most(other.first, other.granted) : other.granted), NO_RESOURCES)
+  const room = most(minus(ceiling, reserved), NO_RESOURCES)
+  const share = least(fairShareOf(own, others, limit, startable), room)
+  const allowed = canStart ? most(own.first, share) : share
+  const target = most(own.used, least(allowed, own.wanted))
   const granted = mapResources((kind) => target[kind] <= own.granted[kind] ? target[kind] : Math.max(own.granted[kind], Math.min(target[kind], free[kind])))
-  return { granted, usable: least(least(granted, share), leftByEarlierClaims(own, others, limit)) }
+  return { granted, usable: least(granted, allowed) }
 }
 
-/** Reserves the first task of each service that runs nothing before services that run something, or began to wait later, start another. */
-function leftByEarlierClaims (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
-  const hasPrecedence = (other: QuotaClaim): boolean =>
-    isStarving(other) && fitsWithin(other.first, limit) && (!isStarving(own) || compareWaitingSince(other, own) < 0)
-  const reserved = others.reduce((sum, other) => plus(sum, hasPrecedence(other) ? most(other.first, other.granted) : other.granted), NO_RESOURCES)
-  return most(minus(limit, reserved), NO_RESOURCES)
+/** @param claim - the claim of a service, with what it holds @returns whether a task of it waits for a grant */
+const isWaiting = ({ first, ...claim }: QuotaClaim & { readonly used?: Resources }): boolean => !fitsWithin(first, claim.used ?? NO_RESOURCES)
+
+interface StartableServices {
+  /** Waiting services whose next task fits beside all grants and the next tasks of those that have waited longer. */
+  readonly startable: ReadonlySet<string>
+  /** Amount that grants may reach: the rest is left to waiting tasks that need more than there is now. */
+  readonly ceiling: Resources
 }
 
-const isStarving = (claim: QuotaClaim): boolean => isLacking(claim) && !fitsWithin(claim.first, NO_RESOURCES)
+/** Goes through the waiting services in their order. The own unused grant counts as free, since it is given up unless the service may start. */
+function findStartable (own: OwnClaim, others: readonly QuotaClaim[], { limit, mayOvertake }: LimitState): StartableServices {
+  const startable = new Set<string>()
+  let total = plus(own.used, sumGranted(others))
+  let ceiling = limit
+  let blocked = NO_RESOURCES
+  for (const claim of [own, ...others].filter(isWaiting).sort(compareWaitingSince)) {
+    const missing = most(minus(claim.first, claim.service === own.service ? own.used : claim.granted), NO_RESOURCES)
+    const next = plus(total, missing)
+    if (RESOURCE_KINDS.every((kind) => missing[kind] === 0 || next[kind] <= ceiling[kind])) {
+      startable.add(claim.service)
+      total = next
+    } else {
+      blocked = plus(blocked, missing)
+      ceiling = mapResources((kind) => Math.max(mayOvertake ? limit[kind] * OVERTAKING_SHARE : 0, limit[kind] - blocked[kind]))
+    }
+  }
+  return { startable, ceiling }
+}
 
 /**
- * Computes the fair share of one service: services that run nothing get the resources of their first task, in the order in which they began to
- * lack them; the rest is divided evenly, up to the demand of each.
+ * Computes the fair share of one service: services with a waiting task get what it needs, in the order in which they began to wait, if they can start
+ * it; the rest is divided evenly, up to the demand of each.
  */
-function fairShareOf (own: QuotaClaim, others: readonly QuotaClaim[], limit: Resources): Resources {
+function fairShareOf (own: QuotaClaim, others: readonly QuotaClaim[], limit: Resources, startable?: ReadonlySet<string>): Resources {
   const claims = [own, ...others]
   let left = limit
   const shares = new Map<string, Resources>()
   for (const { service, first } of [...claims].sort(compareWaitingSince)) {
-    const isPossible = fitsWithin(first, left)
+    const isPossible = fitsWithin(first, left) && startable?.has(service) !== false
     shares.set(service, isPossible ? first : NO_RESOURCES)
     if (isPossible) left = minus(left, first)
   }
--- a/packages/policy/src/lib/quotas/quotaClaims.ts
+++ b/packages/policy/src/lib/quotas/quotaClaims.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { isLacking, type OwnClaim, type QuotaClaim } from './planGrant.js'
+import type { OwnClaim, QuotaClaim } from './planGrant.js'
 import type { QuotaShortage } from './QuotaAdmission.js'
 import { fitsWithin, mapResources, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, times } from './resources.js'
 
@@ -30,35 +30,35 @@
 export function createOwnClaim ({ service, used: usedInAll, shortage, recorded, lackingSinceMs, limit }: ClaimInputs): OwnClaim {
   const keepLimited = (amounts: Resources): Resources => mapResources((kind) => Number.isFinite(limit[kind]) ? amounts[kind] : 0)
   const used = keepLimited(usedInAll)
-  const isIdle = fitsWithin(used, NO_RESOURCES)
   return {
     service,
     used,
     granted: recorded?.granted ?? NO_RESOURCES,
     wanted: keepLimited(plus(used, shortage?.wanted ?? NO_RESOURCES)),
-    first: isIdle ? keepLimited(shortage?.first ?? NO_RESOURCES) : NO_RESOURCES,
+    first: shortage === undefined ? NO_RESOURCES : keepLimited(plus(used, shortage.first)),
     lackingSinceMs: lackingSinceMs ?? recorded?.lackingSinceMs
   }
 }
 
 /** @param claim - a service's present claim @param granted - its planned grant @param nowMs - wall-clock time @returns the claim to store @public */
 export function createNextClaim ({ service, wanted, first, used, lackingSinceMs }: OwnClaim, granted: Resources, nowMs: number): QuotaClaim {
-  const next = { service, granted, wanted, first, lackingSinceMs: undefined }
-  if (!isLacking(next)) return { ...next, wanted: NO_RESOURCES, first: NO_RESOURCES }
-  // The waiting time restarts while any task runs, so that services that run nothing come first.
-  return { ...next, lackingSinceMs: fitsWithin(used, NO_RESOURCES) ? lackingSinceMs ?? nowMs : nowMs }
+  // Until a task starts, the service keeps its place in the order, also once its grant suffices: others could otherwise claim the grant again.
+  if (fitsWithin(first, used)) return { service, granted, wanted: NO_RESOURCES, first: NO_RESOURCES, lackingSinceMs: undefined }
+  return { service, granted, wanted, first, lackingSinceMs: lackingSinceMs ?? nowMs }
 }
 
 /**
- * A write is due for any amount given up, for growth once the grant is almost used, and for a significant change of the shortage.
+ * A write is due for any amount given up, for growth once the grant is almost used, for a significant change of the shortage, and when the order of
+ * the waiting services changes.
  *
  * @param claim - the service's present claim
  * @param next - the claim that a write would store
  * @param recorded - the claim as stored
+ * @param others - stored claims of all other services
  * @returns whether to write
  * @public
  */
-export function needsWrite (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined): boolean {
+export function needsWrite (claim: OwnClaim, next: QuotaClaim, recorded: QuotaClaim | undefined, others: readonly QuotaClaim[]): boolean {
   const isLess = !fitsWithin(claim.granted, next.granted)
   const isMore = !fitsWithin(next.granted, claim.granted)
   const isNeeded = !fitsWithin(times(claim.wanted, GRANT_HEADROOM_FACTOR), claim.granted)
@@ -66,9 +66,15 @@
   const isStillLacking = next.lackingSinceMs !== undefined
   if (isStillLacking !== (recorded?.lackingSinceMs !== undefined)) return true
   if (!isStillLacking || recorded === undefined) return false
+  if (others.some((other) => comesBefore(recorded, other) !== comesBefore(next, other))) return true
   return hasChangedSignificantly(recorded.wanted, next.wanted) || RESOURCE_KINDS.some((kind) => recorded.first[kind] !== next.first[kind])
 }
 
+/** Whether a service has waited longer than another one, which is waiting. */
+function comesBefore ({ lackingSinceMs }: QuotaClaim, other: QuotaClaim): boolean {
+  return other.lackingSinceMs === undefined || (lackingSinceMs ?? Infinity) < other.lackingSinceMs
+}
+
 function hasChangedSignificantly (before: Resources, now: Resources): boolean {
   return RESOURCE_KINDS.some((kind) => Math.abs(now[kind] - before[kind]) > SIGNIFICANT_CHANGE_SHARE * Math.max(now[kind], before[kind]))
 }
--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -93,6 +93,9 @@
 
   /** Counts a run as used quota. @param run - placed by this holder or a previous one */
   addRun (run: Run): void {
+    const account = run.task.job.spec.owner?.account
+    // The waiting time restarts, so that services that have started nothing since come first.
+    if (account !== undefined && this.#lackingSinceMs.has(account)) this.#lackingSinceMs.set(account, this.#options.clock.wallMs())
     this.#adjustUsage(run, 1)
   }
 
@@ -156,7 +159,7 @@
     if (state === undefined) return
     const next = this.#nextClaim(account, state)
     const isUrgent = isLacking(state.claim) && !fitsWithin(next.granted, state.claim.granted)
-    if ((!isUrgent && sinceLastWriteMs < MIN_WRITE_INTERVAL_MS) || !needsWrite(state.claim, next, this.#recordedClaim(account))) return
+    if ((!isUrgent && sinceLastWriteMs < MIN_WRITE_INTERVAL_MS) || !needsWrite(state.claim, next, this.#recordedClaim(account), state.others)) return
     void this.#writeClaim(account, state, next)
   }
 
@@ -176,7 +179,7 @@
       limit
     })
     const others = record.claims.filter((other) => other.service !== service && !this.#isRemovedService(other.service, nowMs))
-    return { claim, others, limit, plan: planGrant(claim, others, limit, recorded ?? createEmptyClaim(service)) }
+    return { claim, others, limit, plan: planGrant(claim, others, limit, this.#options.clock.wallMs(), recorded ?? createEmptyClaim(service)) }
   }
 
   #recordedClaim (account: AccountName): QuotaClaim | undefined {
