A record that the store refuses holds up no others, and large jobs have several records

Cause: the progress of a job was one value; at some 10,000 tasks it passes the 1 MB of the store. The 400 was taken for an unknown effect and sent again without end by a writer that sends one transaction at a time, for which all starts wait.

Ruled out: the size of the submission; placement (the runs were placed, none was recorded).

The writer isolates a refused record, leaves it out until its value changes, and tells those that depend on it. Jobs of more than 64 tasks have their tasks in further records; changes write only those that changed. Checkpoints above 4,000 bytes are not kept. The progress is written by ProgressRecorder; the log line of placed tasks lists at most 100.

Conclusion: no single value grows with a job any more, and a refusal stays where it belongs.

--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -91,6 +91,8 @@
   status: JobStatus
   /** Its account was beyond its share of jobs when it was submitted, so that others go first. */
   isOverShare: boolean
+  /** An older version recorded the progress of all its tasks as one value, and it stays so. */
+  isRecordedWhole: boolean
   /** Set for a failed job, except where an older software version ended it. */
   failure: JobFailure | undefined
   /** Wall clock; when it ended. */
@@ -99,7 +101,7 @@
 
 /** @param spec - the accepted specification @returns a job of which nothing has run @public */
 export function createJob (spec: JobSpec): Job {
-  return { spec, occurrences: new Map(), status: 'queued', isOverShare: false, failure: undefined, endedMs: undefined }
+  return { spec, occurrences: new Map(), status: 'queued', isOverShare: false, isRecordedWhole: false, failure: undefined, endedMs: undefined }
 }
 
 /** @param job - a job or its status @returns whether it has ended @public */
@@ -161,6 +163,29 @@
   return [...job.occurrences.values()].flat(2)
 }
 
+/** @param spec - a job @returns the number of tasks of all its steps @public */
+export const tasksPerOccurrence = ({ steps }: JobSpec): number => steps.reduce((sum, { taskCount }) => sum + taskCount, 0)
+
+/** @param task - a task @returns its position among all tasks of its job, by occurrence, step and index @public */
+export function taskOrdinal ({ job: { spec }, occurrence, stepIndex, index }: Task): number {
+  const before = spec.steps.slice(0, stepIndex).reduce((sum, { taskCount }) => sum + taskCount, 0)
+  return occurrence * tasksPerOccurrence(spec) + before + index
+}
+
+/** @param job - a job @param from - first position @param to - position after the last @returns the tasks created so far at these positions @public */
+export function tasksInRange (job: Job, from: number, to: number): Task[] {
+  const each = tasksPerOccurrence(job.spec)
+  const tasks: Task[] = []
+  for (let occurrence = Math.floor(from / each); occurrence < occurrenceCount(job) && occurrence * each < to; occurrence++) {
+    let start = occurrence * each
+    for (const step of job.occurrences.get(occurrence) ?? []) {
+      if (start < to && start + step.length > from) tasks.push(...step.slice(Math.max(0, from - start), Math.max(0, to - start)))
+      start += step.length
+    }
+  }
+  return tasks
+}
+
 /** @param task - a task @returns whether it may be started, now or later @public */
 export const isOpen = ({ isDone, isGivenUp }: Task): boolean => !isDone && !isGivenUp
 
--- a/packages/ports/src/lib/KeyValueStore.ts
+++ b/packages/ports/src/lib/KeyValueStore.ts
@@ -16,12 +16,13 @@
 
 /**
  * Why a call failed. `unknown-effect`: no response came, and a write may have taken effect or may still do so seconds later. `unavailable`:
- * the call had no effect. `history-gone`: the store no longer keeps the changes that a watch asked for, so the caller has to list the keys again.
+ * the call had no effect. `refused`: it had none, and the store will never accept it as it is, for example because a value is too large.
+ * `history-gone`: the store no longer keeps the changes that a watch asked for, so the caller has to list the keys again.
  *
  * @public
  */
 export interface PlatformError {
-  readonly kind: 'unknown-effect' | 'unavailable' | 'history-gone'
+  readonly kind: 'unknown-effect' | 'unavailable' | 'refused' | 'history-gone'
   readonly detail: string
   /** Whether the call was repeated on a connection opened later, and got no response there either. */
   readonly wasRetried?: boolean
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -10,7 +10,7 @@
 import { setMaxListeners } from 'node:events'
 import { delay } from '@quillscale/utils'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator } from '@quillscale/policy'
+import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator, type Task } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -20,7 +20,7 @@
 import { ConfigurationGate } from '../jobs/ConfigurationGate.js'
 import { CrashTracker } from '../jobs/CrashTracker.js'
 import { InboxReader } from '../jobs/InboxReader.js'
-import { encodeProgress } from '../jobs/jobProgress.js'
+import { ProgressRecorder } from '../jobs/ProgressRecorder.js'
 import { MachineDrainer } from '../machines/MachineDrainer.js'
 import { openFencedBatchWriter } from '../records/openFencedBatchWriter.js'
 import { JobRegistry } from '../jobs/JobRegistry.js'
@@ -30,7 +30,7 @@
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
-import { chainKey, goneKey, inboxPrefix, progressKey, progressPrefix, recordKeysOf, silentWorkersKey } from '../records/storeKeys.js'
+import { chainKey, goneKey, inboxPrefix, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { retryUntilAnswered } from '../records/retryUntilAnswered.js'
 import { UnplacedLog } from '../jobs/UnplacedLog.js'
 import { WorkerRegistrations } from '../workers/WorkerRegistrations.js'
@@ -55,6 +55,7 @@
 
   readonly #silentWorkers: SilentWorkers
   readonly #ledger: QuotaLedger
+  readonly #progress: ProgressRecorder
   readonly #workers: WorkerTracker
   readonly #tracker: RunTracker
   readonly #crashTracker: CrashTracker
@@ -89,11 +90,12 @@
       runTimes: this.#runTimes,
       maxAttemptsOf: ({ spec }) => maxAttemptsOf(spec, configuration()?.queues.find(({ name }) => name === spec.queue)),
       linkOf: (run) => this.#workers.linkOf(run),
-      onChanged: (job) => this.#saveProgress(job),
+      onChanged: (job, tasks) => this.#saveProgress(job, tasks),
       onRunClosed: (run) => this.#ledger.removeRun(run),
       onUnneeded: (run) => this.#tracker.stopRun(run),
       onBegun: (waitedMs) => options.metrics.record('first_start_wait', service, waitedMs)
     })
+    this.#progress = new ProgressRecorder({ service, log: options.log, writer: () => this.#writer })
     this.#ledger = this.#createLedger()
     this.#tracker = this.#createTracker()
     this.#evacuator = this.#createEvacuator()
@@ -103,10 +105,11 @@
       whenFlushed: () => this.#writer.flushed(),
       linkOf: (run) => this.#workers.linkOf(run),
       stopRun: (run) => this.#tracker.stopRun(run),
-      onChanged: (job) => this.#saveProgress(job, true)
+      canRecord: (job) => this.#progress.canRecord(job),
+      onChanged: (job, tasks) => this.#saveProgress(job, tasks, true)
     })
     this.#crashTracker = new CrashTracker({
-      log: options.log, tookOverMs: clock.monotonicMs(), count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job) => this.#saveProgress(job)
+      log: options.log, tookOverMs: clock.monotonicMs(), count: (kind) => options.metrics.count('workers_ended_under_tasks', kind), onChanged: (job, tasks) => this.#saveProgress(job, tasks)
     })
     this.#configurationGate = new ConfigurationGate({ ...options, onKnown: () => this.#pacer.request() })
     const put = (key: string, source: RecordEncoder, isUrgent: boolean): void => this.#writer.put(key, source, isUrgent)
@@ -173,7 +176,7 @@
       registry: this.#registry,
       linkOf: (run) => this.#workers.linkOf(run),
       isSetAside: (jobId) => this.#inboxReader.isSetAside(jobId),
-      onChanged: (job) => this.#saveProgress(job),
+      onChanged: (job, tasks) => this.#saveProgress(job, tasks),
       onTicketRefused: (run) => this.#adviceCache.invalidate(run.task),
       count: (name, label = service) => metrics.count(name, label)
     })
@@ -184,7 +187,7 @@
       ...this.#options,
       put,
       minTtlMs: () => this.#options.bounds().minTtlMs,
-      flushed: () => this.#writer.flushed(),
+      flushed: () => this.#writer.flushed([silentWorkersKey(this.#options.service)]),
       longestLeaseMs: () => this.#workers.longestLeaseMs(this.#options.clock.monotonicMs()),
       leasesLeftMs: (instanceId, nowMs) => this.#workers.leasesLeftMs(instanceId, nowMs),
       isTracked: (instanceId) => !this.#inboxReplica.isListed || this.#workers.isTracked(instanceId),
@@ -224,7 +227,7 @@
         this.#registry.closeRun(run, 'lost', { evidence })
       },
       onMachineDownForgotten: (workerId) => this.#writer.put(goneKey(service, workerId), () => undefined),
-      onMoved: (run) => this.#saveProgress(run.task.job, true),
+      onMoved: (run) => this.#saveProgress(run.task.job, [run.task], true),
       onChange: () => this.#pacer.request()
     })
   }
@@ -289,6 +292,7 @@
         onDeposed: () => this.#handleDeposed('the duty has another holder'),
         guards: [this.#evacuator.guard],
         onStoreError: (error, transactionNumber) => this.#log.warn({ service, error, transactionNumber }, 'records not written, will retry'),
+        onRefused: (key, chars, error) => this.#progress.handleRefusal(key, chars, error),
         onCommit: (entries, latencyMs) => {
           metrics.count('records_written', service, entries)
           metrics.record('commit', service, latencyMs)
@@ -324,8 +328,8 @@
    * Writes the progress of a job. Placements and ends of jobs are urgent. Ends of tasks may wait: until they are written, the worker only
    * keeps them in the list that it reports.
    */
-  #saveProgress (job: Job, isUrgent = hasEnded(job)): void {
-    this.#writer.put(progressKey(this.#options.service, job.spec.jobId), () => encodeProgress(job), isUrgent)
+  #saveProgress (job: Job, tasks?: readonly Task[], isUrgent?: boolean): void {
+    this.#progress.save(job, tasks, isUrgent)
     this.#pacer.request()
   }
 
@@ -347,7 +351,7 @@
     if (configuration === undefined) return
     const round = new PlacementRound({
       configuration,
-      jobs: this.#configurationGate.admit(this.#registry.jobs.values(), configuration, nowMs),
+      jobs: this.#configurationGate.admit(this.#registry.jobs.values(), configuration, nowMs).filter((job) => this.#progress.canRecord(job)),
       workerViews: this.#workers.links,
       runTimes: this.#runTimes,
       advice: this.#adviceCache,
@@ -369,11 +373,8 @@
     }
     if (runs.length === 0) return
     this.#evacuator.addPlacements(runs)
-    for (const job of new Set(runs.map(({ task }) => task.job))) {
-      const jobRuns = runs.filter(({ task }) => task.job === job)
-      this.#log.info({ jobId: job.spec.jobId, version: configuration.version, runs: jobRuns.map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`) }, 'tasks placed')
-      this.#saveProgress(job, true)
-    }
+    this.#progress.savePlacements(runs, configuration.version)
+    this.#pacer.request()
     void this.#starter.start(runs)
   }
 
@@ -384,12 +385,12 @@
 
   /** Removes ended jobs, and their records, after the time for which their state stays available. */
   #removeEndedJobs (): void {
-    const { clock, bounds, service } = this.#options
+    const { clock, bounds } = this.#options
     const cutoffMs = clock.wallMs() - bounds().keepEndedMs
     for (const [jobId, job] of this.#registry.jobs) {
       if (job.endedMs === undefined || job.endedMs > cutoffMs) continue
       this.#registry.jobs.delete(jobId)
-      for (const key of recordKeysOf(service, jobId)) this.#writer.put(key, () => undefined)
+      this.#progress.remove(job)
     }
   }
 }
--- a/packages/scheduler/src/lib/jobs/CrashTracker.ts
+++ b/packages/scheduler/src/lib/jobs/CrashTracker.ts
@@ -37,7 +37,7 @@
   /** Counts a lost worker in the metrics. */
   readonly count: (kind: WorkerLossKind) => void
   /** Called for each job whose tasks had points taken back. */
-  readonly onChanged: (job: Job) => void
+  readonly onChanged: (job: Job, tasks: readonly Task[]) => void
 }
 
 /**
@@ -224,7 +224,7 @@
     penalty.points -= reduction
     record.points = Math.max(0, record.points - reduction)
     record.isLastLossCertain = false
-    this.#options.onChanged(task.job)
+    this.#options.onChanged(task.job, [task])
   }
 
   #report ({ instanceId }: WorkerLoss, kind: WorkerLossKind, penalties: readonly Penalty[]): void {
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -8,7 +8,7 @@
 import { hasEnded, isLacking, type JobFailure, type JobId, type JobSpec, jobSpecSchema, machinesNeeded, predictWaitMs, sumGranted, type Resources } from '@quillscale/policy'
 import { quotaKey, decodeQuotaRecord, type QuotaRecord } from '../accounts/quotaRecord.js'
 import { explainEvacuations } from './explainEvacuations.js'
-import { decodeProgress, type JobProgress } from './jobProgress.js'
+import { decodeProgress, joinProgress, type JobProgress } from './jobProgress.js'
 import { decodeBacklog } from '../pressure/backlogRecord.js'
 import type { RecordProblem } from '../records/RecordReader.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
@@ -136,27 +136,38 @@
       if (record.err) return record
       if (record.val === undefined) continue
       const [progress, cancel, duties] = await Promise.all([
-        this.#store.get(progressKey(row.service, jobId)), this.#store.get(cancelKey(row.service, jobId)), this.#listDutyItems()
+        this.#readProgress(progressKey(row.service, jobId)), this.#store.get(cancelKey(row.service, jobId)), this.#listDutyItems()
       ])
       if (progress.err) return progress
       if (cancel.err) return cancel
       if (duties.err) return duties
       const spec = decodeJson(jobSpecSchema, record.val.value)
       if (spec.err) return unreadableRecord(record.val.key, spec.val)
-      const decoded = progress.val === undefined ? Ok(undefined) : decodeProgress(progress.val.value)
-      if (decoded.err) return unreadableRecord(progressKey(row.service, jobId), decoded.val)
       const quota = await this.#readQuota(spec.val)
       if (quota.err) return quota
       const evacuations = await this.#listEvacuations()
       if (evacuations.err) return evacuations
       const workers: Result<WorkerInstance[], PlatformError> = evacuations.val.length === 0 ? Ok([]) : await this.#listWorkers()
       if (workers.err) return workers
-      const records = { progress: decoded.val, isCancelled: cancel.val !== undefined, dutyItems: duties.val, quota: quota.val }
+      const records = { progress: progress.val, isCancelled: cancel.val !== undefined, dutyItems: duties.val, quota: quota.val }
       return Ok(explainJob(spec.val, row, { ...records, evacuations: evacuations.val, workers: workers.val }, wallMs))
     }
     return Ok(undefined)
   }
 
+  /** Reads all progress records of a job. @param key - key of the first one */
+  async #readProgress (key: string): Promise<Result<JobProgress | undefined, PlatformError>> {
+    const listed = await this.#store.list(key)
+    if (listed.err) return listed
+    const records: JobProgress[] = []
+    for (const item of listed.val.items.filter((each) => each.key === key || each.key.startsWith(`${key}/`))) {
+      const decoded = decodeProgress(item.value)
+      if (decoded.err) return unreadableRecord(item.key, decoded.val)
+      records.push(decoded.val)
+    }
+    return Ok(joinProgress(records))
+  }
+
   /** Lists the evacuations; as for the hosts, unreadable requests count as missing. */
   async #listEvacuations (): Promise<Result<EvacuationRequest[], PlatformError>> {
     const { evacuationPrefix, decodeEvacuation } = this.#sources
--- a/packages/scheduler/src/lib/jobs/InboxReader.ts
+++ b/packages/scheduler/src/lib/jobs/InboxReader.ts
@@ -11,8 +11,8 @@
 import { decodeMachineLossReport, type MachineLossReport } from '../machines/machineLossReport.js'
 import type { MachineDrainer } from '../machines/MachineDrainer.js'
 import type { RecordReader } from '../records/RecordReader.js'
-import { CANCEL_VALUE, inboxPrefix, parseInboxKey, progressPrefix } from '../records/storeKeys.js'
-import { decodeProgress, restoreProgress } from './jobProgress.js'
+import { CANCEL_VALUE, inboxPrefix, parseInboxKey, progressKey, progressPrefix } from '../records/storeKeys.js'
+import { decodeProgress, joinProgress, restoreProgress } from './jobProgress.js'
 import type { JobRegistry } from './JobRegistry.js'
 
 /** Dependencies of an {@link InboxReader}. @public */
@@ -35,7 +35,7 @@
 export class InboxReader {
   readonly #options: InboxReaderOptions
   /** Progress records of previous duty holders whose jobs have not been read from the inbox yet. */
-  readonly #recordedProgress = new Map<JobId, KeyValue>()
+  readonly #recordedProgress = new Map<JobId, KeyValue[]>()
   /** Jobs whose progress record cannot be decoded. */
   readonly #setAside = new Map<JobId, JobSpec>()
   readonly #tokenBuckets = new AccountTokenBuckets()
@@ -52,7 +52,10 @@
    */
   loadProgress (items: readonly KeyValue[]): void {
     const prefix = progressPrefix(this.#options.service)
-    for (const item of items) this.#recordedProgress.set(item.key.slice(prefix.length) as JobId, item)
+    for (const item of items) {
+      const [jobId = ''] = item.key.slice(prefix.length).split('/')
+      this.#recordedProgress.set(jobId as JobId, [...this.#recordedProgress.get(jobId as JobId) ?? [], item])
+    }
   }
 
   /**
@@ -114,21 +117,23 @@
   }
 
   #addJob (spec: JobSpec): void {
-    const { registry, clock, log, records, onRunRestored } = this.#options
+    const { registry, clock, log, records, service, onRunRestored } = this.#options
     const { jobId } = spec
-    const progressRecord = this.#recordedProgress.get(jobId)
+    const recorded = (this.#recordedProgress.get(jobId) ?? []).map((item) => ({ item, decoded: records.read(item, decodeProgress) }))
     this.#recordedProgress.delete(jobId)
-    const progress = progressRecord === undefined ? undefined : records.read(progressRecord, decodeProgress)
-    if (progressRecord !== undefined && progress === undefined) {
+    const unreadable = recorded.find(({ decoded }) => decoded === undefined)?.item
+    if (unreadable !== undefined) {
       this.#setAside.set(jobId, spec)
-      log.warn({ jobId, queue: spec.queue, key: progressRecord.key, revision: progressRecord.modRevision }, 'job set aside: its progress record cannot be decoded')
+      log.warn({ jobId, queue: spec.queue, key: unreadable.key, revision: unreadable.modRevision }, 'job set aside: its progress record cannot be decoded')
       return
     }
+    const progress = joinProgress(recorded.flatMap(({ decoded }) => decoded ?? []))
     const job = createJob(spec)
     job.isOverShare = this.#isOverShare(spec)
     if (job.isOverShare) log.info({ jobId, account: spec.owner?.account }, 'job is beyond its account\'s share: others go first')
     registry.jobs.set(jobId, job)
     if (progress === undefined) return
+    job.isRecordedWhole = progress.hasParts !== true && !recorded.some(({ item }) => item.key !== progressKey(service, jobId))
     for (const run of restoreProgress(job, progress, clock.monotonicMs())) onRunRestored(run)
   }
 
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -7,6 +7,7 @@
 import type { EndReport, RunEnd } from '@quillscale/ports'
 import { allTasks, hasEnded, isJobDone, isOpen, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
+import { isKeepableCheckpoint } from './jobProgress.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
 
 /** How a run ended: as its worker reported, or as the scheduler concluded without a report. @public */
@@ -40,8 +41,8 @@
   readonly maxAttemptsOf: (job: Job) => number
   /** Returns the link to the worker on which a run was placed. */
   readonly linkOf: (run: Run) => WorkerLink | undefined
-  /** Called for each job whose progress record has to be written. */
-  readonly onChanged: (job: Job) => void
+  /** Called for each job whose progress records have to be written, with the tasks that changed unless all may have. */
+  readonly onChanged: (job: Job, tasks?: readonly Task[]) => void
   /** Called for each run that has definitely ended. */
   readonly onRunClosed: (run: Run) => void
   /** Called when the first run of a job without a schedule has started, with the time since the job was accepted, by the clocks of two hosts. */
@@ -54,6 +55,8 @@
 export class JobRegistry {
   readonly jobs = new Map<JobId, Job>()
   readonly #options: JobRegistryOptions
+  /** Tasks of which a checkpoint was too long, so that each is logged once. */
+  readonly #longCheckpoints = new WeakSet<Task>()
 
   /** @param options - dependencies */
   constructor (options: JobRegistryOptions) {
@@ -74,13 +77,14 @@
     task.runs.splice(index, 1)
     this.#options.onRunClosed(run)
     this.#options.linkOf(run)?.runs.delete(runKey(run))
-    if (checkpoint !== '' && stepOf(task).isCheckpointing) task.checkpoint = checkpoint
+    if (checkpoint !== '') this.keepCheckpoint(run, checkpoint)
     const { job } = task
     this.#updateWorkerHealth(run, outcome)
     if (outcome !== 'not-started' && outcome !== 'lost') this.markBegun(job)
     if (!hasEnded(job)) this.#applyOutcome(run, outcome)
     this.#logEnd(run, outcome, evidence)
-    this.#options.onChanged(job)
+    // The end of a gang member marks all members.
+    this.#options.onChanged(job, stepOf(task).isGang ? this.#gangMembers(task) : [task])
   }
 
   /**
@@ -127,7 +131,7 @@
     const goesOn = stepOf(task).isLasting && allTasks(job).some((other) => isOpen(other) && stepOf(other).isLasting && !stepOf(other).isGang)
     const details = { jobId: job.spec.jobId, taskKey: key, points: crashes.points, starts: task.lastRunNumber, lastOn: [...avoidedInstances].at(-1), goesOn }
     this.#options.log.warn(details, 'task given up: it ends the workers that start it')
-    if (goesOn) return this.#options.onChanged(job)
+    if (goesOn) return this.#options.onChanged(job, [task])
     job.failure = { reason: 'crashes', taskKey: key }
     this.endJob(job, 'failed')
   }
@@ -146,6 +150,22 @@
     this.#options.onChanged(job)
   }
 
+  /**
+   * Keeps the checkpoint of a task, unless it is too long to be recorded.
+   *
+   * @param run - a run of the task
+   * @param checkpoint - as reported by its worker
+   */
+  keepCheckpoint ({ task, taskKey, runNumber }: Run, checkpoint: string): void {
+    if (!stepOf(task).isCheckpointing) return
+    if (isKeepableCheckpoint(checkpoint)) {
+      task.checkpoint = checkpoint
+    } else if (!this.#longCheckpoints.has(task)) {
+      this.#longCheckpoints.add(task)
+      this.#options.log.warn({ taskKey, runNumber, chars: checkpoint.length }, 'checkpoint not kept: it is too long')
+    }
+  }
+
   #applyOutcome (run: Run, outcome: RunOutcome): void {
     const { task } = run
     const { job } = task
--- a/packages/scheduler/src/lib/jobs/RunStarter.ts
+++ b/packages/scheduler/src/lib/jobs/RunStarter.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Job, type Run, stepOf, stillFits } from '@quillscale/policy'
+import { type Job, type Run, stepOf, stillFits, type Task } from '@quillscale/policy'
 import type { WorkerLink } from '../workers/WorkerLink.js'
 import type { JobRegistry } from './JobRegistry.js'
 
@@ -18,7 +18,9 @@
   /** Stops a run without recording the stop first. */
   readonly stopRun: (run: Run) => void
   /** Called for each job whose progress record has to be written at once. */
-  readonly onChanged: (job: Job) => void
+  readonly onChanged: (job: Job, tasks: readonly Task[]) => void
+  /** Whether the store takes the records of a job. */
+  readonly canRecord: (job: Job) => boolean
 }
 
 /** Starts placed runs, and stops runs to evict them from a machine. @public */
@@ -36,13 +38,13 @@
    * @param runs - runs in phase `recording`
    */
   async start (runs: readonly Run[]): Promise<void> {
-    const { registry, whenFlushed, linkOf, withoutWithdrawn } = this.#options
+    const { registry, whenFlushed, linkOf, withoutWithdrawn, canRecord } = this.#options
     if (!await whenFlushed()) return
     for (const run of withoutWithdrawn(runs)) {
       const link = linkOf(run)
       const isWanted = run.phase === 'recording' && run.task.runs.includes(run)
       if (!isWanted) continue
-      if (link?.acceptsRuns !== true || !stillFits(link, run)) {
+      if (link?.acceptsRuns !== true || !stillFits(link, run) || !canRecord(run.task.job)) {
         registry.closeRun(run, 'not-started')
         continue
       }
@@ -60,10 +62,10 @@
    * @param run - the run to evict
    */
   async evict (run: Run): Promise<void> {
-    const { stopRun, whenFlushed, linkOf, onChanged } = this.#options
+    const { stopRun, whenFlushed, linkOf, onChanged, canRecord } = this.#options
     if (stepOf(run.task).maxAway === undefined) return stopRun(run)
     run.phase = 'stopping'
-    onChanged(run.task.job)
-    if (await whenFlushed()) await linkOf(run)?.stop(run)
+    onChanged(run.task.job, [run.task])
+    if (await whenFlushed() && canRecord(run.task.job)) await linkOf(run)?.stop(run)
   }
 }
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { HoldReport, RunOrderError, RunOrders, RunReport } from '@quillscale/ports'
-import { hasEnded, hasSurvivedUntil, type Job, type JobId, planPaces, type Run, EARLY_LOSS_MS, START_SURVIVAL_MS, stepOf } from '@quillscale/policy'
+import { hasEnded, hasSurvivedUntil, type Job, type JobId, planPaces, type Run, EARLY_LOSS_MS, START_SURVIVAL_MS, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { clearCrashRecord } from './clearCrashRecord.js'
 import type { LossEvidence, JobRegistry } from './JobRegistry.js'
@@ -22,7 +22,7 @@
   /** Returns whether the runs of a job are left alone because its progress record cannot be decoded. */
   readonly isSetAside: (jobId: JobId) => boolean
   /** Called for each job that left the queue, or whose progress record has to be written. */
-  readonly onChanged: (job: Job) => void
+  readonly onChanged: (job: Job, tasks?: readonly Task[]) => void
   /** Called when a worker refused the ticket of a run. */
   readonly onTicketRefused: (run: Run) => void
   readonly count: (name: string, label?: string) => void
@@ -130,7 +130,7 @@
     run.percent = percent
     run.load = load
     if (hasSurvivedUntil(run, askedMs)) clearCrashRecord(run, askedMs, this.#options)
-    if (checkpoint !== '' && stepOf(run.task).isCheckpointing) run.task.checkpoint = checkpoint
+    if (checkpoint !== '') this.#options.registry.keepCheckpoint(run, checkpoint)
   }
 
   /** Asks the worker of a charged task for early reports, since it may be lost for another reason at any time after the start. */
@@ -146,7 +146,7 @@
     const placedClockMs = run.workerClockStartMs
     if (placedClockMs === undefined) return
     run.workerClockStartMs = this.#options.linkOf(run)?.clock.latestMs(startedMs) ?? placedClockMs
-    if (run.workerClockStartMs - placedClockMs > LATE_START_MS) this.#options.onChanged(run.task.job)
+    if (run.workerClockStartMs - placedClockMs > LATE_START_MS) this.#options.onChanged(run.task.job, [run.task])
   }
 
   /** Closes a run that the worker does not list, once that proves that the run never started, was stopped, or is lost. */
@@ -172,7 +172,7 @@
     if (!registry.markBegun(job)) return
     // The end of a finite job follows soon, and has a line of its own.
     if (stepOf(task).isLasting) log.info({ jobId: job.spec.jobId, taskKey, instanceId, recordVersion: job.spec.configurationVersion }, 'job started')
-    onChanged(job)
+    onChanged(job, [])
   }
 }
 
--- a/packages/scheduler/src/lib/jobs/clearCrashRecord.ts
+++ b/packages/scheduler/src/lib/jobs/clearCrashRecord.ts
@@ -3,14 +3,14 @@
  *
  * @module
  */
-import { createCrashRecord, knownSurvivalMs, type Job, type Run } from '@quillscale/policy'
+import { createCrashRecord, knownSurvivalMs, type Job, type Run, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 
 /** Dependencies of {@link clearCrashRecord}. @public */
 export interface ClearCrashRecordOptions {
   readonly log: EventLog
   /** Called with the job if its task had points. */
-  readonly onChanged: (job: Job) => void
+  readonly onChanged: (job: Job, tasks: readonly Task[]) => void
 }
 
 /**
@@ -26,5 +26,5 @@
   if (points === 0) return
   task.crashes = createCrashRecord()
   log.info({ taskKey: task.key, instanceId, points, survivedMs: Math.round(knownSurvivalMs(run, aliveMs)) }, 'task survived its start')
-  onChanged(task.job)
+  onChanged(task.job, [task])
 }
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -121,6 +121,7 @@
           this.close()
           onDeposed()
         },
+        onRefused: (key, chars, error) => log.warn({ key, chars, error }, 'record left out: the store refuses it'),
         onStoreError: (error, transactionNumber) => log.warn({ error, transactionNumber }, 'machine duty records are not written yet, retrying')
       }, this.#stop.signal),
       retryUntilAnswered(() => store.get(MACHINE_DUTY_RECORD_KEY), this.#stop.signal),
@@ -336,7 +337,7 @@
       this.#cooldowns.beginOrder(task.machineId)
     }
     this.#saveRecord()
-    if (!await this.#writer.flushed()) return
+    if (!await this.#writer.flushed([MACHINE_DUTY_RECORD_KEY])) return
     await Promise.all(ready.map((task) => this.#sendOrder(task)))
   }
 
--- a/packages/scheduler/src/lib/records/CallRetrier.ts
+++ b/packages/scheduler/src/lib/records/CallRetrier.ts
@@ -53,7 +53,7 @@
       const nowMs = this.#clock.monotonicMs()
       const lastRetryMs = deadlineMs - DEADLINE_MARGIN_MS
       const retryUntilMs = lost > 0 ? lastRetryMs : Math.min(startMs + REFUSED_RETRY_LIMIT_MS, lastRetryMs)
-      const isLastTry = lost >= MAX_LOST_ANSWERS || this.#store.isUnresponsive(nowMs) || nowMs + delayMs >= retryUntilMs
+      const isLastTry = result.val.kind === 'refused' || lost >= MAX_LOST_ANSWERS || this.#store.isUnresponsive(nowMs) || nowMs + delayMs >= retryUntilMs
       if (isLastTry) return { result, mayHaveEffect: lost > 0, tries }
       await delay(delayMs)
       delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2)
--- a/packages/scheduler/src/lib/records/FencedBatchWriter.ts
+++ b/packages/scheduler/src/lib/records/FencedBatchWriter.ts
@@ -5,6 +5,8 @@
  * replaces the sequence number that the previous transaction left under the chain key. So a transaction whose answer was lost can be
  * sent again: it neither takes effect twice nor overwrites a newer one.
  *
+ * A record that the store will never accept holds up no others: its batch is sent again record by record, and it is left out until its value changes.
+ *
  * @module
  */
 import { delay, type Clock } from '@quillscale/utils'
@@ -27,6 +29,8 @@
   readonly onDeposed: () => void
   /** Called for each failed attempt. */
   readonly onStoreError: (error: PlatformError, transactionNumber: number) => void
+  /** Called for each record that the store refuses as it is, with its size. */
+  readonly onRefused?: (key: string, chars: number, error: PlatformError | undefined) => void
   /** Keep records out of the store that another party's record forbids; without them, a transaction depends on the duty alone. */
   readonly guards?: readonly WriteGuard[]
   /** Called for each transaction that took effect, with its number of records and its latency. */
@@ -86,6 +90,11 @@
   readonly #waiters: FlushWaiter[] = []
   /** Chain values of rejected transactions of which an attempt without an answer may still take effect. */
   readonly #rejectedChainValues = new Set<string>()
+  /** Values that the store refused, by key; they are not sent again. */
+  readonly #refusedValues = new Map<string, string>()
+  /** Keys of a refused batch, which are sent one at a time. */
+  readonly #suspectKeys = new Set<string>()
+  #lastRefusal: PlatformError | undefined
   #lastSequence = 0
   #inFlightSequence = Infinity
   #chainRevision: number
@@ -120,14 +129,16 @@
   }
 
   /**
-   * Waits until all records put so far are durable.
+   * Waits until all records put so far are durable, apart from those that the store refuses.
    *
-   * @returns true once they are, false if this writer is closed before that
+   * @param keys - keys of the records that the caller depends on
+   * @returns true once they are durable, false if the store refuses one of them or this writer is closed before that
    */
-  flushed (): Promise<boolean> {
-    if (this.#isClosed) return Promise.resolve(false)
-    if (this.#oldestPending() === Infinity) return Promise.resolve(true)
-    return new Promise((resolve) => this.#waiters.push({ sequence: this.#lastSequence, resolve }))
+  async flushed (keys: readonly string[] = []): Promise<boolean> {
+    if (this.#isClosed) return false
+    const isDurable = this.#oldestPending() === Infinity ||
+      await new Promise<boolean>((resolve) => this.#waiters.push({ sequence: this.#lastSequence, resolve }))
+    return isDurable && !keys.some((key) => this.#refusedValues.has(key))
   }
 
   /**
@@ -180,13 +191,19 @@
     const guarded = (this.#options.guards ?? []).map((guard) => ({ guard, conditions: guard.conditions() }))
     const conditions = guarded.flatMap((each) => each.conditions)
     const batch = this.#nextBatch(conditions.length)
+    if (batch.length === 0) return this.#resolveWaiters()
     this.#inFlightSequence = Math.min(...batch.map(({ sequence }) => sequence))
     const transaction = this.#buildTransaction(batch, conditions, ++this.#transactionNumber)
     const startedMs = this.#options.clock.monotonicMs()
     const outcome = await this.#send(transaction, guarded)
     if (outcome === 'rejected') this.#restore(batch)
+    if (outcome === 'refused') this.#isolate(batch)
     this.#inFlightSequence = Infinity
     if (outcome !== 'durable') return
+    for (const { key } of batch) {
+      this.#suspectKeys.delete(key)
+      this.#refusedValues.delete(key)
+    }
     this.#options.onCommit?.(batch.length, this.#options.clock.monotonicMs() - startedMs)
     this.#resolveWaiters()
   }
@@ -199,16 +216,39 @@
     for (const [key, { source, sequence }] of newer) this.#pending.set(key, { source, sequence: this.#pending.get(key)?.sequence ?? sequence })
   }
 
-  /** Takes the oldest records, up to the limits of a transaction in entries and bytes; at least one. */
+  /** After a refused transaction, sends its records one at a time; a record that is refused alone is left out. */
+  #isolate (batch: readonly EncodedRecord[]): void {
+    if (batch.length > 1) {
+      for (const { key } of batch) this.#suspectKeys.add(key)
+      return this.#restore(batch)
+    }
+    for (const { key, value = '' } of batch) {
+      this.#suspectKeys.delete(key)
+      this.#refusedValues.set(key, value)
+      this.#options.onRefused?.(key, value.length, this.#lastRefusal)
+    }
+    this.#inFlightSequence = Infinity
+    this.#resolveWaiters()
+  }
+
+  /** Takes the oldest records, up to the limits of a transaction in entries and bytes; at least one, unless the store refuses all. */
   #nextBatch (additionalConditions: number): EncodedRecord[] {
     const batch: EncodedRecord[] = []
     let bytes = 0
+    const refused: string[] = []
     for (const [key, { sequence, source }] of this.#pending) {
+      if (batch.length > 0 && this.#suspectKeys.has(key)) break
       const value = source()
+      if (value !== undefined && this.#refusedValues.get(key) === value) {
+        refused.push(key)
+        continue
+      }
       bytes += value?.length ?? 0
       if (batch.length > 0 && (bytes > MAX_BATCH_BYTES || batch.length >= MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES - additionalConditions)) break
       batch.push({ key, value, sequence, source })
+      if (this.#suspectKeys.has(key)) break
     }
+    for (const key of refused) this.#pending.delete(key)
     for (const { key } of batch) this.#pending.delete(key)
     return batch
   }
@@ -233,13 +273,19 @@
    *
    * @param transaction - the transaction
    * @param guarded - the guards and their part of its conditions
-   * @returns `durable` if it took effect, `rejected` if its records must be encoded and sent again, `deposed` if nothing more may be written
+   * @returns `durable` if it took effect, `rejected` if its records must be encoded and sent again, `refused` if the store will never accept it,
+   *   `deposed` if nothing more may be written
    */
-  async #send (transaction: Transaction, guarded: readonly GuardedConditions[]): Promise<'durable' | 'rejected' | 'deposed'> {
+  async #send (transaction: Transaction, guarded: readonly GuardedConditions[]): Promise<'durable' | 'rejected' | 'refused' | 'deposed'> {
     const { store, onStoreError, onDeposed } = this.#options
     for (let backoffMs = INITIAL_BACKOFF_MS; !this.#isClosed; backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2)) {
       const outcome = await store.transact(transaction)
       if (outcome.err) {
+        if (outcome.val.kind === 'refused') {
+          this.#rejectedChainValues.add(this.#chainValue(this.#transactionNumber))
+          this.#lastRefusal = outcome.val
+          return 'refused'
+        }
         onStoreError(outcome.val, this.#transactionNumber)
         await delay(backoffMs)
         continue
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -41,7 +41,9 @@
 export const progressPrefix = (service: string): string => `progress/${service}/`
 /** Key of the progress of a job. @public */
 export const progressKey = (service: string, jobId: JobId): string => `progress/${service}/${jobId}`
-/** Keys of all records of a job, which are removed some time after it has ended. @public */
+/** Key of the progress of some tasks of a large job. @public */
+export const progressPartKey = (service: string, jobId: JobId, part: number): string => `${progressKey(service, jobId)}/${part}`
+/** Keys of the records that each job has, which are removed some time after it has ended. @public */
 export const recordKeysOf = (service: string, jobId: JobId): readonly string[] =>
   [jobKey(service, jobId), jobServiceKey(jobId), cancelKey(service, jobId), progressKey(service, jobId)]
 /** Key of the number of the scheduler's last transaction. @public */
--- a/packages/scheduler/src/test/FencedBatchWriter.test.ts
+++ b/packages/scheduler/src/test/FencedBatchWriter.test.ts
@@ -120,6 +120,44 @@
     log.close()
   })
 
+  // Guards against one record that the store never accepts, which would hold up all records after it.
+  it('leaves a refused record out, writes the others, and does not send it again until it changes', async () => {
+    const log = await createWriter()
+    store.maxValueBytes = 100
+    let value = 'x'.repeat(200)
+    for (const key of ['a', 'b']) log.put(key, () => key, true)
+    log.put('large', () => value, true)
+    log.put('c', () => 'c', true)
+    expect(await log.flushed(['c'])).to.equal(true)
+    expect(await log.flushed(['large'])).to.equal(false)
+    expect((await Promise.all(['a', 'b', 'c', 'large'].map(valueOf)))).to.deep.equal(['a', 'b', 'c', undefined])
+    const refused = store.refusedTransactions.length
+    for (let again = 0; again < 5; again++) {
+      log.put('large', () => value, true)
+      log.put('a', () => `a${again}`, true)
+      expect(await log.flushed(['a'])).to.equal(true)
+    }
+    expect(store.refusedTransactions).to.have.length(refused)
+    value = 'small'
+    log.put('large', () => value, true)
+    expect(await log.flushed(['large'])).to.equal(true)
+    expect(isDeposed).to.equal(false)
+    log.close()
+  })
+
+  it('writes the other records of a refused batch also if answers are lost', async () => {
+    const log = await createWriter()
+    store.maxValueBytes = 100
+    let answers = 0
+    store.loseAnswers = () => ++answers % 3 === 1
+    for (let index = 0; index < 60; index++) log.put(`k${index}`, () => index % 7 === 3 ? 'x'.repeat(200) : String(index), true)
+    await log.flushed()
+    const stored = (await store.list('k')).unwrap().items.map(({ key }) => Number(key.slice(1))).sort((a, b) => a - b)
+    expect(stored).to.deep.equal(Array.from({ length: 60 }, (_, index) => index).filter((index) => index % 7 !== 3))
+    expect(isDeposed).to.equal(false)
+    log.close()
+  })
+
   describe('with a guard', () => {
     /** What the guarded record `k` says, until the guard withdraws it. */
     let value: string
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -53,8 +53,11 @@
   /** Decides for each transaction whether it takes effect without an answer. */
   loseAnswers = (): boolean => false
   isDown = false
+  readonly refusedTransactions: Transaction[] = []
   /** Refuses writes but not reads, as a store does whose write rate limit is exhausted. */
   refusesWrites = false
+  /** The longest value that the store accepts. */
+  maxValueBytes = 1_048_576
   /** Delay of a write before it takes effect, and again before its answer. */
   writeDelayMs = (): number => 0
   /** Prefix of which watches hear nothing. */
@@ -80,6 +83,10 @@
 
   override async transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
     if (this.isDown || this.refusesWrites) return down()
+    if (transaction.puts.some(({ value }) => Buffer.byteLength(value) > this.maxValueBytes)) {
+      this.refusedTransactions.push(transaction)
+      return Err({ kind: 'refused', detail: 'a value is too large' })
+    }
     await this.#pause()
     const outcome = await super.transact(transaction)
     await this.#pause()
