Placement advice is asked for each worker that could run a step

Cause: one answer was kept for a step, and the best 30 workers were asked about each time, whatever was answered. Steps that go on waiting were asked about again before steps that nobody had asked about.

Ruled out: the advice service; the order of workers by free processor, which is right among those that may run the step.

A ticket that its worker refuses ends that ticket only.

--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -177,7 +177,7 @@
       linkOf: (run) => this.#workers.linkOf(run),
       isSetAside: (jobId) => this.#inboxReader.isSetAside(jobId),
       onChanged: (job, tasks) => this.#saveProgress(job, tasks),
-      onTicketRefused: (run) => this.#adviceCache.invalidate(run.task),
+      onTicketRefused: ({ task, instanceId }) => this.#adviceCache.invalidate(task, instanceId),
       count: (name, label = service) => metrics.count(name, label)
     })
   }
