A late call to the former lifetime of a worker makes no task run twice

Cause: a call names the worker, not its lifetime. A hold, or a start that is refused, which the next lifetime carries out names a lease end on another clock, and the worker cuts it to the longest lease, 10 s. The holder reckoned with its own leases on the new link (6.5 s), a new holder with 6.5 s from its takeover.

Ruled out: slow clocks, starts that arrive late (tracked as unresolved), leases of earlier holders on the same lifetime.

Runs on later lifetimes are not lost without an answer until the longest lease after that is over. A new holder counts the same for young lifetimes, until their first report. Stand-in workers now cut leases.

Conclusion: the present lifetime's longest possible lease is what the holder believes.

--- a/packages/ports/src/lib/RunOrders.ts
+++ b/packages/ports/src/lib/RunOrders.ts
@@ -90,6 +90,8 @@
   readonly running: readonly RunReport[]
   /** The oldest end reports that are not acknowledged yet. */
   readonly ended: readonly EndReport[]
+  /** Whether the request was sent twice, and the first one got no response: the worker may carry it out later. */
+  readonly hasUnansweredAttempt?: boolean
   /** Whether more end reports may follow: then a run that is in neither list may have ended. */
   readonly hasMoreEnds: boolean
 }
--- a/packages/scheduler/src/lib/workers/LeaseBounds.ts
+++ b/packages/scheduler/src/lib/workers/LeaseBounds.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import { lifetimeStartMsOf } from '@quillscale/ports'
 import type { SilentWorkers } from './SilentWorkers.js'
+import { LATE_CALL_MS } from './LateCalls.js'
 import { MAX_CLOCK_DRIFT_RATIO } from './WorkerClock.js'
 
 /** Inputs of {@link LeaseBounds}. @public */
@@ -14,6 +16,8 @@
   readonly silentWorkers: Pick<SilentWorkers, 'previousLeaseMs' | 'havePreviousLeasesExpired'>
   /** Monotonic time of the takeover, from which leases of previous holders are counted. */
   readonly tookOverMs: number
+  /** The same in Unix milliseconds. */
+  readonly tookOverWallMs: number
 }
 
 /** Highest share of the longest lease that a worker accepts. */
@@ -22,6 +26,8 @@
 const MAX_LEASE_MS = 6500
 /** Added to the end of a lease before its runs count as ended, because timers may fire late on both sides. */
 const LEASE_END_SLACK_MS = 300
+/** Until a holder learns of a new lifetime, it calls the one before; and the clocks of hosts and workers may differ by some seconds. */
+const START_MARGIN_MS = 9000
 
 /** Computes durations and upper bounds of worker leases. @public */
 export class LeaseBounds {
@@ -66,10 +72,20 @@
    *
    * @param instanceId - id of the worker's lifetime
    * @param nowMs - monotonic time
+   * @param firstReportMs - monotonic time of its first report to this holder, which makes it reject calls of previous ones; `undefined` before that
    * @returns the remaining time
    */
-  previousLeasesLeftMs (instanceId: string, nowMs: number): number {
-    return this.#options.silentWorkers.havePreviousLeasesExpired(instanceId) ? 0 : this.#previousLeasesEndMs() - nowMs
+  previousLeasesLeftMs (instanceId: string, nowMs: number, firstReportMs = Infinity): number {
+    if (this.#options.silentWorkers.havePreviousLeasesExpired(instanceId)) return 0
+    return Math.max(this.#previousLeasesEndMs(), this.#lateLeaseEndMs(instanceId, firstReportMs)) - nowMs
+  }
+
+  /** Returns until when a young lifetime may hold a lease from a call of a previous holder that was meant for the lifetime before. */
+  #lateLeaseEndMs (instanceId: string, firstReportMs: number): number {
+    const { tookOverMs, tookOverWallMs } = this.#options
+    const startMs = lifetimeStartMsOf(instanceId)
+    if (startMs === undefined || tookOverWallMs - startMs > LATE_CALL_MS + this.longestWorkerLeaseMs + START_MARGIN_MS) return -Infinity
+    return Math.min(firstReportMs, tookOverMs + LATE_CALL_MS) + this.longestWorkerLeaseMs
   }
 
   #previousLeaseMs (): number {
--- a/packages/scheduler/src/lib/workers/RunLossHandler.ts
+++ b/packages/scheduler/src/lib/workers/RunLossHandler.ts
@@ -11,6 +11,7 @@
 import { UnresolvedRuns, type UnresolvedState, type UnresolvedRun } from './UnresolvedRuns.js'
 import type { LeaseBounds } from './LeaseBounds.js'
 import { MACHINE_GONE } from './EndedLifetimes.js'
+import { LATE_CALL_MS } from './LateCalls.js'
 import { runKey, type WorkerLink } from './WorkerLink.js'
 
 /** Reason for losing runs: the worker has restarted. @public */
@@ -151,8 +152,8 @@
   #unresolvedStateOf (reason: string, details: Pick<UnresolvedState, 'mayArrive' | 'loss'>): UnresolvedState {
     const { clock, leases } = this.#options
     const sinceMs = clock.monotonicMs()
-    // A start order's lease end is on the previous lifetime's clock; on the next one's it may be a longer lease than the worker accepts.
-    const lastsMs = reason === MACHINE_GONE ? ORDERS_IN_FLIGHT_MS : leases.longestWorkerLeaseMs
+    // A start order may arrive late, and its lease end is on the previous lifetime's clock; on the next one's it may be a longer lease than the worker accepts.
+    const lastsMs = reason === MACHINE_GONE ? ORDERS_IN_FLIGHT_MS : LATE_CALL_MS + leases.longestWorkerLeaseMs
     return { ...details, sinceMs, untilMs: sinceMs + lastsMs }
   }
 
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { setMaxListeners } from 'node:events'
-import { delay, type Clock } from '@quillscale/utils'
-import { lifetimeStartMsOf, type HoldReport, type RunOrderError, type RunOrders, type WorkerInstance } from '@quillscale/ports'
+import { delay, type Clock, type Result } from '@quillscale/utils'
+import { lifetimeStartMsOf, type HoldReport, type HoldRequest, type RunOrderError, type RunOrders, type WorkerInstance } from '@quillscale/ports'
 import { coldUntilMs, type Run, WorkerHealth } from '@quillscale/policy'
+import { LateCalls, type LateCallOutcome } from './LateCalls.js'
 import { WorkerClock } from './WorkerClock.js'
 
 /** Dependencies of a {@link WorkerLink}, supplied by its scheduler. @public */
@@ -53,10 +54,17 @@
 /** A start with unknown outcome is retried for this long, then given up and stopped. */
 const START_RETRY_PERIOD_MS = 1500
 
+/** What an error says about a call that extends a lease. Any other refusal may have extended it. */
+const OUTCOMES: Readonly<Partial<Record<RunOrderError['kind'], LateCallOutcome>>> = {
+  'unknown-effect': 'unanswered', unhealthy: 'not-done', 'other-instance': 'not-done', 'fenced-off': 'not-done'
+}
+
 /** A long-polling connection to one worker lifetime, with the runs placed there. @public */
 export class WorkerLink {
   readonly clock = new WorkerClock()
   readonly health = new WorkerHealth()
+  /** Calls that the next lifetime may carry out. */
+  readonly lateCalls = new LateCalls()
   /** Monotonic time when the link was opened. */
   readonly openedMs: number
   /** Runs placed there that are not known to have ended. */
@@ -75,6 +83,7 @@
   #acknowledgedSequence = 0
   #lastResponseMs = -Infinity
   #lastReportMs = -Infinity
+  #firstReportMs = Infinity
   #isInContact = true
   #pendingRemoval: Promise<void> | undefined
   /** Whether a call has failed since the last answered hold, so that the next answer may come from the next lifetime. */
@@ -146,6 +155,11 @@
     return this.#lastReportMs
   }
 
+  /** Monotonic time of the first report; from then on this lifetime rejects calls of previous holders. `Infinity` before it. */
+  get firstReportMs (): number {
+    return this.#firstReportMs
+  }
+
   /** Whether the worker may be recorded as silent; it gets no leases and no new work until the record is removed. */
   get isRecordedSilent (): boolean {
     return this.#options.isRecordedSilent(this)
@@ -193,9 +207,9 @@
   }
 
   async #hold (waitMs: number): Promise<boolean> {
-    const { orders, clock, fencingToken } = this.#options
+    const { clock, fencingToken } = this.#options
     const askedMs = clock.monotonicMs()
-    const held = await orders.hold(this.instance, {
+    const held = await this.#sendHold({
       fencingToken,
       acknowledgedSequence: this.#sequenceToAcknowledge,
       // A worker that does not answer gets no extensions: otherwise its leases might never be known to have expired.
@@ -214,6 +228,8 @@
     this.#mayBeNextLifetime = false
     this.#handleResponse(held.val.clockMs)
     this.#lastReportMs = clock.monotonicMs()
+    this.#firstReportMs = Math.min(this.#firstReportMs, this.#lastReportMs)
+    if (held.val.lifetimeStartMs !== undefined) this.lateCalls.confirm(askedMs)
     this.#options.onReport(this, held.val, askedMs)
     const last = held.val.ended.at(-1)?.sequence ?? 0
     if (last > this.#acknowledgedSequence) await this.#acknowledge(last)
@@ -227,10 +243,10 @@
       const isDurable = await Promise.race([durable, delay(LEASE_EXTENSION_INTERVAL_MS).then(() => undefined)])
       if (isDurable === true) this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence)
       if (isDurable !== undefined || this.#stop.signal.aborted) return
-      const { orders, clock, fencingToken } = this.#options
+      const { clock, fencingToken } = this.#options
       const nowMs = clock.monotonicMs()
       const leaseEndsAtMs = this.isAnswering(nowMs) ? this.#extendLease(nowMs) : undefined
-      const held = await orders.hold(this.instance, { fencingToken, acknowledgedSequence: this.#sequenceToAcknowledge, leaseEndsAtMs, waitMs: 0 })
+      const held = await this.#sendHold({ fencingToken, acknowledgedSequence: this.#sequenceToAcknowledge, leaseEndsAtMs, waitMs: 0 })
       if (held.err) this.#mayBeNextLifetime = true
       else if (this.#isOtherLifetime(held.val)) return this.#options.onLifetimeEnded(this, 'next-lifetime')
       else this.#handleResponse(held.val.clockMs)
@@ -248,6 +264,20 @@
     return bornMs !== this.#lifetimeStartMs
   }
 
+  async #sendHold (request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
+    const sent = this.#options.orders.hold(this.instance, request)
+    return request.leaseEndsAtMs === undefined ? await sent : await this.#trackLate(sent, ({ hasUnansweredAttempt }) => hasUnansweredAttempt === true)
+  }
+
+  /** Keeps track of a call that extends a lease. */
+  async #trackLate<T> (sent: Promise<Result<T, RunOrderError>>, mayArriveAgain: (answer: T) => boolean): Promise<Result<T, RunOrderError>> {
+    const call = this.lateCalls.begin()
+    const answer = await sent
+    const outcome = answer.err ? OUTCOMES[answer.val.kind] ?? 'answered' : mayArriveAgain(answer.val) ? 'unanswered' : 'answered'
+    this.lateCalls.end(call, outcome, this.#options.clock.monotonicMs())
+    return answer
+  }
+
   /** Extends the lease. @param nowMs - monotonic time @returns the new end of the lease, `undefined` if none may be granted */
   #extendLease (nowMs: number): number | undefined {
     const { holdsDuty, leaseMs } = this.#options
@@ -272,9 +302,9 @@
         await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
         continue
       }
-      const started = await orders.start(this.instance, {
+      const started = await this.#trackLate(orders.start(this.instance, {
         taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
-      })
+      }), () => false)
       if (started.ok) {
         if (this.clock.isPlausibleReading(started.val, clock.monotonicMs())) this.#confirmedRuns.add(run)
         this.#handleResponse(started.val)
--- a/packages/scheduler/src/lib/workers/WorkerTracker.ts
+++ b/packages/scheduler/src/lib/workers/WorkerTracker.ts
@@ -76,6 +76,8 @@
   readonly #tookOverMs: number
   #registered: RegisteredWorkers = { workers: [], restartedElsewhere: [], registeredIds: new Set() }
   #hasLoggedLeaseWaits = false
+  /** Until when calls to earlier lifetimes of a worker may arrive. */
+  readonly #lateCallsUntilMs = new Map<WorkerId, number>()
   /** Monotonic time when the registrations were first known. */
   #firstRegistrationsMs = Infinity
 
@@ -84,7 +86,7 @@
     this.#options = options
     this.#tookOverMs = options.clock.monotonicMs()
     this.#endedLifetimes = new EndedLifetimes(options.log)
-    this.#leases = new LeaseBounds({ ...options, tookOverMs: this.#tookOverMs })
+    this.#leases = new LeaseBounds({ ...options, tookOverMs: this.#tookOverMs, tookOverWallMs: options.clock.wallMs() })
     this.#lossHandler = new RunLossHandler({ ...options, leases: this.#leases, tookOverMs: this.#tookOverMs })
   }
 
@@ -228,15 +230,18 @@
 
   /**
    * Computes the time until all leases of a lifetime have surely expired: leases of this holder by the worker's clock, leases of previous
-   * holders by the timer that they left, or else by the longest lease that they may have granted until the takeover.
+   * holders by the timer that they left, or else by the longest lease that they may have granted until the takeover. A call that was meant for an
+   * earlier lifetime of the worker may have extended the lease up to the longest one that the worker accepts.
    *
    * @param instanceId - id of the lifetime
    * @param nowMs - monotonic time
    * @returns the remaining time
    */
   leasesLeftMs (instanceId: string, nowMs: number): number {
-    const ownMs = this.#links.get(instanceId)?.clock.leasesLeftMs(nowMs, this.#leases.slackMs) ?? 0
-    return Math.max(0, ownMs, this.#leases.previousLeasesLeftMs(instanceId, nowMs))
+    const link = this.#links.get(instanceId)
+    const ownMs = link?.clock.leasesLeftMs(nowMs, this.#leases.slackMs) ?? 0
+    const lateMs = (this.#lateCallsUntilMs.get(workerIdOf(instanceId)) ?? -Infinity) + this.#leases.longestWorkerLeaseMs - nowMs
+    return Math.max(0, ownMs, lateMs, this.#leases.previousLeasesLeftMs(instanceId, nowMs, link?.firstReportMs))
   }
 
   /** Returns the longest lease, of any holder, that may still be active; the settings may have changed since it was granted. @param nowMs - monotonic time */
@@ -340,6 +345,14 @@
     return isClose ? SHORT_HOLD_WAIT_MS : HOLD_WAIT_MS
   }
 
+  #recordLateCalls (link: WorkerLink): void {
+    const nowMs = this.#options.clock.monotonicMs()
+    for (const [workerId, untilMs] of this.#lateCallsUntilMs) if (untilMs + this.#leases.longestWorkerLeaseMs < nowMs) this.#lateCallsUntilMs.delete(workerId)
+    const workerId = workerIdOf(link.instance.instanceId)
+    const untilMs = Math.max(link.lateCalls.mayArriveUntilMs(nowMs), this.#lateCallsUntilMs.get(workerId) ?? -Infinity)
+    if (untilMs > -Infinity) this.#lateCallsUntilMs.set(workerId, untilMs)
+  }
+
   #endLifetime (link: WorkerLink, reason: string): void {
     const { instanceId } = link.instance
     if (this.#links.get(instanceId) !== link) return
@@ -348,6 +361,7 @@
   }
 
   #removeLink (link: WorkerLink, reason: string): void {
+    this.#recordLateCalls(link)
     this.#lossHandler.loseRunsOfLink(link, reason)
     link.close()
     this.#links.delete(link.instance.instanceId)
--- a/packages/standins/src/lib/StandInRuns.ts
+++ b/packages/standins/src/lib/StandInRuns.ts
@@ -75,6 +75,8 @@
   capacity: WorkerCapacity
   /** Whether it refuses a task beyond its capacity instead of starting it. */
   refusesOverload = true
+  /** The longest lease that it accepts; it cuts longer ones. */
+  maxLeaseMs = Infinity
   /** How far its monotonic clock is ahead of that of the others. */
   clockShiftMs = 0
   /** Times at which it was ordered to start a task beyond its capacity. */
@@ -146,8 +148,7 @@
   start (order: RunStart): Result<number, RunOrderError> {
     if (!this.#acceptsToken(order.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
     if (this.active.has(runKeyOf(order))) return Ok(this.#clockMs())
-    const leaseEndsAtMs = order.leaseEndsAtMs - this.clockShiftMs
-    this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, leaseEndsAtMs)
+    const leaseEndsAtMs = this.#extendLease(order.leaseEndsAtMs)
     if (order.runNumber <= (this.#lastClosedRuns.get(order.taskKey) ?? 0)) return Err({ kind: 'run-closed', detail: 'old' })
     const nowMs = this.clock.monotonicMs()
     if (leaseEndsAtMs <= nowMs) return Err({ kind: 'lease-past', detail: 'late' })
@@ -197,7 +198,7 @@
   async hold (request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
     if (!this.#acceptsToken(request.fencingToken)) return Err({ kind: 'fenced-off', detail: 'a newer token was seen' })
     if (this.holdDelayMs > 0) await delay(this.holdDelayMs)
-    if (request.leaseEndsAtMs !== undefined) this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, request.leaseEndsAtMs - this.clockShiftMs)
+    if (request.leaseEndsAtMs !== undefined) this.#extendLease(request.leaseEndsAtMs)
     for (const end of this.#ends) if (end.sequence <= request.acknowledgedSequence && !this.#lapsedEnds.has(end)) end.record.isAcknowledged = true
     this.#ends = this.#ends.filter(({ sequence }) => sequence > request.acknowledgedSequence)
     if (this.#ends.length === 0 && request.waitMs > 0) await this.#waitForEnd(Math.min(MAX_WAIT_MS, request.waitMs))
@@ -214,6 +215,13 @@
     })
   }
 
+  /** Extends the lease. @param endsAtMs - its end by this worker's clock @returns the end that was asked for, cut to the longest lease */
+  #extendLease (endsAtMs: number): number {
+    const cutMs = Math.min(endsAtMs - this.clockShiftMs, this.clock.monotonicMs() + this.maxLeaseMs)
+    this.#leaseEndsAtMs = Math.max(this.#leaseEndsAtMs, cutMs)
+    return cutMs
+  }
+
   #clockMs (): number {
     return this.clock.monotonicMs() + this.clockShiftMs
   }
