A late hold drops no ends that the next lifetime of a worker has not reported

Seen: a task that had ended on the next lifetime of its worker was run once more. Found while the table of late calls was filled in; no report of users.

Cause: each hold repeated the highest sequence that was ever acknowledged. A lifetime numbers its ends from 1, so that a hold meant for the former one makes the next one drop ends that nobody has heard of; the run is then neither listed nor ended, and is taken for lost.

Ruled out: the second attempt of an overdue hold, and holds after a failed call, which acknowledge nothing.

Change: a sequence is sent until this lifetime has answered, and 0 after that.

Evidence: the case 'acknowledges ends of the former lifetime' of lateCalls.test.ts is red before (the task runs again after its acknowledged end), green now.

Conclusion: only the one call that acknowledges new ends can still drop others.

--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -81,6 +81,8 @@
   readonly #options: WorkerLinkOptions
   readonly #stop = new AbortController()
   #acknowledgedSequence = 0
+  /** Highest sequence whose acknowledgement this lifetime has answered. */
+  #takenSequence = 0
   #lastResponseMs = -Infinity
   #lastReportMs = -Infinity
   #firstReportMs = Infinity
@@ -209,9 +211,10 @@
   async #hold (waitMs: number): Promise<boolean> {
     const { clock, fencingToken } = this.#options
     const askedMs = clock.monotonicMs()
+    const acknowledgedSequence = this.#sequenceToAcknowledge
     const held = await this.#sendHold({
       fencingToken,
-      acknowledgedSequence: this.#sequenceToAcknowledge,
+      acknowledgedSequence,
       // A worker that does not answer gets no extensions: otherwise its leases might never be known to have expired.
       leaseEndsAtMs: waitMs > 0 ? this.#extendLease(askedMs) : undefined,
       waitMs
@@ -226,6 +229,7 @@
       return true
     }
     this.#mayBeNextLifetime = false
+    this.#recordTaken(acknowledgedSequence, held.val)
     this.#handleResponse(held.val.clockMs)
     this.#lastReportMs = clock.monotonicMs()
     this.#firstReportMs = Math.min(this.#firstReportMs, this.#lastReportMs)
@@ -246,16 +250,28 @@
       const { clock, fencingToken } = this.#options
       const nowMs = clock.monotonicMs()
       const leaseEndsAtMs = this.isAnswering(nowMs) ? this.#extendLease(nowMs) : undefined
-      const held = await this.#sendHold({ fencingToken, acknowledgedSequence: this.#sequenceToAcknowledge, leaseEndsAtMs, waitMs: 0 })
+      const acknowledgedSequence = this.#sequenceToAcknowledge
+      const held = await this.#sendHold({ fencingToken, acknowledgedSequence, leaseEndsAtMs, waitMs: 0 })
       if (held.err) this.#mayBeNextLifetime = true
       else if (this.#isOtherLifetime(held.val)) return this.#options.onLifetimeEnded(this, 'next-lifetime')
-      else this.#handleResponse(held.val.clockMs)
+      else {
+        this.#recordTaken(acknowledgedSequence, held.val)
+        this.#handleResponse(held.val.clockMs)
+      }
     }
   }
 
-  /** Sequence to acknowledge. It is 0 if the next lifetime may receive it, because that one numbers its ends from 1 again. */
+  /**
+   * Sequence to acknowledge. It is 0 if the next lifetime may receive it, because that one numbers its ends from 1 again and would drop them unreported;
+   * for the same reason no sequence is sent again once its acknowledgement has been answered.
+   */
   get #sequenceToAcknowledge (): number {
-    return this.#mayBeNextLifetime ? 0 : this.#acknowledgedSequence
+    return this.#mayBeNextLifetime || this.#takenSequence === this.#acknowledgedSequence ? 0 : this.#acknowledgedSequence
+  }
+
+  /** Records that this lifetime has answered a hold. A second attempt of it acknowledged nothing. */
+  #recordTaken (acknowledgedSequence: number, { hasUnansweredAttempt }: HoldReport): void {
+    if (hasUnansweredAttempt !== true) this.#takenSequence = Math.max(this.#takenSequence, acknowledgedSequence)
   }
 
   #isOtherLifetime ({ lifetimeStartMs: bornMs }: HoldReport): boolean {
--- a/packages/scheduler/src/test/lateCalls.test.ts
+++ b/packages/scheduler/src/test/lateCalls.test.ts
@@ -18,6 +18,8 @@
 const ALLOWANCE_MS = 2000
 const STEP_MS = 5
 const UNANSWERED_MS = 30
+/** Several holds, of which the first acknowledges all ends. */
+const ACKNOWLEDGED_MS = 2500
 
 /** How a call that extends a lease reaches the next lifetime. */
 interface LateCall {
@@ -71,7 +73,7 @@
   }
 
   /** Keeps the next call of a kind that extends a lease from the worker, like all later ones, and returns a function that makes it arrive. */
-  #holdBack (kind: LateCall['kind'], worker: StandInWorker): { readonly isSent: () => boolean, readonly arriveAt: (next: StandInWorker) => Promise<void> } {
+  holdBack (kind: LateCall['kind'], worker: StandInWorker): { readonly isSent: () => boolean, readonly arriveAt: (next: StandInWorker) => Promise<void> } {
     const { runs } = this.service
     let arrive: ((next: StandInWorker) => Promise<unknown>) | undefined
     const { hold, start } = { hold: runs.hold.bind(runs), start: runs.start.bind(runs) }
@@ -100,7 +102,7 @@
   async restartUnder (late: LateCall, shape: typeof steps[number]): Promise<StandInWorker> {
     const { service } = this
     const worker = await this.startJob(shape)
-    const held = this.#holdBack(late.kind, worker)
+    const held = this.holdBack(late.kind, worker)
     if (late.kind === 'start') await service.submit(2, { runMs: 10 })
     await service.until('a call is on its way', held.isSent)
     const next = service.restartWorker(worker, !late.isEarly)
@@ -153,6 +155,26 @@
       await play.service.until('another worker runs it', () => play.onOtherWorker, LATE_CALL_MS + MAX_LEASE_MS + ALLOWANCE_MS)
     }
   },
+  {
+    name: 'make no task run again after its end: the late call acknowledges ends of the former lifetime',
+    play: async (play) => {
+      const { service } = play
+      await service.takeOver()
+      const former = await play.startJob({ name: '', runMs: 50, step: { taskCount: 3 } })
+      await service.untilStatus(testJobId(1), 'succeeded')
+      await delay(ACKNOWLEDGED_MS)
+      const held = play.holdBack('hold', former)
+      await service.until('a call is on its way', held.isSent)
+      const next = service.restartWorker(former)
+      await service.submit(2, { runMs: 1600 })
+      await service.until('the next lifetime runs a task', () => play.runningOf(2) === 1)
+      next.faults.isSilent = true
+      await service.until('the task has ended', () => play.runningOf(2) === 0)
+      next.faults.isSilent = false
+      await held.arriveAt(next)
+      await service.untilStatus(testJobId(2), 'succeeded')
+    }
+  },
   {
     name: 'do not delay the next start of a task whose worker did not restart',
     play: async (play) => {
