All members of a gang start from the same checkpoint

Cause: each member kept and brought its own checkpoint. The worker of the lost member had listed the one before; the others ended with a newer one.

Ruled out: placement and run numbers, which are the same for all members.

Change: a checkpoint that one member reports is kept for all, and a start brings the same one for all, also from records in which they differ.

Conclusion: what a member knows serves for its gang.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,7 +13,7 @@
 } from './lib/jobs/JobSpec.js'
 export { createSubmissionId, type SubmissionId } from './lib/jobs/SubmissionId.js'
 export {
-  allTasks, createJob, dueMs, findTask, hasEnded, isJobDone, isOpen, listReadySteps, stepOf, taskOrdinal, tasksInRange, tasksOf, tasksPerOccurrence,
+  allTasks, createJob, dueMs, findTask, gangOf, hasEnded, isJobDone, isOpen, listReadySteps, stepOf, taskOrdinal, tasksInRange, tasksOf, tasksPerOccurrence,
   occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -163,6 +163,9 @@
   return [...job.occurrences.values()].flat(2)
 }
 
+/** @param task - a task of a gang @returns all members of the gang @public */
+export const gangOf = (task: Task): readonly Task[] => task.job.occurrences.get(task.occurrence)?.[task.stepIndex] ?? [task]
+
 /** @param spec - a job @returns the number of tasks of all its steps @public */
 export const tasksPerOccurrence = ({ steps }: JobSpec): number => steps.reduce((sum, { taskCount }) => sum + taskCount, 0)
 
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
-import { allTasks, hasEnded, isJobDone, isOpen, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
+import { allTasks, gangOf, hasEnded, isJobDone, isOpen, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { isKeepableCheckpoint } from './jobProgress.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
@@ -84,7 +84,7 @@
     if (!hasEnded(job)) this.#applyOutcome(run, outcome)
     this.#logEnd(run, outcome, evidence)
     // The end of a gang member marks all members.
-    this.#options.onChanged(job, stepOf(task).isGang ? this.#gangMembers(task) : [task])
+    this.#options.onChanged(job, stepOf(task).isGang ? gangOf(task) : [task])
   }
 
   /**
@@ -151,7 +151,7 @@
   }
 
   /**
-   * Keeps the checkpoint of a task, unless it is too long to be recorded.
+   * Keeps the checkpoint of a task, and of all members if it is one of a gang, unless it is too long to be recorded.
    *
    * @param run - a run of the task
    * @param checkpoint - as reported by its worker
@@ -159,7 +159,8 @@
   keepCheckpoint ({ task, taskKey, runNumber }: Run, checkpoint: string): void {
     if (!stepOf(task).isCheckpointing) return
     if (isKeepableCheckpoint(checkpoint)) {
-      task.checkpoint = checkpoint
+      // Any member's checkpoint serves for its gang.
+      for (const member of stepOf(task).isGang ? gangOf(task) : [task]) member.checkpoint = checkpoint
     } else if (!this.#longCheckpoints.has(task)) {
       this.#longCheckpoints.add(task)
       this.#options.log.warn({ taskKey, runNumber, chars: checkpoint.length }, 'checkpoint not kept: it is too long')
@@ -171,13 +172,13 @@
     const { job } = task
     const step = stepOf(task)
     if (outcome === 'done' && !step.isLasting) {
-      for (const member of step.isGang ? this.#gangMembers(task) : [task]) this.#markDone(member)
+      for (const member of step.isGang ? gangOf(task) : [task]) this.#markDone(member)
       if (isJobDone(job)) this.endJob(job, 'succeeded')
       return
     }
     if (outcome === 'failed' && !step.isLasting) {
       task.failures++
-      const failures = step.isGang ? Math.max(...this.#gangMembers(task).map((member) => member.failures)) : task.failures
+      const failures = step.isGang ? Math.max(...gangOf(task).map((member) => member.failures)) : task.failures
       if (failures >= this.#options.maxAttemptsOf(job)) {
         job.failure = { reason: 'attempts', taskKey: task.key }
         return this.endJob(job, 'failed')
@@ -186,10 +187,6 @@
     if (outcome === 'failed' || outcome === 'lost') task.avoidedInstances.add(run.instanceId)
   }
 
-  #gangMembers (task: Task): readonly Task[] {
-    return task.job.occurrences.get(task.occurrence)?.[task.stepIndex] ?? [task]
-  }
-
   #markDone (task: Task): void {
     task.isDone = true
     for (const run of [...task.runs]) this.#options.onUnneeded(run)
--- a/packages/scheduler/src/lib/jobs/RunStarter.ts
+++ b/packages/scheduler/src/lib/jobs/RunStarter.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Job, type Run, stepOf, stillFits, type Task } from '@quillscale/policy'
+import { gangOf, type Job, type Run, stepOf, stillFits, type Task } from '@quillscale/policy'
 import type { WorkerLink } from '../workers/WorkerLink.js'
 import type { JobRegistry } from './JobRegistry.js'
 
@@ -50,8 +50,7 @@
       }
       run.phase = 'starting'
       const { task } = run
-      const checkpoint = stepOf(task).isCheckpointing && task.checkpoint !== '' ? task.checkpoint : undefined
-      void link.startRun(run, task.job.spec.command, checkpoint)
+      void link.startRun(run, task.job.spec.command, checkpointFor(task))
     }
   }
 
@@ -69,3 +68,11 @@
     if (await whenFlushed() && canRecord(run.task.job)) await linkOf(run)?.stop(run)
   }
 }
+
+/** Returns the checkpoint to start a task from. All members of a gang get the same one: they do not work together from different ones. */
+function checkpointFor (task: Task): string | undefined {
+  const { isCheckpointing, isGang } = stepOf(task)
+  if (!isCheckpointing) return undefined
+  const tasks = isGang ? gangOf(task) : [task]
+  return tasks.find(({ checkpoint }) => checkpoint !== '')?.checkpoint
+}
