Wall-clock times of quota claims are named so; records of a large job are collected in linear time

Cause: reading the change as a newcomer: nowMs names the monotonic time elsewhere in the policy and scheduler packages, and planGrant and createNextClaim take the wall clock.

Ruled out: a change of what is decided; only names, and how the list is built.

Change: the parameters are named wallMs; the list is appended to.

Conclusion: no behaviour changes.

--- a/packages/policy/src/lib/quotas/planGrant.ts
+++ b/packages/policy/src/lib/quotas/planGrant.ts
@@ -61,12 +61,12 @@
  * @param own - the service's current claim
  * @param others - stored claims of all other services
  * @param limit - limit of the account, infinite if there is none
- * @param nowMs - wall-clock time
+ * @param wallMs - wall-clock time
  * @param recorded - the service's own claim as stored
  * @returns its new grant; the sum of all grants stays within the limit, unless a lowered limit is exceeded already
  * @public
  */
-export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources, nowMs: number, recorded: QuotaClaim = own): GrantPlan {
+export function planGrant (own: OwnClaim, others: readonly QuotaClaim[], limit: Resources, wallMs: number, recorded: QuotaClaim = own): GrantPlan {
   const free = mapResources((kind) => Math.max(0, limit[kind] - sumGranted(others)[kind]))
   const isOver = !fitsWithin(plus(own.granted, sumGranted(others)), limit)
   if (!isOver && !others.some(isLacking)) {
@@ -79,7 +79,7 @@
     const share = fairShareOf(recorded, others, limit)
     return { granted: least(own.granted, most(own.used, least(share, own.wanted))), usable: NO_RESOURCES }
   }
-  return planSharedGrant(own, others, { limit, free, mayOvertake: Math.floor(nowMs / OVERTAKING_TURN_MS) % 2 === 1 })
+  return planSharedGrant(own, others, { limit, free, mayOvertake: Math.floor(wallMs / OVERTAKING_TURN_MS) % 2 === 1 })
 }
 
 interface LimitState {
--- a/packages/policy/src/lib/quotas/quotaClaims.ts
+++ b/packages/policy/src/lib/quotas/quotaClaims.ts
@@ -40,11 +40,11 @@
   }
 }
 
-/** @param claim - a service's present claim @param granted - its planned grant @param nowMs - wall-clock time @returns the claim to store @public */
-export function createNextClaim ({ service, wanted, first, used, lackingSinceMs }: OwnClaim, granted: Resources, nowMs: number): QuotaClaim {
+/** @param claim - a service's present claim @param granted - its planned grant @param wallMs - wall-clock time @returns the claim to store @public */
+export function createNextClaim ({ service, wanted, first, used, lackingSinceMs }: OwnClaim, granted: Resources, wallMs: number): QuotaClaim {
   // Until a task starts, the service keeps its place in the order, also once its grant suffices: others could otherwise claim the grant again.
   if (fitsWithin(first, used)) return { service, granted, wanted: NO_RESOURCES, first: NO_RESOURCES, lackingSinceMs: undefined }
-  return { service, granted, wanted, first, lackingSinceMs: lackingSinceMs ?? nowMs }
+  return { service, granted, wanted, first, lackingSinceMs: lackingSinceMs ?? wallMs }
 }
 
 /**
--- a/packages/scheduler/src/lib/jobs/InboxReader.ts
+++ b/packages/scheduler/src/lib/jobs/InboxReader.ts
@@ -54,7 +54,9 @@
     const prefix = progressPrefix(this.#options.service)
     for (const item of items) {
       const [jobId = ''] = item.key.slice(prefix.length).split('/')
-      this.#recordedProgress.set(jobId as JobId, [...this.#recordedProgress.get(jobId as JobId) ?? [], item])
+      const recorded = this.#recordedProgress.get(jobId as JobId)
+      if (recorded === undefined) this.#recordedProgress.set(jobId as JobId, [item])
+      else recorded.push(item)
     }
   }
 
