--- a/packages/scheduler/src/lib/workers/PlacementAdviceCache.ts
+++ b/packages/scheduler/src/lib/workers/PlacementAdviceCache.ts
@@ -31,6 +31,8 @@
 const RETRY_PAUSE_MS = 100
 /** A step that has not wanted advice for so long does not wait any more. */
 const WAITING_MS = 2000
+/** A step that has not wanted advice for so long is forgotten. */
+const FORGET_MS = 60_000
 /** Limit of the cached advice for single workers; steps that have wanted none for the longest time are dropped first. */
 const MAX_CACHED_WORKERS = 60_000
 
@@ -75,6 +77,7 @@
     this.#steps.set(stepKey, step)
     Object.assign(step, { instanceIds, wantedMs: nowMs, order: ++this.#lastOrder })
     this.#askAfterRound()
+    this.#dropOldSteps(nowMs)
     const tickets = step.advice.ticketsAt(nowMs)
     return tickets.size === 0 && step.advice.nextWorkers(instanceIds, 1, nowMs).length > 0 ? undefined : tickets
   }
@@ -84,6 +87,11 @@
     this.#steps.get(task.stepKey)?.advice.expire(instanceId, this.#options.clock.monotonicMs())
   }
 
+  /** Number of steps with advice, or that have wanted some lately. */
+  get size (): number {
+    return this.#steps.size
+  }
+
   /** Stops requesting advice. */
   close (): void {
     this.#isClosed = true
@@ -130,15 +138,14 @@
     const tickets = new Map(answer.val.workers.map(({ instanceId, ticket }) => [instanceId, ticket]))
     const before = step.advice.size
     step.advice.add(workers, tickets, requestedMs + answer.val.validMs - VALIDITY_MARGIN_MS, clock.monotonicMs())
-    this.#cachedWorkers += step.advice.size - before
-    this.#dropOldSteps()
+    if (this.#steps.get(stepKey) === step) this.#cachedWorkers += step.advice.size - before
     onAdvice()
     return true
   }
 
-  #dropOldSteps (): void {
-    for (const [stepKey, { advice }] of this.#steps) {
-      if (this.#cachedWorkers <= MAX_CACHED_WORKERS || this.#steps.size === 1) return
+  #dropOldSteps (nowMs: number): void {
+    for (const [stepKey, { advice, wantedMs }] of this.#steps) {
+      if ((this.#cachedWorkers <= MAX_CACHED_WORKERS || this.#steps.size === 1) && nowMs - wantedMs < FORGET_MS) return
       this.#steps.delete(stepKey)
       this.#cachedWorkers -= advice.size
     }
--- a/packages/scheduler/src/test/placementAdvice.test.ts
+++ b/packages/scheduler/src/test/placementAdvice.test.ts
@@ -129,6 +129,18 @@
     expect(play.askedAbout(task).size).to.equal(120)
   })
 
+  // Guards against steps of jobs that ended before they were asked about, which would be remembered for ever.
+  it('is forgotten for steps that do not wait any more, whether they were asked about or not', async () => {
+    const play = new AdvicePlay(workersNamed(90), () => false)
+    for (let at = 0; at < 200; at++) play.addStep(at + 1)
+    await play.rounds(10)
+    expect(play.cache.size).to.equal(200)
+    play.waiting = play.waiting.slice(0, 1)
+    play.nowMs += 60_000
+    await play.rounds(2)
+    expect(play.cache.size).to.equal(1)
+  })
+
   it('is asked for again after failed calls, with a pause', async () => {
     const play = new AdvicePlay(workersNamed(10), () => true)
     play.failsNext = 3
