Whether advice is missing for a worker is asked without building the list of workers to ask about

Cause: read once more: in each scheduling round ticketsFor filtered and sorted all workers of a waiting step, only to learn whether there is one without valid advice.

Ruled out: the other places that select workers, which need the list: there is one call of the service at a time.

Change: StepAdvice.isMissingFor answers the question by itself, and stops at the first such worker. It holds exactly when nextWorkers is not empty.

Conclusion: no behaviour changes; less work in the round.

--- a/packages/scheduler/src/lib/workers/PlacementAdviceCache.ts
+++ b/packages/scheduler/src/lib/workers/PlacementAdviceCache.ts
@@ -79,7 +79,7 @@
     this.#askAfterRound()
     this.#dropOldSteps(nowMs)
     const tickets = step.advice.ticketsAt(nowMs)
-    return tickets.size === 0 && step.advice.nextWorkers(instanceIds, 1, nowMs).length > 0 ? undefined : tickets
+    return tickets.size === 0 && step.advice.isMissingFor(instanceIds, nowMs) ? undefined : tickets
   }
 
   /** Drops a ticket that its worker refused. @param task - a task of the step @param instanceId - the worker */
--- a/packages/scheduler/src/lib/workers/StepAdvice.ts
+++ b/packages/scheduler/src/lib/workers/StepAdvice.ts
@@ -34,6 +34,11 @@
     return this.#tickets
   }
 
+  /** @param instanceIds - workers @param nowMs - monotonic time @returns whether there is no valid advice for some of them */
+  isMissingFor (instanceIds: readonly string[], nowMs: number): boolean {
+    return instanceIds.some((instanceId) => nowMs >= (this.#workers.get(instanceId)?.untilMs ?? -Infinity))
+  }
+
   /**
    * Selects the workers to ask about next. Half of them at most had a ticket, as long as there are others without advice; those that were refused come
    * last. What expired first is asked about first, so that a worker that refuses each ticket keeps no other from being asked about.
