Figures tell how long a placement round and a report hold the event loop

Ruled out: a line for each turn (thousands in a play); the delay of the event loop as a whole, which tells that it stood still, not why.

Change: histogram turn_ms, of="round" for a placement round with all that it logs and records, of="report" for a worker's report with all ends in it. Two readings of the clock each.

--- a/packages/scheduler/src/lib/duties/RoundPacer.ts
+++ b/packages/scheduler/src/lib/duties/RoundPacer.ts
@@ -15,12 +15,14 @@
 /** Calls a function when a round is requested, and at least at a regular interval. @public */
 export class RoundPacer {
   readonly #clock: Clock
+  readonly #onRound: (tookMs: number) => void
   #isRoundDue = false
   #endWait: () => void = () => {}
 
-  /** @param clock - measures how long rounds take */
-  constructor (clock: Clock) {
+  /** @param clock - measures how long rounds take @param onRound - called after each round with the time that it took */
+  constructor (clock: Clock, onRound: (tookMs: number) => void = () => {}) {
     this.#clock = clock
+    this.#onRound = onRound
   }
 
   /** Requests a round; requests that come before it share it. */
@@ -45,7 +47,9 @@
       if (signal.aborted) return
       const startedMs = this.#clock.monotonicMs()
       runRound()
-      spacingMs = Math.max(MIN_ROUND_INTERVAL_MS, (this.#clock.monotonicMs() - startedMs) * PAUSE_PER_ROUND_TIME)
+      const tookMs = this.#clock.monotonicMs() - startedMs
+      this.#onRound(tookMs)
+      spacingMs = Math.max(MIN_ROUND_INTERVAL_MS, tookMs * PAUSE_PER_ROUND_TIME)
     }
   }
 
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -84,7 +84,7 @@
     // Many pending waits listen to this signal.
     setMaxListeners(0, this.#stop.signal)
     const { clock, store, service, configuration } = options
-    this.#pacer = new RoundPacer(clock)
+    this.#pacer = new RoundPacer(clock, (tookMs) => options.metrics.record('turn', 'round', tookMs))
     this.#unplacedLog = new UnplacedLog(options.log)
     this.#registry = new JobRegistry({
       clock,
@@ -178,7 +178,8 @@
       isSetAside: (jobId) => this.#inboxReader.isSetAside(jobId),
       onChanged: (job, tasks) => this.#saveProgress(job, tasks),
       onTicketRefused: ({ task, instanceId }) => this.#adviceCache.invalidate(task, instanceId),
-      count: (name, label = service) => metrics.count(name, label)
+      count: (name, label = service) => metrics.count(name, label),
+      onReportApplied: (tookMs) => metrics.record('turn', 'report', tookMs)
     })
   }
 
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -24,6 +24,8 @@
   /** Called when a worker refused the ticket of a run. */
   readonly onTicketRefused: (run: Run) => void
   readonly count: (name: string, label?: string) => void
+  /** Called for each applied report with the time that it took. */
+  readonly onReportApplied?: (tookMs: number) => void
 }
 
 /** How long a worker gets no new starts after it refused one because it lacks room or is unhealthy; longer if it did not answer. */
@@ -50,7 +52,8 @@
    * @param askedMs - monotonic time at which the report was requested
    */
   applyReport (link: WorkerLink, report: HoldReport, askedMs: number): void {
-    const { registry, log, isSetAside } = this.#options
+    const { registry, log, clock, isSetAside, onReportApplied } = this.#options
+    const startedMs = clock.monotonicMs()
     for (const end of report.ended) registry.recordEndReport(link, end)
     const running = new Map(report.running.map((run) => [runKey(run), run]))
     for (const [key, run] of [...link.runs]) {
@@ -67,6 +70,7 @@
     for (const { run, percent } of planPaces([...link.runs.values()])) void this.#pace(link, run, percent)
   }
 
+    onReportApplied?.(clock.monotonicMs() - startedMs)
   /**
    * Marks a run as running.
    *
