A start that waited behind other calls of its host is sent later, not recorded as failed

Cause: a start that finds no free connection within the 700 ms of its call was never sent, but was reported as `unhealthy`, as if the worker had refused it. So its run was closed, recorded and logged twice, the worker got no starts of any job for 300 ms, counted as failing, and the task was placed and recorded once more. The slower the host, the more of its work was this.

Ruled out: workers that refuse (none did); a longer time limit for queued calls, as a call would still end with the same error.

The link hands the start over once more, with the same run, without a record or a line, for as long as starts are repeated anyway (1.5 s) and while the worker answers other calls. A worker that answers nothing meanwhile holds the connections itself: then the start is given up as before. Connections that are refused stay `unhealthy`.

--- a/packages/ports/src/lib/RunOrders.ts
+++ b/packages/ports/src/lib/RunOrders.ts
@@ -98,13 +98,12 @@
 
 /**
  * Why an order failed. `fenced-off`: the worker has seen a newer fencing token; `run-closed`: the run has ended or was stopped on this worker;
- * `lease-past`, `no-room`, `no-ticket`, `unhealthy`: the worker did nothing, for the reason named; `other-instance`: the addressed lifetime has ended;
- * `unknown-effect`: no response came, and the order may still take effect later; `malformed`: the worker rejected the order as invalid.
- *
- * @public
+ * `not-sent`: it waited behind other calls of this host until its time was over, and has no effect; `lease-past`, `no-room`, `no-ticket`, `unhealthy`: the
+ * worker did nothing, for the reason named; `other-instance`: the addressed lifetime has ended; `unknown-effect`: no response came, and the order may
+ * still take effect later; `malformed`: the worker rejected the order as invalid.
  */
 export interface RunOrderError {
-  readonly kind: 'fenced-off' | 'run-closed' | 'lease-past' | 'no-room' | 'no-ticket' | 'unhealthy' | 'other-instance' | 'unknown-effect' | 'malformed'
+  readonly kind: 'fenced-off' | 'run-closed' | 'not-sent' | 'lease-past' | 'no-room' | 'no-ticket' | 'unhealthy' | 'other-instance' | 'unknown-effect' | 'malformed'
   readonly detail: string
 }
 
--- a/packages/scheduler/src/lib/jobs/RunTracker.ts
+++ b/packages/scheduler/src/lib/jobs/RunTracker.ts
@@ -31,6 +31,8 @@
 /** How long a worker gets no new starts after it refused one because it lacks room or is unhealthy; longer if it did not answer. */
 const REFUSAL_BACKOFF_MS = 300
 const UNANSWERED_BACKOFF_MS = 900
+/** Errors after which the next start there would most likely fail as well. */
+const REFUSALS: ReadonlySet<RunOrderError['kind']> = new Set(['unhealthy', 'no-room', 'not-sent'])
 /** A start this long after its placement is recorded, so that the next holder does not overestimate how long the run has gone on. */
 const LATE_START_MS = 1000
 const NOT_LISTED: LossEvidence = { reason: 'its worker does not list it', silentMs: 0 }
@@ -68,9 +70,9 @@
       void link.stopUnrecorded(listedRun)
     }
     for (const { run, percent } of planPaces([...link.runs.values()])) void this.#pace(link, run, percent)
+    onReportApplied?.(clock.monotonicMs() - startedMs)
   }
 
-    onReportApplied?.(clock.monotonicMs() - startedMs)
   /**
    * Marks a run as running.
    *
@@ -99,7 +101,7 @@
     log.info({ taskKey, runNumber, instanceId, error, isUncertain }, 'run not started')
     count('starts_refused', error.kind)
     const nowMs = clock.monotonicMs()
-    if (error.kind === 'unhealthy' || error.kind === 'no-room') link.refusingUntilMs = nowMs + REFUSAL_BACKOFF_MS
+    if (REFUSALS.has(error.kind)) link.refusingUntilMs = nowMs + REFUSAL_BACKOFF_MS
     if (error.kind === 'unknown-effect') link.refusingUntilMs = nowMs + UNANSWERED_BACKOFF_MS
     if (error.kind === 'no-ticket') onTicketRefused(run)
     // The run may have moved to the next lifetime, or wait until that one has reported: then it is no longer this link's to stop.
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -330,6 +330,10 @@
       const started = await orders.start(this.instance, {
         taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
       })
+      if (started.err && started.val.kind === 'not-sent') {
+        if (this.#mayWaitLonger(nowMs, beganMs) && mayRepeatStart(run)) continue
+        return this.#reportNotStarted(run, started.val)
+      }
       this.#startsSentMs.set(run, clock.monotonicMs())
       this.#recordLeaseCall(started.err && started.val.kind === 'unknown-effect')
       if (started.ok) {
@@ -346,6 +350,17 @@
     }
   }
 
+  /**
+   * Tells whether a start that found no free connection is handed over once more: this host is busy, and the worker is not the reason.
+   *
+   * @param handedOverMs - monotonic time when the start was handed over last
+   * @param beganMs - monotonic time when it was handed over first
+   * @returns false if the worker has answered nothing since then, as its unanswered calls take all connections
+   */
+  #mayWaitLonger (handedOverMs: number, beganMs: number): boolean {
+    return this.#lastResponseMs >= handedOverMs && this.#options.clock.monotonicMs() - beganMs <= START_RETRY_PERIOD_MS
+  }
+
   /** Sends a stop order until the worker has answered. @param run - the run to stop */
   async stop (run: Run): Promise<void> {
     const { orders, clock } = this.#options
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { delay, Err, Ok, systemClock } from '@quillscale/utils'
-import type { HoldRequest, RunOrders, WorkerInstance } from '@quillscale/ports'
+import type { HoldRequest, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
+import type { Run } from '@quillscale/policy'
 import { WorkerLink } from '../lib/workers/WorkerLink.js'
 
 const INSTANCE: WorkerInstance = {
@@ -23,6 +24,11 @@
   isSilent = false
   isRecorded = false
   onRemoveRecord = (): Promise<void> => new Promise(() => {})
+  /** Starts that are not sent before one is, each after this time. */
+  unsentStarts = 0
+  unsentAfterMs = 600
+  readonly started: Run[] = []
+  readonly notStarted: RunOrderError[] = []
   readonly link: WorkerLink
 
   constructor () {
@@ -34,6 +40,11 @@
         const ended = this.hasEndedRun ? [{ taskKey: 't', runNumber: 1, sequence: 1, end: 'done' as const, checkpoint: '' }] : []
         return Ok({ clockMs: performance.now(), running: [], ended, hasMoreEnds: false })
       },
+      start: async () => {
+        if (this.unsentStarts-- <= 0) return Ok(performance.now())
+        await delay(this.unsentAfterMs)
+        return Err({ kind: 'not-sent', detail: 'no connection became free in time' })
+      },
       releaseConnections: () => {}
     } as unknown as RunOrders
     this.link = new WorkerLink(INSTANCE, {
@@ -46,8 +57,8 @@
       isRecordedSilent: () => this.isRecorded,
       removeSilentRecord: () => this.onRemoveRecord(),
       onReport: () => {},
-      onStarted: () => {},
-      onNotStarted: () => {},
+      onStarted: (run) => this.started.push(run),
+      onNotStarted: (_link, _run, error) => this.notStarted.push(error),
       ensureDurable: () => new Promise(() => {}),
       onLifetimeEnded: () => {},
       onFencedOff: () => {},
@@ -98,6 +109,38 @@
     expect(worker.holds.length).to.be.within(3, 15)
   })
 
+  describe('with starts that are not sent in time', () => {
+    const startRun = async (isSilent = false): Promise<void> => {
+      while (!worker.link.hasResponded) await delay(5)
+      worker.isSilent = isSilent
+      await worker.link.startRun({ phase: 'starting', taskKey: 't', runNumber: 1 } as unknown as Run, '', undefined)
+    }
+
+    // Guards against runs that are closed, recorded and placed again because this host was busy.
+    it('hands a start over again while the worker answers', async () => {
+      worker = new FakeWorker()
+      worker.hasEndedRun = true
+      worker.unsentStarts = 2
+      await startRun()
+      expect([worker.started.length, worker.notStarted.length]).to.deep.equal([1, 0])
+    })
+
+    it('gives a start up if the worker has answered nothing meanwhile', async () => {
+      worker = new FakeWorker()
+      worker.unsentStarts = 3
+      await startRun(true)
+      expect(worker.notStarted.map(({ kind }) => kind)).to.deep.equal(['not-sent'])
+    })
+
+    it('gives a start up after the time for which starts are repeated', async () => {
+      worker = new FakeWorker()
+      worker.hasEndedRun = true
+      worker.unsentStarts = 100
+      await startRun()
+      expect(worker.notStarted.map(({ kind }) => kind)).to.deep.equal(['not-sent'])
+    })
+  })
+
   it('extends no leases of a worker that stops answering while reported ends are not yet durable', async () => {
     worker = new FakeWorker()
     worker.hasEndedRun = true
