The starts under way follow the rate at which the host gets them through, and jobs share them

Cause: a holder let 1,000 starts be under way, whatever its speed. By Little's law an ordinary job then waits behind 1,000 starts: 0.3 s on a host that makes 3,000 a second, 12 s on one that makes 80, against 0.7 s of a call and 3 s of the rule. Also the job that went first, which is the one with the largest share of its work placed, took each start that became free; and lasting tasks and gangs were left out of the bound, so that a large job of them did the same.

Ruled out: a smaller fixed number (the same fault on a slower host, fewer starts on a fast one); one order of importance in all queues after placement: with short queues the order in them hardly matters; halves of what is left, tried first: with one free start at a time the first job takes them all.

StartBudget gives each job that waits its fair share of the window before any gets more; what is left goes in the order of importance, as ever. Lasting tasks count like others, and a gang starts as a whole as soon as there is a start for it. No run is stopped for a lasting task that waits for a start.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -14,6 +14,7 @@
 import { CapacityCheck } from './CapacityCheck.js'
 import { countObstacles, type UnplacedStep } from './explainUnplaced.js'
 import { placeTasks, type Placement } from './placeTasks.js'
+import { StartBudget } from './StartBudget.js'
 import { demandOf, fits, meetsConditions } from './suitability.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
@@ -45,6 +46,11 @@
   readonly accountQuotaOf: AccountQuotaLookup
   /** Tells which machines are being drained and which availability zones are evacuated. */
   readonly availability: Omit<AvailabilityContext, 'nowMs'>
+  /**
+   * Most runs that wait for their record or for the answer to their start. Tasks beyond it are not placed: they would hold room that stays idle until the
+   * holder gets to their starts, and keep others waiting behind them. No limit if left out.
+   */
+  readonly maxStartsUnderWay?: number
   /** Monotonic. */
   readonly nowMs: number
   readonly wallMs: number
@@ -59,12 +65,6 @@
 /** A run without progress for this long is stopped and placed elsewhere. */
 const STALL_TIMEOUT_MS = 3000
 
-/**
- * Most runs that wait for their record or for the answer to their start. Beyond it, finite tasks are not placed: they would hold room that stays idle
- * until the holder gets to their starts.
- */
-export const MAX_STARTS_UNDER_WAY = 1000
-
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
 
@@ -82,6 +82,7 @@
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
   readonly #capacity: CapacityCheck
   #waiting: readonly WaitingStep[] = []
+  #budget = new StartBudget(Infinity)
 
   /** @param options - state of the service */
   constructor (options: PlacementRoundOptions) {
@@ -91,6 +92,11 @@
     this.#queues = new Map(options.configuration.queues.map((queue) => [queue.name, queue]))
   }
 
+  /** Whether tasks wait because as many starts are under way as may be. */
+  get isStartLimited (): boolean {
+    return this.#budget.isUsedUp
+  }
+
   /** Places waiting tasks. @returns new runs in phase `recording`, already added to their tasks */
   place (): Run[] {
     const rooms = this.#availableRooms()
@@ -101,7 +107,8 @@
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
     const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
-    const placements = placeTasks(groups, rooms, this.quota, MAX_STARTS_UNDER_WAY - this.#countStartsUnderWay())
+    this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay())
+    const placements = placeTasks(groups, rooms, this.quota, this.#budget)
     this.#preemptForLastingTask(groups, placements)
     this.#stopStalledRuns()
     return this.#createRuns(placements)
@@ -191,15 +198,15 @@
     return tickets === undefined ? undefined : { tasks, mayReserve, mayShareWorker, isUrgent, tickets }
   }
 
-  /** Counts the runs that wait for their record or for the answer to their start, apart from those on workers that do not answer. */
-  #countStartsUnderWay (): number {
+  /** Counts by job the runs that wait for their record or for the answer to their start, apart from those on workers that do not answer. */
+  #countStartsUnderWay (): Map<Job, number> {
     const { nowMs, workerViews } = this.#options
-    let count = 0
+    const counts = new Map<Job, number>()
     for (const workerView of workerViews) {
       if (!workerView.isAnswering(nowMs)) continue
-      for (const { phase } of workerView.runs.values()) if (phase === 'recording' || phase === 'starting') count++
+      for (const { phase, task: { job } } of workerView.runs.values()) if (phase === 'recording' || phase === 'starting') counts.set(job, (counts.get(job) ?? 0) + 1)
     }
-    return count
+    return counts
   }
 
   #availableRooms (): WorkerRoom[] {
@@ -217,6 +224,8 @@
     const placed = new Set(placements.map(({ task }) => task))
     let rooms: readonly WorkerRoom[] | undefined
     for (const group of groups) {
+      // Room that is freed for a task without a start would stay idle.
+      if (this.#budget.wasCut(group)) continue
       const task = group.tasks.find((each) => !placed.has(each) && this.#mayPreempt(each))
       if (task === undefined) continue
       rooms ??= this.#availableRooms()
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -7,6 +7,7 @@
 import { isCrashSuspect } from '../jobs/crashes.js'
 import { stepOf, type Task } from '../jobs/JobState.js'
 import type { QuotaAdmission } from '../quotas/QuotaAdmission.js'
+import { StartBudget } from './StartBudget.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { minus, plus } from '../quotas/resources.js'
 import { adjustRunCounts, countRunsOfOtherJobs, orderSuspectsFirst } from './isolation.js'
@@ -26,29 +27,46 @@
  * @param groups - steps with waiting tasks, the most important first
  * @param rooms - available workers; their remaining capacity is reduced
  * @param quota - remaining quota of the accounts; reduced, too
- * @param mostStarts - finite tasks are placed up to this number of placements; gangs, which start as a whole, and lasting tasks beyond it, too
- * @returns the placements; tasks without a suitable worker are left out
+ * @param budget - the starts that may be made; reduced, too
+ * @returns the placements; tasks without a suitable worker, or beyond the budget, are left out
  * @public
  */
-export function placeTasks (groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[], quota: QuotaAdmission, mostStarts = Infinity): Placement[] {
+export function placeTasks (
+  groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[], quota: QuotaAdmission, budget = new StartBudget(Infinity)
+): Placement[] {
   const placements: Placement[] = []
   reserveForSuspects(groups.filter(({ tasks }) => quota.hasQuotaFor(tasks)), rooms)
   // Capacity only shrinks: once no worker has this much CPU left, later tasks that need as much are skipped.
   let leastRefusedMillis = Infinity
+  const jobs = new Set(groups.map(({ tasks: [first] }) => first?.job)).size
+  /** Steps that left starts to others, with the tasks that still wait for one. */
+  const cut: Array<{ readonly group: PlacementGroup, readonly rest: readonly Task[] }> = []
+  const place = (group: PlacementGroup, tasks: readonly Task[]): number => {
+    const [first] = tasks
+    if (first === undefined) return 0
+    const admitted = { ...group, tasks }
+    const placed = stepOf(first).isGang ? placeGang(admitted, rooms) : placeEach(admitted, rooms)
+    for (const { task } of placed) quota.consume(task)
+    budget.take(first.job, placed.length)
+    placements.push(...placed)
+    return placed.length
+  }
   for (const group of groups) {
     const first = group.tasks[0]
     if (first === undefined) continue
     const wantedMillis = cpuDemandOf(stepOf(first))
     if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
-    const { isGang, isLasting } = stepOf(first)
-    const mostTasks = isGang || isLasting ? Infinity : Math.max(0, mostStarts - placements.length)
-    const tasks = quota.admit(orderSuspectsFirst(group.tasks)).slice(0, mostTasks)
-    if (tasks.length === 0) continue
-    const admitted = { ...group, tasks }
-    const placed = isGang ? placeGang(admitted, rooms) : placeEach(admitted, rooms)
-    for (const { task } of placed) quota.consume(task)
-    if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
-    placements.push(...placed)
+    const admitted = quota.admit(orderSuspectsFirst(group.tasks))
+    const tasks = admitted.slice(0, budget.shareOf(group, jobs))
+    const placed = place(group, tasks)
+    if (tasks.length < admitted.length && placed === tasks.length) cut.push({ group, rest: admitted.slice(tasks.length) })
+    const findsNoRoom = tasks.length > 0 && placed === 0
+    if (findsNoRoom && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
+  }
+  for (const { group, rest } of cut) {
+    const tasks = quota.fitting(rest).slice(0, budget.restOf(group))
+    place(group, tasks)
+    if (tasks.length < rest.length) budget.recordCut(group)
   }
   return placements
 }
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -11,7 +11,7 @@
 import { delay } from '@quillscale/utils'
 import { lifetimeStartMsOf } from '@quillscale/ports'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator, type Task } from '@quillscale/policy'
+import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator, StartWindow, type Task } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -70,6 +70,7 @@
   readonly #inboxReplica: PrefixReplica
   readonly #stop = new AbortController()
   readonly #pacer: RoundPacer
+  readonly #startWindow = new StartWindow()
   readonly #unplacedLog: UnplacedLog
   readonly #evacuator: ZoneEvacuator
   /** Set once the store has answered in {@link ServiceScheduler.run}. */
@@ -86,6 +87,7 @@
     const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock, (tookMs) => options.metrics.record('turn', 'round', tookMs))
     this.#unplacedLog = new UnplacedLog(options.log)
+    options.metrics.gauge(`start_window{service="${service}"}`, () => this.#stop.signal.aborted ? 0 : this.#startWindow.size)
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
@@ -208,6 +210,7 @@
         this.#pacer.request()
       },
       mayRepeatStart: (run) => this.#evacuator.mayRepeatStart(run),
+      onStartAnswered: (waitedMs) => this.#startWindow.recordAnswer(waitedMs),
       onStarted: (run) => this.#tracker.started(run),
       onNotStarted: (link, run, error) => {
         this.#tracker.handleStartFailure(link, run, error)
@@ -360,10 +363,12 @@
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
       availability: this.#availability,
+      maxStartsUnderWay: this.#startWindow.size,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
+    if (round.isStartLimited) this.#startWindow.recordFull()
     for (const run of runs) this.#trackRun(run)
     this.#unplacedLog.write(round, nowMs)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -30,6 +30,8 @@
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
   /** Whether a start whose outcome is unknown is sent again; otherwise the run is stopped. */
   readonly mayRepeatStart: (run: Run) => boolean
+  /** Called for each start that was answered or given up without an answer, with the time since it was handed over for sending. */
+  readonly onStartAnswered: (waitedMs: number) => void
   /** Called when a start is confirmed. */
   readonly onStarted: (run: Run) => void
   /** Called when a start has failed, or its outcome stayed unknown for too long. */
@@ -330,6 +332,7 @@
       const started = await orders.start(this.instance, {
         taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
       })
+      this.#options.onStartAnswered(clock.monotonicMs() - nowMs)
       if (started.err && started.val.kind === 'not-sent') {
         if (this.#mayWaitLonger(nowMs, beganMs) && mayRepeatStart(run)) continue
         return this.#reportNotStarted(run, started.val)
--- /dev/null
+++ b/packages/scheduler/src/test/SlowOrders.ts
@@ -0,0 +1,88 @@
+/**
+ * Orders of a host that gets only so many of them through in a second, as one with little processor time does.
+ *
+ * @module
+ */
+import { delay, Err, type Result } from '@quillscale/utils'
+import type { HoldReport, HoldRequest, RunOrderError, RunOrders, RunRef, RunStart, WorkerInstance } from '@quillscale/ports'
+
+/** Time limit of a call that waits to be sent. */
+const CALL_TIMEOUT_MS = 700
+const TICK_MS = 5
+
+interface WaitingCall { readonly sinceMs: number, readonly send: () => void, readonly expire: () => void }
+
+/** Sends starts and stops in the order in which they come, at a fixed rate; those that wait for longer than the time limit of a call are not sent. */
+export class SlowOrders implements RunOrders {
+  /** Job ids of the starts that were sent, in order. */
+  readonly startedJobs: string[] = []
+  /** Starts that were not sent in time. */
+  unsentStarts = 0
+  readonly #inner: RunOrders
+  readonly #perSecond: number
+  readonly #waiting: WaitingCall[] = []
+  #isClosed = false
+
+  /** @param inner - carries the orders out @param perSecond - orders that get through in a second */
+  constructor (inner: RunOrders, perSecond: number) {
+    this.#inner = inner
+    this.#perSecond = perSecond
+    void this.#sendAtRate()
+  }
+
+  /** Sends nothing any more. */
+  close (): void {
+    this.#isClosed = true
+  }
+
+  async start (worker: WorkerInstance, start: RunStart): Promise<Result<number, RunOrderError>> {
+    if (!await this.#whenSent()) {
+      this.unsentStarts++
+      return Err({ kind: 'not-sent', detail: 'no connection became free in time' })
+    }
+    this.startedJobs.push(start.taskKey.split('.')[0] ?? '')
+    return await this.#inner.start(worker, start)
+  }
+
+  async stop (worker: WorkerInstance, run: RunRef, fencingToken: number): Promise<Result<number, RunOrderError>> {
+    if (!await this.#whenSent()) return Err({ kind: 'not-sent', detail: 'no connection became free in time' })
+    return await this.#inner.stop(worker, run, fencingToken)
+  }
+
+  hold (worker: WorkerInstance, request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
+    return this.#inner.hold(worker, request)
+  }
+
+  pace (worker: WorkerInstance, run: RunRef, percent: number, fencingToken: number): Promise<Result<number, RunOrderError>> {
+    return this.#inner.pace(worker, run, percent, fencingToken)
+  }
+
+  releaseConnections (): void {
+    // Nothing is kept open.
+  }
+
+  #whenSent (): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#waiting.push({ sinceMs: performance.now(), send: () => resolve(true), expire: () => resolve(false) })
+    })
+  }
+
+  async #sendAtRate (): Promise<void> {
+    let sent = 0
+    const beganMs = performance.now()
+    while (!this.#isClosed) {
+      await delay(TICK_MS)
+      const nowMs = performance.now()
+      const due = Math.floor((nowMs - beganMs) * this.#perSecond / 1000)
+      for (; sent < due; sent++) this.#next(nowMs)?.send()
+    }
+  }
+
+  #next (nowMs: number): WaitingCall | undefined {
+    for (let call = this.#waiting.shift(); call !== undefined; call = this.#waiting.shift()) {
+      if (nowMs - call.sinceMs <= CALL_TIMEOUT_MS) return call
+      call.expire()
+    }
+    return undefined
+  }
+}
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -57,6 +57,7 @@
       isRecordedSilent: () => this.isRecorded,
       removeSilentRecord: () => this.onRemoveRecord(),
       onReport: () => {},
+      onStartAnswered: () => {},
       onStarted: (run) => this.started.push(run),
       onNotStarted: (_link, _run, error) => this.notStarted.push(error),
       ensureDurable: () => new Promise(() => {}),
