Starts go in the order of importance as before, but each job leaves the others their share

With more jobs than starts each got one start in turn: a hundred jobs of four tasks were recorded and logged task by task, and less important jobs took room before more important ones although starts were not scarce.

Change: one pass in the order of importance. A job leaves to those behind it what they need, up to a fair share of the window; jobs of up to 16 tasks are not divided unless a quarter of the window is less. The window grows and shrinks by at most a factor of 4 for each window of answers.

Conclusion: scarce starts are shared; where they are not scarce nothing changes.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -107,7 +107,7 @@
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
     const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
-    this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay())
+    this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay(), groups)
     const placements = placeTasks(groups, rooms, this.quota, this.#budget)
     this.#preemptForLastingTask(groups, placements)
     this.#stopStalledRuns()
--- a/packages/policy/src/lib/placement/StartBudget.ts
+++ b/packages/policy/src/lib/placement/StartBudget.ts
@@ -6,24 +6,33 @@
 import { stepOf, type Job } from '../jobs/JobState.js'
 import type { PlacementGroup } from './WorkerRoom.js'
 
+/** A job of as few tasks is not divided, unless a quarter of all starts is less: it would be recorded and logged several times. */
+const UNDIVIDED_TASKS = 16
+const UNDIVIDED_SHARE = 1 / 4
+
 /**
- * The starts left to a placement round. A job that has its fair share of all starts under way gets more only once every other job had its turn: otherwise a
- * large job would use up all starts of a slow host for as long as it goes first.
+ * The starts left to a placement round. They go to the steps in order of importance, but each job leaves to those behind it what they need, up to their fair
+ * share of all starts under way: otherwise a large job would use up all starts of a slow host for as long as it goes first.
  */
 export class StartBudget {
   #left: number
-  readonly #size: number
-  readonly #underWay: Map<Job, number>
+  /** What each job with a turn to come needs of its fair share, and the sum of that. */
+  readonly #reserved = new Map<Job, number>()
+  #totalReserved = 0
   readonly #cutGroups = new Set<PlacementGroup>()
 
   /**
    * @param size - the starts that may be under way at once
    * @param underWay - the starts under way, by job
+   * @param groups - the steps that wait
    */
-  constructor (size: number, underWay: ReadonlyMap<Job, number> = new Map()) {
-    this.#size = size
-    this.#underWay = new Map(underWay)
-    this.#left = [...underWay.values()].reduce((left, count) => left - count, size)
+  constructor (size: number, underWay: ReadonlyMap<Job, number> = new Map(), groups: readonly PlacementGroup[] = []) {
+    this.#left = size
+    for (const count of underWay.values()) this.#left -= count
+    const needs = new Map<Job, number>()
+    for (const { tasks } of groups) if (tasks[0] !== undefined) needs.set(tasks[0].job, (needs.get(tasks[0].job) ?? 0) + tasks.length)
+    const fairShare = Math.max(1, Math.floor(size / needs.size), Math.min(UNDIVIDED_TASKS, Math.ceil(size * UNDIVIDED_SHARE)))
+    for (const [job, need] of needs) this.#reserve(job, Math.min(need, fairShare - (underWay.get(job) ?? 0)))
   }
 
   /** Whether a step got fewer starts than it has tasks to place. */
@@ -32,27 +41,24 @@
   }
 
   /**
-   * Returns how many tasks of a step may be placed in its turn.
+   * Returns how many tasks of a step may be placed, and ends its turn.
    *
    * @param group - the step
-   * @param jobs - the number of jobs that wait
    * @returns the number of tasks, infinite for a gang that may start, since it starts as a whole
    */
-  shareOf (group: PlacementGroup, jobs: number): number {
-    const job = group.tasks[0]?.job
-    const fairShare = Math.max(1, Math.floor(this.#size / jobs))
-    return this.#limit(group, fairShare - (job === undefined ? 0 : this.#underWay.get(job) ?? 0))
-  }
-
-  /** @param group - a step @returns how many of its tasks may be placed once every job had its turn, as for {@link StartBudget.shareOf} */
-  restOf (group: PlacementGroup): number {
-    return this.#limit(group, Infinity)
+  admit (group: PlacementGroup): number {
+    const [first] = group.tasks
+    if (first === undefined) return 0
+    const own = this.#reserved.get(first.job) ?? 0
+    this.#reserve(first.job, own - group.tasks.length)
+    const others = this.#totalReserved - (this.#reserved.get(first.job) ?? 0)
+    const starts = Math.max(0, Math.min(this.#left, Math.max(own, this.#left - others)))
+    return starts > 0 && stepOf(first).isGang ? Infinity : starts
   }
 
-  /** Takes the starts of placed tasks. @param job - their job @param starts - their number; a gang may exceed what is left */
-  take (job: Job, starts: number): void {
+  /** @param starts - the number of tasks that were placed; a gang may exceed what is left */
+  take (starts: number): void {
     this.#left -= starts
-    this.#underWay.set(job, (this.#underWay.get(job) ?? 0) + starts)
   }
 
   /** @param group - a step of which not all tasks got a start */
@@ -65,8 +71,9 @@
     return this.#cutGroups.has(group)
   }
 
-  #limit ({ tasks: [first] }: PlacementGroup, most: number): number {
-    const starts = Math.max(0, Math.min(this.#left, most))
-    return starts > 0 && first !== undefined && stepOf(first).isGang ? Infinity : starts
+  #reserve (job: Job, starts: number): void {
+    const reserved = Math.max(0, starts)
+    this.#totalReserved += reserved - (this.#reserved.get(job) ?? 0)
+    this.#reserved.set(job, reserved)
   }
 }
--- a/packages/policy/src/lib/placement/StartWindow.ts
+++ b/packages/policy/src/lib/placement/StartWindow.ts
@@ -14,7 +14,7 @@
 const MIN_SIZE = 8
 const MAX_SIZE = 1000
 /** The window changes at most by this factor for each window of answers. */
-const MAX_CHANGE = 2
+const MAX_CHANGE = 4
 
 /** Limits the starts that are under way: those that wait for their record or for their answer. @public */
 export class StartWindow {
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -38,35 +38,21 @@
   reserveForSuspects(groups.filter(({ tasks }) => quota.hasQuotaFor(tasks)), rooms)
   // Capacity only shrinks: once no worker has this much CPU left, later tasks that need as much are skipped.
   let leastRefusedMillis = Infinity
-  const jobs = new Set(groups.map(({ tasks: [first] }) => first?.job)).size
-  /** Steps that left starts to others, with the tasks that still wait for one. */
-  const cut: Array<{ readonly group: PlacementGroup, readonly rest: readonly Task[] }> = []
-  const place = (group: PlacementGroup, tasks: readonly Task[]): number => {
-    const [first] = tasks
-    if (first === undefined) return 0
-    const admitted = { ...group, tasks }
-    const placed = stepOf(first).isGang ? placeGang(admitted, rooms) : placeEach(admitted, rooms)
-    for (const { task } of placed) quota.consume(task)
-    budget.take(first.job, placed.length)
-    placements.push(...placed)
-    return placed.length
-  }
   for (const group of groups) {
+    const mostStarts = budget.admit(group)
     const first = group.tasks[0]
     if (first === undefined) continue
     const wantedMillis = cpuDemandOf(stepOf(first))
     if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
     const admitted = quota.admit(orderSuspectsFirst(group.tasks))
-    const tasks = admitted.slice(0, budget.shareOf(group, jobs))
-    const placed = place(group, tasks)
-    if (tasks.length < admitted.length && placed === tasks.length) cut.push({ group, rest: admitted.slice(tasks.length) })
-    const findsNoRoom = tasks.length > 0 && placed === 0
-    if (findsNoRoom && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
-  }
-  for (const { group, rest } of cut) {
-    const tasks = quota.fitting(rest).slice(0, budget.restOf(group))
-    place(group, tasks)
-    if (tasks.length < rest.length) budget.recordCut(group)
+    const tasks = admitted.slice(0, mostStarts)
+    if (tasks.length < admitted.length) budget.recordCut(group)
+    if (tasks.length === 0) continue
+    const placed = stepOf(first).isGang ? placeGang({ ...group, tasks }, rooms) : placeEach({ ...group, tasks }, rooms)
+    for (const { task } of placed) quota.consume(task)
+    budget.take(placed.length)
+    if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
+    placements.push(...placed)
   }
   return placements
 }
--- a/packages/policy/src/lib/quotas/QuotaAdmission.ts
+++ b/packages/policy/src/lib/quotas/QuotaAdmission.ts
@@ -69,23 +69,12 @@
       for (const task of tasks) this.held.add(task)
       return []
     }
-    const count = countAdmitted(tasks, quota.left)
+    const isGang = stepOf(first).isGang
+    const count = isGang ? (fitsWithin(unit, quota.left) ? tasks.length : 0) : countFitting(resourcesOf(stepOf(first)), quota.left, tasks.length)
     this.#recordShortage(quota.account, tasks.slice(count), unit)
     return tasks.slice(0, count)
   }
 
-  /**
-   * Selects the tasks that fit the quota, without recording the others as waiting.
-   *
-   * @param tasks - tasks of one step that were admitted before others were placed
-   * @returns the first tasks that still fit; of a gang all or none
-   */
-  fitting (tasks: readonly Task[]): readonly Task[] {
-    const first = tasks[0]
-    const quota = first === undefined ? undefined : this.#quotaLeftOf(first)
-    return first === undefined || quota === undefined ? tasks : tasks.slice(0, countAdmitted(tasks, quota.left))
-  }
-
   /** Deducts a task from its account's remaining quota. @param task - a placed task */
   consume (task: Task): void {
     const quota = this.#quotaLeftOf(task)
@@ -116,13 +105,6 @@
   return stepOf(first).isGang ? times(resourcesOf(stepOf(first)), taskCount) : resourcesOf(stepOf(first))
 }
 
-/** Counts the tasks of a step that fit what is left; of a gang all or none. */
-function countAdmitted (tasks: readonly Task[], left: Resources): number {
-  const first = tasks[0] as Task
-  if (!stepOf(first).isGang) return countFitting(resourcesOf(stepOf(first)), left, tasks.length)
-  return fitsWithin(admissionUnitOf(first, tasks.length), left) ? tasks.length : 0
-}
-
 /** Counts how many tasks of equal size fit. */
 function countFitting (each: Resources, left: Resources, mostTasks: number): number {
   let count = 0
