What a round and the end of a run cost does not grow with the size of the job

Cause: a holder created all tasks of a job when it first saw it, and each round passed all of them several times: once to find ready steps, once to select those that wait, and twice for each ready step to rank it. At each end of a run, all tasks that are done were passed to see whether the job is. On a host with a tenth of a CPU the first round took longer than the duty lasts without a renewal (1.2 s), and the next holder did the same.

Ruled out: starts (0 were sent); the writer; more time between rounds, as one round was too long.

Change: tasks of finite steps are created as they may be placed, at most as many as the start window for each ready step. Tasks that are done are passed once: each step remembers its first unfinished task, each job its first unfinished occurrence. The work of a job is summed once in a round, not for each step. Lasting steps and gangs, whose members depend on each other, and what accounts with a limit ask for, are created and counted in full. jobTasks.ts holds what was about tasks in JobState.ts.

--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RunRef } from '@quillscale/ports'
-import { createCrashRecord, type CrashRecord } from './CrashRecord.js'
+import type { CrashRecord } from './CrashRecord.js'
 import type { JobSpec, StepSpec } from './JobSpec.js'
 
 /** Status of a job as reported to clients. @public */
@@ -86,7 +86,7 @@
 /** A job with the state of its tasks. @public */
 export interface Job {
   readonly spec: JobSpec
-  /** Tasks by occurrence, then by step; filled on first access. */
+  /** Tasks by occurrence, then by step, as far as they were needed so far; see `jobTasks.ts`. */
   readonly occurrences: Map<number, Task[][]>
   status: JobStatus
   /** Its account was beyond its share of jobs when it was submitted, so that others go first. */
@@ -119,50 +119,6 @@
   return schedule === undefined ? submittedMs : schedule.firstRunMs + occurrence * schedule.intervalMs
 }
 
-/** @param job - a job @param occurrence - index of the occurrence @returns its tasks by step, created on first access @public */
-export function tasksOf (job: Job, occurrence: number): Task[][] {
-  const known = job.occurrences.get(occurrence)
-  if (known !== undefined) return known
-  const steps = job.spec.steps.map((step, stepIndex) => Array.from({ length: step.taskCount }, (_, index) => createTask(job, stepIndex, occurrence, index)))
-  job.occurrences.set(occurrence, steps)
-  return steps
-}
-
-function createTask (job: Job, stepIndex: number, occurrence: number, index: number): Task {
-  const stepKey = `${job.spec.jobId}.${occurrence}.${stepIndex}`
-  const key = `${stepKey}.${index}`
-  return {
-    job,
-    stepIndex,
-    occurrence,
-    index,
-    key,
-    stepKey,
-    isDone: false,
-    isGivenUp: false,
-    lastRunNumber: 0,
-    failures: 0,
-    crashes: createCrashRecord(),
-    checkpoint: '',
-    runs: [],
-    avoidedInstances: new Set(),
-    waitingSinceMs: undefined
-  }
-}
-
-/** @param job - a job @param taskKey - JOB.OCCURRENCE.STEP.INDEX @returns the task @public */
-export function findTask (job: Job, taskKey: string): Task | undefined {
-  const [, occurrence, step, index] = taskKey.split('.')
-  const isTime = Number.isInteger(Number(occurrence)) && Number(occurrence) >= 0 && Number(occurrence) < occurrenceCount(job)
-  if (!isTime) return undefined
-  return tasksOf(job, Number(occurrence))[Number(step)]?.[Number(index)]
-}
-
-/** @param job - a job @returns all tasks created so far @public */
-export function allTasks (job: Job): Task[] {
-  return [...job.occurrences.values()].flat(2)
-}
-
 /** @param task - a task of a gang @returns all members of the gang @public */
 export const gangOf = (task: Task): readonly Task[] => task.job.occurrences.get(task.occurrence)?.[task.stepIndex] ?? [task]
 
@@ -175,48 +131,5 @@
   return occurrence * tasksPerOccurrence(spec) + before + index
 }
 
-/** @param job - a job @param from - first position @param to - position after the last @returns the tasks created so far at these positions @public */
-export function tasksInRange (job: Job, from: number, to: number): Task[] {
-  const each = tasksPerOccurrence(job.spec)
-  const tasks: Task[] = []
-  for (let occurrence = Math.floor(from / each); occurrence < occurrenceCount(job) && occurrence * each < to; occurrence++) {
-    let start = occurrence * each
-    for (const step of job.occurrences.get(occurrence) ?? []) {
-      if (start < to && start + step.length > from) tasks.push(...step.slice(Math.max(0, from - start), Math.max(0, to - start)))
-      start += step.length
-    }
-  }
-  return tasks
-}
-
 /** @param task - a task @returns whether it may be started, now or later @public */
 export const isOpen = ({ isDone, isGivenUp }: Task): boolean => !isDone && !isGivenUp
-
-/**
- * Lists the unfinished steps that are due and whose dependencies are done.
- *
- * @param job - a job that has not ended
- * @param wallMs - current wall-clock time
- * @returns their tasks, step by step
- * @public
- */
-export function listReadySteps (job: Job, wallMs: number): Task[][] {
-  const open: Task[][] = []
-  for (let occurrence = 0; occurrence < occurrenceCount(job) && (job.spec.schedule === undefined || dueMs(job, occurrence) <= wallMs); occurrence++) {
-    const steps = tasksOf(job, occurrence)
-    const isStepDone = steps.map((tasks) => tasks.every(({ isDone }) => isDone))
-    steps.forEach((tasks, index) => {
-      const isOpen = job.spec.steps[index]?.dependsOn.every((earlier) => isStepDone[earlier]) === true
-      if (isOpen && isStepDone[index] !== true) open.push(tasks)
-    })
-  }
-  return open
-}
-
-/** @param job - a job @returns whether every task of every occurrence has ended `done` @public */
-export function isJobDone (job: Job): boolean {
-  for (let occurrence = 0; occurrence < occurrenceCount(job); occurrence++) {
-    if (job.occurrences.get(occurrence)?.every((tasks) => tasks.every(({ isDone }) => isDone)) !== true) return false
-  }
-  return true
-}
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -8,6 +8,7 @@
  */
 import { dueMs, stepOf, type Job, type Task } from './JobState.js'
 import { criticalPathMs } from './criticalPathMs.js'
+import { countUnfinished, isStepDone } from './jobTasks.js'
 import type { QueueTerms } from './QueueTerms.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
@@ -36,14 +37,29 @@
   readonly startByMs: number
 }
 
-const isStepDone = (tasks: readonly Task[] | undefined): boolean => tasks?.every(({ isDone }) => isDone) === true
+/** Work of the finite tasks of an occurrence, in thousandths of a core times ms. @public */
+export interface OccurrenceWork { readonly total: number, readonly left: number }
 
-/** Sums the work of the tasks that satisfy a condition; steps whose tasks are not created yet count in full. */
-function sumWork (job: Job, steps: readonly Task[][], runTimes: RunTimeEstimator, isCounted: (task: Task) => boolean): number {
-  return job.spec.steps.reduce((sum, step, index) => {
-    const tasks = steps[index]?.filter(isCounted).length ?? step.taskCount
-    return sum + (step.isLasting ? 0 : tasks * step.cpuMillis * runTimes.expectedMs(step))
-  }, 0)
+/**
+ * Sums the work of an occurrence.
+ *
+ * @param job - a job
+ * @param occurrence - index of the occurrence
+ * @param runTimes - learned run times
+ * @returns the work of all tasks, and that of the tasks that are neither done nor placed
+ */
+export function sumWork (job: Job, occurrence: number, runTimes: RunTimeEstimator): OccurrenceWork {
+  const steps = job.occurrences.get(occurrence)
+  let total = 0
+  let left = 0
+  job.spec.steps.forEach((step, index) => {
+    if (step.isLasting) return
+    const each = step.cpuMillis * runTimes.expectedMs(step)
+    const created = steps?.[index] ?? []
+    total += step.taskCount * each
+    left += (created.length === 0 ? step.taskCount : countUnfinished(created, ({ isDone, runs }) => !isDone && runs.length === 0)) * each
+  })
+  return { total, left }
 }
 
 /**
@@ -53,26 +69,26 @@
  * @param queue - the terms of the job's queue, `undefined` if they are not known
  * @param runTimes - learned run times
  * @param wallMs - current wall-clock time
+ * @param work - the work of the task's occurrence
  * @returns the rank of the step
  * @public
  */
-export function rankStep (task: Task, queue: QueueTerms | undefined, runTimes: RunTimeEstimator, wallMs: number): StepRank {
-  const { job } = task
+export function rankStep (
+  task: Task, queue: QueueTerms | undefined, runTimes: RunTimeEstimator, wallMs: number, work = sumWork(task.job, task.occurrence, runTimes)
+): StepRank {
+  const { job, occurrence } = task
   const step = stepOf(task)
   const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER
   const startMs = dueMs(job, task.occurrence)
   if (step.isLasting) return { tier: step.isFiller ? RANK_TIERS.filler : RANK_TIERS.lasting, priority, placedShare: 0, workLeft: 0, startByMs: startMs }
-  const steps = job.occurrences.get(task.occurrence) ?? []
   const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)) + (queue?.targetLatencyMs ?? 0)
-  const leftMs = criticalPathMs(job.spec.steps, (each, index) => isStepDone(steps[index]) ? 0 : runTimes.expectedMs(each))
-  const workLeft = sumWork(job, steps, runTimes, ({ isDone, runs }) => !isDone && runs.length === 0)
-  const placedShare = 1 - workLeft / Math.max(1, sumWork(job, steps, runTimes, () => true))
+  const leftMs = criticalPathMs(job.spec.steps, (each, index) => isStepDone(job, occurrence, index) ? 0 : runTimes.expectedMs(each))
   const tier = tierOf(wallMs + leftMs, startMs, objectiveMs)
   return {
     tier: job.isOverShare && tier < RANK_TIERS.overShare ? RANK_TIERS.overShare : tier,
     priority,
-    placedShare,
-    workLeft,
+    placedShare: 1 - work.left / Math.max(1, work.total),
+    workLeft: work.left,
     startByMs: startMs + objectiveMs - leftMs
   }
 }
--- a/packages/policy/src/lib/machines/computeServiceDemand.ts
+++ b/packages/policy/src/lib/machines/computeServiceDemand.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { AccountName } from '@quillscale/ports'
-import { hasEnded, isOpen, listReadySteps, stepOf, type Job, type Task } from '../jobs/JobState.js'
+import { hasEnded, stepOf, type Job, type Task } from '../jobs/JobState.js'
+import { countOpen, listReadySteps } from '../jobs/jobTasks.js'
 import { cpuDemandOf, demandOf } from '../placement/suitability.js'
 import { mapResources, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, type Resources } from '../quotas/resources.js'
 import { MachineSizes } from './MachineSizes.js'
@@ -40,7 +41,7 @@
       const first = step[0]
       if (first === undefined) continue
       const { isLasting, maxPerWorker, taskCount } = stepOf(first)
-      wanted.add(first, step.filter(isOpen).length)
+      wanted.add(first, countOpen(step))
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
-import { isCrashSuspect, decidePlacement } from '../jobs/crashes.js'
-import { hasEnded, isOpen, listReadySteps, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import { isCrashSuspect, decidePlacement, type PlacementDecision } from '../jobs/crashes.js'
+import { hasEnded, isOpen, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import { createTasks, firstUnfinishedIndex, listReadySteps, uncreatedCount } from '../jobs/jobTasks.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
 import { plus, type Resources } from '../quotas/resources.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
@@ -18,7 +19,7 @@
 import { demandOf, fits, meetsConditions } from './suitability.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
-import { compareRanks, rankStep, RANK_TIERS, type RankTier, type StepRank } from '../jobs/rankStep.js'
+import { compareRanks, rankStep, RANK_TIERS, sumWork, type OccurrenceWork, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
 
@@ -68,7 +69,13 @@
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
 
-interface WaitingStep { readonly tasks: readonly Task[], readonly rank: StepRank, readonly queue: QueueTerms | undefined }
+interface WaitingStep {
+  readonly tasks: readonly Task[]
+  /** Number of waiting tasks that are not created yet. */
+  readonly furtherTasks: number
+  readonly rank: StepRank
+  readonly queue: QueueTerms | undefined
+}
 
 /** Places the waiting tasks of a service once. @public */
 export class PlacementRound {
@@ -122,10 +129,10 @@
    * @returns the steps that have waited longest, and what stands in their way
    */
   listUnplaced (minWaitMs: number, mostSteps: number): UnplacedStep[] {
-    const unplaced = this.#waiting.flatMap(({ tasks, rank, queue }) => {
+    const unplaced = this.#waiting.flatMap(({ tasks, ...step }) => {
       const open = tasks.filter(({ job, runs }) => runs.length === 0 && !hasEnded(job))
       const waitedMs = this.#waitedMs(open)
-      return open.length > 0 && waitedMs >= minWaitMs ? [{ tasks: open, rank, queue, waitedMs }] : []
+      return open.length > 0 && waitedMs >= minWaitMs ? [{ ...step, tasks: open, waitedMs }] : []
     })
     if (unplaced.length === 0) return []
     const rooms = this.#availableRooms()
@@ -133,43 +140,69 @@
       const task = step.tasks[0] as Task
       // Advice is not asked for a step that no worker can run.
       const group = this.#capacity.canRun(stepOf(task)) ? this.#groupOf(step, rooms) : { tasks: step.tasks, mayReserve: false }
+      const taskCount = step.tasks.length + step.furtherTasks
       const reason = this.quota.held.has(task) ? 'quota' : group === undefined ? 'advice' : 'workers'
-      return { task, taskCount: step.tasks.length, waitedMs, reason, workers: countObstacles(task, group ?? { tasks: step.tasks, mayReserve: false }, rooms) }
+      return { task, taskCount, waitedMs, reason, workers: countObstacles(task, group ?? { tasks: step.tasks, mayReserve: false }, rooms) }
     })
   }
 
   #waitedMs (tasks: readonly Task[]): number {
-    return this.#options.nowMs - Math.min(...tasks.map(({ waitingSinceMs }) => waitingSinceMs ?? this.#options.nowMs))
+    const { nowMs } = this.#options
+    return tasks.reduce((waitedMs, { waitingSinceMs = nowMs }) => Math.max(waitedMs, nowMs - waitingSinceMs), 0)
   }
 
   #listWaitingSteps (): WaitingStep[] {
+    const { jobs, runTimes, nowMs, wallMs } = this.#options
     const waiting: WaitingStep[] = []
-    for (const job of this.#options.jobs) {
+    for (const job of jobs) {
       if (hasEnded(job)) continue
       const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
-      for (const step of listReadySteps(job, this.#options.wallMs)) {
+      const works = new Map<number, OccurrenceWork>()
+      for (const step of listReadySteps(job, wallMs)) {
         const tasks = this.#selectPlaceable(step)
         const first = tasks[0]
         if (first === undefined) continue
-        for (const task of tasks) task.waitingSinceMs ??= this.#options.nowMs
-        waiting.push({ tasks, queue, rank: rankStep(first, queue, this.#options.runTimes, this.#options.wallMs) })
+        for (const task of tasks) task.waitingSinceMs ??= nowMs
+        const work = works.get(first.occurrence) ?? sumWork(job, first.occurrence, runTimes)
+        works.set(first.occurrence, work)
+        waiting.push({ tasks, furtherTasks: uncreatedCount(step), queue, rank: rankStep(first, queue, runTimes, wallMs, work) })
       }
     }
     return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
   }
 
-  /** Selects the placeable tasks of a step. Members of a gang are placed only together, so none may still have a run. */
+  /**
+   * Selects the placeable tasks of a step, and creates as many as the round may start. Members of a gang are placed only together, so none may still have
+   * a run.
+   */
   #selectPlaceable (step: readonly Task[]): readonly Task[] {
     const first = step[0]
-    if (first !== undefined && stepOf(first).isGang && step.some(({ runs }) => runs.length > 0)) return []
-    for (const task of step) task.isGivenUp &&= decidePlacement(task, this.#options.nowMs) === 'give-up'
-    const open = step.filter((task) => isOpen(task) && (task.runs.length === 0 || this.#needsSpeculativeCopy(task)))
-    const decisions = open.map((task) => decidePlacement(task, this.#options.nowMs))
-    this.tasksToGiveUp.push(...open.filter((_, at) => decisions[at] === 'give-up'))
-    if (first !== undefined && stepOf(first).isGang && decisions.some((decision) => decision !== 'place')) return []
+    if (first === undefined || (stepOf(first).isGang && step.some(({ runs }) => runs.length > 0))) return []
+    const { nowMs } = this.#options
+    const { job, occurrence, stepIndex } = first
+    const wanted = this.#tasksWantedOf(job)
+    const placeable: Task[] = []
+    const decisions = new Set<PlacementDecision>()
+    for (let index = firstUnfinishedIndex(step); index < step.length || placeable.length < wanted; index++) {
+      const task = createTasks(job, occurrence, stepIndex, index + 1)[index]
+      if (task === undefined) break
+      task.isGivenUp &&= decidePlacement(task, nowMs) === 'give-up'
+      if (!isOpen(task) || (task.runs.length > 0 && !this.#needsSpeculativeCopy(task))) continue
+      const decision = decidePlacement(task, nowMs)
+      decisions.add(decision)
+      if (decision === 'give-up') this.tasksToGiveUp.push(task)
+      if (decision !== 'place') continue
+      placeable.push(task)
+    }
+    if (stepOf(first).isGang && (decisions.has('wait') || decisions.has('give-up'))) return []
     // Other suspect tasks of the step wait too, since the whole job may be given up.
-    const isWaiting = decisions.includes('wait')
-    return open.filter((task, at) => decisions[at] === 'place' && !(isWaiting && isCrashSuspect(task)))
+    return decisions.has('wait') ? placeable.filter((task) => !isCrashSuspect(task)) : placeable
+  }
+
+  /** Returns how many tasks of a step are looked at. What an account with a limit wants counts in full, since its share of the limit follows from it. */
+  #tasksWantedOf ({ spec: { owner } }: Job): number {
+    const isLimited = owner !== undefined && this.#options.accountQuotaOf(owner.account) !== undefined
+    return isLimited ? Infinity : this.#options.maxStartsUnderWay ?? Infinity
   }
 
   /** A run that is likely lost or a straggler gets a copy at once, before its lease expires, if its step allows copies. */
@@ -224,8 +257,9 @@
     const placed = new Set(placements.map(({ task }) => task))
     let rooms: readonly WorkerRoom[] | undefined
     for (const group of groups) {
+      const isLasting = group.tasks[0] !== undefined && stepOf(group.tasks[0]).isLasting
       // Room that is freed for a task without a start would stay idle.
-      if (this.#budget.wasCut(group)) continue
+      if (!isLasting || this.#budget.wasCut(group)) continue
       const task = group.tasks.find((each) => !placed.has(each) && this.#mayPreempt(each))
       if (task === undefined) continue
       rooms ??= this.#availableRooms()
--- a/packages/policy/src/lib/pressure/computeBacklog.ts
+++ b/packages/policy/src/lib/pressure/computeBacklog.ts
@@ -7,7 +7,8 @@
  * @module
  */
 import type { AccountName } from '@quillscale/ports'
-import { hasEnded, listReadySteps, stepOf, type Job, type Run } from '../jobs/JobState.js'
+import { hasEnded, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import { countUnfinished, listReadySteps } from '../jobs/jobTasks.js'
 import type { StepSpec } from '../jobs/JobSpec.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { rankStep, RANK_TIERS } from '../jobs/rankStep.js'
@@ -90,14 +91,19 @@
 function waitingJobOf (job: Job, { runTimes, queueOf, wallMs }: BacklogSources): WaitingJob | undefined {
   const queue = effectiveTerms(job.spec, queueOf(job.spec.queue))
   if (hasEnded(job) || queue === undefined || queue.advice !== undefined) return undefined
-  const waiting = listReadySteps(job, wallMs).flat().filter((task) => !task.isDone && task.runs.length === 0 && waitsForCpu(stepOf(task)))
-  const first = waiting[0]
+  const isWaiting = ({ isDone, runs }: Task): boolean => !isDone && runs.length === 0
+  const waiting = listReadySteps(job, wallMs).flatMap((tasks) => {
+    const first = tasks[0]
+    const count = first !== undefined && waitsForCpu(stepOf(first)) ? countUnfinished(tasks, isWaiting) : 0
+    return first === undefined || count === 0 ? [] : [{ first, step: stepOf(first), count }]
+  })
+  const first = waiting[0]?.first
   if (first === undefined) return undefined
   const { tier, priority, startByMs } = rankStep(first, queue, runTimes, wallMs)
   if (tier !== RANK_TIERS.inTime) return undefined
-  const steps = waiting.map(stepOf)
-  const work = sum(steps.map((step) => cpuDemandOf(step) * runTimes.expectedMs(step)))
-  return { account: job.spec.owner?.account, priority, leftMs: startByMs - wallMs, work, taskMillis: Math.max(...steps.map(cpuDemandOf)) }
+  const work = sum(waiting.map(({ step, count }) => count * cpuDemandOf(step) * runTimes.expectedMs(step)))
+  const taskMillis = Math.max(...waiting.map(({ step }) => cpuDemandOf(step)))
+  return { account: job.spec.owner?.account, priority, leftMs: startByMs - wallMs, work, taskMillis }
 }
 
 function createRows (waiting: readonly WaitingJob[], runningWork: number, room: Room): BacklogRow[] {
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import type { FleetConfiguration } from '@quillscale/ports'
 import { createCrashRecord } from '../lib/jobs/CrashRecord.js'
-import { createJob, tasksOf, type Job, type Run } from '../lib/jobs/JobState.js'
+import { createJob, type Job, type Run } from '../lib/jobs/JobState.js'
+import { allTasks, tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { PlacementRound, type PlacementRoundOptions } from '../lib/placement/PlacementRound.js'
@@ -226,6 +227,15 @@
     expect(placed()).to.deep.equal([0, Math.floor(MAX_STARTS_UNDER_WAY / 3) - 2, many])
   })
 
+  // Guards against rounds that take the longer, the more tasks of a job wait, until the host has lost the duty.
+  it('creates no more tasks of a step than may start', () => {
+    const service = new RoomyService()
+    const job = jobOf(1, Array.from({ length: 5 }, () => ({ taskCount: 10_000 })))
+    expect(service.place(job)).to.have.length(MAX_STARTS_UNDER_WAY)
+    expect(service.place(job)).to.have.length(0)
+    expect(allTasks(job).length).to.be.at.most(5 * 2 * MAX_STARTS_UNDER_WAY)
+  })
+
   // Guards against large jobs that take each start that becomes free, as they go first.
   it('gives each job that waits a fair share of the starts, however large those before it are', () => {
     const service = new RoomyService()
--- a/packages/policy/src/test/PressurePlay.ts
+++ b/packages/policy/src/test/PressurePlay.ts
@@ -5,7 +5,8 @@
  */
 import { SeededRandom } from '@quillscale/utils'
 import type { QueueConfiguration } from '@quillscale/ports'
-import { createJob, hasEnded, listReadySteps, type Job, type Run, type Task } from '../lib/jobs/JobState.js'
+import { createJob, hasEnded, type Job, type Run, type Task } from '../lib/jobs/JobState.js'
+import { listReadySteps, tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
 import { compareRanks, rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
@@ -124,7 +125,10 @@
   function place (nowMs: number): void {
     let freeMillis = ROOM_MILLIS - [...worker.runs.values()].reduce((sum, { task }) => sum + task.job.spec.steps[0]!.cpuMillis, 0)
     if (freeMillis < SIZES[0][2]) return
-    const steps = [...jobs].filter((job) => !hasEnded(job)).flatMap((job) => listReadySteps(job, nowMs))
+    const steps = [...jobs].filter((job) => !hasEnded(job)).flatMap((job) => {
+      tasksOf(job, 0)
+      return listReadySteps(job, nowMs)
+    })
     const waiting = steps.map((tasks) => tasks.filter(({ isDone, runs }) => !isDone && runs.length === 0)).filter(({ length }) => length > 0)
     const ranked = waiting.map((tasks) => ({ tasks, rank: rankStep(tasks[0]!, QUEUES[tasks[0]!.job.spec.queue], runTimes, nowMs) }))
     for (const task of ranked.sort((a, b) => compareRanks(a.rank, b.rank)).flatMap(({ tasks }) => tasks)) {
--- a/packages/policy/src/test/QuotaAdmission.test.ts
+++ b/packages/policy/src/test/QuotaAdmission.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { AccountName } from '@quillscale/ports'
-import { createJob, tasksOf, type Task } from '../lib/jobs/JobState.js'
+import { createJob, type Task } from '../lib/jobs/JobState.js'
+import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { computeServiceDemand } from '../lib/machines/computeServiceDemand.js'
 import { placeTasks } from '../lib/placement/placeTasks.js'
--- a/packages/policy/src/test/evacuation.test.ts
+++ b/packages/policy/src/test/evacuation.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { WorkerInstance } from '@quillscale/ports'
-import { createJob, tasksOf, type Run, type Task } from '../lib/jobs/JobState.js'
+import { createJob, type Run, type Task } from '../lib/jobs/JobState.js'
+import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { planEvacuation, type EvacuationState } from '../lib/machines/planEvacuation.js'
 import { createWorkerRoom } from '../lib/placement/createWorkerRoom.js'
--- a/packages/policy/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { WorkerCapacity } from '@quillscale/ports'
-import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
+import { createJob, type Job } from '../lib/jobs/JobState.js'
+import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
 import { QuotaAdmission } from '../lib/quotas/QuotaAdmission.js'
 import { placeTasks } from '../lib/placement/placeTasks.js'
--- a/packages/policy/src/test/planDrain.test.ts
+++ b/packages/policy/src/test/planDrain.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { createJob, tasksOf, type Run, type Task } from '../lib/jobs/JobState.js'
+import { createJob, type Run, type Task } from '../lib/jobs/JobState.js'
+import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { isDisruptionAllowed, planDrain } from '../lib/machines/planDrain.js'
 import { testJobId } from './testJobId.js'
--- a/packages/policy/src/test/rankStep.test.ts
+++ b/packages/policy/src/test/rankStep.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import type { QueueConfiguration } from '@quillscale/ports'
-import { createJob, tasksOf, type Job } from '../lib/jobs/JobState.js'
+import { createJob, type Job } from '../lib/jobs/JobState.js'
+import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { compareRanks, rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
