Stops of a large job are sent a few at a time, in rotation with those of others, and share reports

Cause: the stops of all runs of a cancelled job were handed over in one go, each repeated every 0.5 s until answered. On a host that gets 300 orders a second through, 3,000 stops wait for 10 s, so most expire unsent, again and again, and the starts of ordinary jobs expire between them. Each stop that was answered also asked for a report of its own, which lists all runs of the worker: their number grew with the square of the job.

Ruled out: one limit for each worker (8 workers with 8 orders each are too many for the slowest host played); stops in the same queue as starts, as a worker that answers nothing would hold up the starts.

Change: StopSlots sends as many stops at once as the order window allows, the jobs in rotation; stops to workers whose calls fail have slots of their own. What they wait counts for the window, so it is called OrderWindow now (order_window among the figures). A stop that waits is dropped if its run has ended. Reports asked for besides the regular ones are at least 100 ms apart for each worker.

Conclusion: a large job is stopped at the speed of the host, and holds up nobody meanwhile.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -49,7 +49,7 @@
 } from './lib/quotas/resources.js'
 export { countsAsCapacity, countUnavailable, findUnavailability, type AvailabilityContext, type UnavailabilityReason } from './lib/placement/unavailability.js'
 export { coldUntilMs } from './lib/placement/warmup.js'
-export { StartWindow } from './lib/placement/StartWindow.js'
+export { OrderWindow } from './lib/placement/OrderWindow.js'
 export { StartRoom } from './lib/placement/StartRoom.js'
 export { WorkerHealth } from './lib/placement/WorkerHealth.js'
 export type { WorkerView } from './lib/placement/WorkerView.js'
--- a/packages/policy/src/test/StartWindow.test.ts
+++ b/packages/policy/src/test/OrderWindow.test.ts
@@ -1,13 +1,13 @@
 import { expect } from 'chai'
-import { StartWindow } from '../lib/placement/StartWindow.js'
+import { OrderWindow } from '../lib/placement/OrderWindow.js'
 
 /** Answers that use the window up some times, each after the same wait; `isFull` tells whether tasks waited for it meanwhile. */
 interface Answers { readonly windows: number, readonly waitedMs: number, readonly isFull?: boolean }
 
 const FAST: Answers = { windows: 20, waitedMs: 5, isFull: true }
 
-function windowAfter (answers: readonly Answers[]): StartWindow {
-  const window = new StartWindow()
+function windowAfter (answers: readonly Answers[]): OrderWindow {
+  const window = new OrderWindow()
   for (const { windows, waitedMs, isFull = false } of answers) {
     for (let at = 0; at < windows; at++) {
       if (isFull) window.recordFull()
@@ -17,8 +17,8 @@
   return window
 }
 
-describe('StartWindow', () => {
-  const initial = new StartWindow().size
+describe('OrderWindow', () => {
+  const initial = new OrderWindow().size
   const cases: ReadonlyArray<{ readonly name: string, readonly answers: readonly Answers[], readonly size: number }> = [
     { name: 'grows while it is full and starts are answered soon', answers: [{ windows: 1, waitedMs: 5, isFull: true }], size: 4 * initial },
     { name: 'stays while nothing waits for it', answers: [{ windows: 5, waitedMs: 5 }], size: initial },
@@ -38,13 +38,13 @@
   // Guards against starts that wait for longer on a slower host, behind a number of others that is the same for all hosts (LOST).
   for (const perSecond of [10, 100, 1000, 10_000]) {
     it(`holds the wait of a start below half of the time limit of its call, at ${perSecond} starts a second`, () => {
-      const window = new StartWindow()
+      const window = new OrderWindow()
       for (let burst = 0; burst < 50; burst++) {
         window.recordFull()
         // All starts of a window are sent at once, and answered one after the other.
         for (let at = 1, { size } = window; at <= size; at++) window.recordAnswer(at * 1000 / perSecond)
       }
-      expect((window.size - new StartWindow().size) * 1000 / perSecond).to.be.at.most(350)
+      expect((window.size - new OrderWindow().size) * 1000 / perSecond).to.be.at.most(350)
       expect(window.size).to.be.at.least(Math.min(900, perSecond / 5))
     })
   }
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -11,7 +11,7 @@
 import { delay } from '@quillscale/utils'
 import { lifetimeStartMsOf } from '@quillscale/ports'
 import type { PrefixChange, PrefixReplica } from '@quillscale/leases'
-import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator, StartWindow, type Task } from '@quillscale/policy'
+import { type AvailabilityContext, decidePlacement, hasEnded, type Job, maxAttemptsOf, PlacementRound, type Run, RunTimeEstimator, OrderWindow, type Task } from '@quillscale/policy'
 import { accountsOf } from '../accounts/AccountDirectory.js'
 import { QuotaLedger } from '../accounts/QuotaLedger.js'
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
@@ -31,6 +31,7 @@
 import type { ServiceSchedulerOptions } from './ServiceSchedulerOptions.js'
 import { StatusWriter } from '../jobs/StatusWriter.js'
 import { SilentWorkers } from '../workers/SilentWorkers.js'
+import { StopSlots } from '../workers/StopSlots.js'
 import { chainKey, goneKey, inboxPrefix, progressPrefix, silentWorkersKey } from '../records/storeKeys.js'
 import { retryUntilAnswered } from '../records/retryUntilAnswered.js'
 import { UnplacedLog } from '../jobs/UnplacedLog.js'
@@ -70,7 +71,7 @@
   readonly #inboxReplica: PrefixReplica
   readonly #stop = new AbortController()
   readonly #pacer: RoundPacer
-  readonly #startWindow = new StartWindow()
+  readonly #orderWindow = new OrderWindow()
   readonly #unplacedLog: UnplacedLog
   readonly #evacuator: ZoneEvacuator
   /** Set once the store has answered in {@link ServiceScheduler.run}. */
@@ -87,7 +88,7 @@
     const { clock, store, service, configuration } = options
     this.#pacer = new RoundPacer(clock, (tookMs) => options.metrics.record('turn', 'round', tookMs))
     this.#unplacedLog = new UnplacedLog(options.log)
-    options.metrics.gauge(`start_window{service="${service}"}`, () => this.#stop.signal.aborted ? 0 : this.#startWindow.size)
+    options.metrics.gauge(`order_window{service="${service}"}`, () => this.#stop.signal.aborted ? 0 : this.#orderWindow.size)
     this.#registry = new JobRegistry({
       clock,
       log: options.log,
@@ -210,7 +211,8 @@
         this.#pacer.request()
       },
       mayRepeatStart: (run) => this.#evacuator.mayRepeatStart(run),
-      onStartAnswered: (waitedMs) => this.#startWindow.recordAnswer(waitedMs),
+      stopSlots: { answering: new StopSlots(this.#orderWindow), failing: new StopSlots(this.#orderWindow) },
+      onOrderAnswered: (waitedMs) => this.#orderWindow.recordAnswer(waitedMs),
       onStarted: (run) => this.#tracker.started(run),
       onNotStarted: (link, run, error) => {
         this.#tracker.handleStartFailure(link, run, error)
@@ -363,12 +365,12 @@
       advice: this.#adviceCache,
       accountQuotaOf: (account) => this.#ledger.quotaFor(account, nowMs),
       availability: this.#availability,
-      maxStartsUnderWay: this.#startWindow.size,
+      maxStartsUnderWay: this.#orderWindow.size,
       nowMs,
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
-    if (round.isStartLimited) this.#startWindow.recordFull()
+    if (round.isStartLimited) this.#orderWindow.recordFull()
     for (const run of runs) this.#trackRun(run)
     this.#unplacedLog.write(round, nowMs)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import { setMaxListeners } from 'node:events'
-import { delay, type Clock } from '@quillscale/utils'
+import { delay, type Clock, type Result } from '@quillscale/utils'
 import { lifetimeStartMsOf, type HoldReport, type RunOrderError, type RunOrders, type RunRef, type WorkerInstance } from '@quillscale/ports'
 import { coldUntilMs, type Run, WorkerHealth } from '@quillscale/policy'
 import { LATE_CALL_MS } from './LeaseBounds.js'
+import type { StopSlots } from './StopSlots.js'
 import { WorkerClock } from './WorkerClock.js'
 
 /** Dependencies of a {@link WorkerLink}, supplied by its scheduler. @public */
@@ -30,8 +31,10 @@
   readonly onReport: (link: WorkerLink, report: HoldReport, askedMs: number) => void
   /** Whether a start whose outcome is unknown is sent again; otherwise the run is stopped. */
   readonly mayRepeatStart: (run: Run) => boolean
-  /** Called for each start that was answered or given up without an answer, with the time since it was handed over for sending. */
-  readonly onStartAnswered: (waitedMs: number) => void
+  /** Give stops their turn; those to workers whose calls fail, which wait for the whole time limit of a call, apart from the others. */
+  readonly stopSlots: Readonly<Record<'answering' | 'failing', Pick<StopSlots, 'use'>>>
+  /** Called for each start or stop that was answered or given up without an answer, with the time since it was handed over for sending. */
+  readonly onOrderAnswered: (waitedMs: number) => void
   /** Called when a start is confirmed. */
   readonly onStarted: (run: Run) => void
   /** Called when a start has failed, or its outcome stayed unknown for too long. */
@@ -53,6 +56,8 @@
 /** Interval of lease extensions while reported ends are not yet durable. */
 const LEASE_EXTENSION_INTERVAL_MS = 500
 const MIN_RETRY_DELAY_MS = 100
+/** Minimum time between two reports that are requested besides the regular ones. */
+const MIN_REPORT_INTERVAL_MS = 100
 const MAX_RETRY_DELAY_MS = 500
 /** Timers may fire a millisecond early. */
 const TIMER_MARGIN_MS = 5
@@ -85,6 +90,9 @@
   #lastReportMs = -Infinity
   #firstReportMs = Infinity
   #isInContact = true
+  /** Whether a report is about to be requested besides the regular ones, and when the last such request was sent. */
+  #isReportDue = false
+  #reportRequestedMs = -Infinity
   #pendingRemoval: Promise<void> | undefined
   /** Whether a call has failed since the last answered hold, so that the next answer may come from the next lifetime. */
   #mayBeNextLifetime = false
@@ -223,7 +231,7 @@
   /** Requests a report some time from now, in addition to the regular ones. @param delayMs - the least time until then */
   pollAfter (delayMs: number): void {
     void delay(delayMs + TIMER_MARGIN_MS, this.#stop.signal).then(() => {
-      if (!this.#stop.signal.aborted) this.#pollNow()
+      if (!this.#stop.signal.aborted) void this.#hold(0)
     })
   }
 
@@ -332,7 +340,7 @@
       const started = await orders.start(this.instance, {
         taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
       })
-      this.#options.onStartAnswered(clock.monotonicMs() - nowMs)
+      this.#options.onOrderAnswered(clock.monotonicMs() - nowMs)
       if (started.err && started.val.kind === 'not-sent') {
         if (this.#mayWaitLonger(nowMs, beganMs) && mayRepeatStart(run)) continue
         return this.#reportNotStarted(run, started.val)
@@ -366,15 +374,16 @@
 
   /** Sends a stop order until the worker has answered. @param run - the run to stop */
   async stop (run: Run): Promise<void> {
-    const { orders, clock } = this.#options
+    const { stopSlots, clock } = this.#options
     run.phase = 'stopping'
     const fencingToken = await this.#options.fencingToken
     for (let pauseMs = MIN_RETRY_DELAY_MS; this.runs.has(runKey(run)) && !this.#stop.signal.aborted; pauseMs = Math.min(MAX_RETRY_DELAY_MS, pauseMs * 2)) {
-      const stopped = await orders.stop(this.instance, run, fencingToken)
+      const stopped = await stopSlots[this.hasFailedCalls ? 'failing' : 'answering'].use(run.task.job, () => this.#sendStop(run, fencingToken))
+      if (stopped === undefined) continue
       const isRefused = stopped.err && (stopped.val.kind === 'run-closed' || stopped.val.kind === 'malformed')
       if (stopped.ok || isRefused) {
         run.stopConfirmedMs = clock.monotonicMs()
-        this.#pollNow()
+        void this.#pollNow()
         return
       }
       this.#handleError(stopped.val)
@@ -382,6 +391,16 @@
     }
   }
 
+  /** Sends a stop order, unless the run has ended while it waited for its turn. */
+  async #sendStop (run: Run, fencingToken: number): Promise<Result<number, RunOrderError> | undefined> {
+    if (!this.runs.has(runKey(run)) || this.#stop.signal.aborted) return undefined
+    const { orders, clock, onOrderAnswered } = this.#options
+    const handedOverMs = clock.monotonicMs()
+    const stopped = await orders.stop(this.instance, run, fencingToken)
+    onOrderAnswered(clock.monotonicMs() - handedOverMs)
+    return stopped
+  }
+
   /** Sends a stop order, once, for a run that has no record. @param run - a run that the worker lists */
   async stopUnrecorded (run: RunRef): Promise<void> {
     await this.#options.orders.stop(this.instance, run, await this.#options.fencingToken)
@@ -403,9 +422,20 @@
     this.#options.onNotStarted(this, run, error)
   }
 
-  /** Requests a report at once, because a pending hold does not show changes since it was sent. */
-  #pollNow (): void {
-    void this.#hold(0)
+  /**
+   * Requests a report at once, because a pending hold does not show changes since it was sent. Requests that follow each other closely share one, since each
+   * report lists all runs of the worker.
+   */
+  async #pollNow (): Promise<void> {
+    if (this.#isReportDue) return
+    this.#isReportDue = true
+    const { clock } = this.#options
+    const waitMs = this.#reportRequestedMs + MIN_REPORT_INTERVAL_MS - clock.monotonicMs()
+    if (waitMs > 0) await delay(waitMs, this.#stop.signal)
+    this.#isReportDue = false
+    if (this.#stop.signal.aborted) return
+    this.#reportRequestedMs = clock.monotonicMs()
+    await this.#hold(0)
   }
 
   #handleResponse (clockMs: number): void {
--- a/packages/scheduler/src/test/SlowOrders.ts
+++ b/packages/scheduler/src/test/SlowOrders.ts
@@ -9,6 +9,7 @@
 /** Time limit of a call that waits to be sent. */
 const CALL_TIMEOUT_MS = 700
 const TICK_MS = 5
+const UNSENT: Result<number, RunOrderError> = Err({ kind: 'not-sent', detail: 'no connection became free in time' })
 
 interface WaitingCall { readonly sinceMs: number, readonly send: () => void, readonly expire: () => void }
 
@@ -16,17 +17,19 @@
 export class SlowOrders implements RunOrders {
   /** Job ids of the starts that were sent, in order. */
   readonly startedJobs: string[] = []
-  /** Starts that were not sent in time. */
-  unsentStarts = 0
+  /** Starts and stops that were sent. */
+  sent = 0
+  /** Starts and stops that were not sent in time. */
+  unsent = 0
+  /** Holds that were sent. */
+  holds = 0
   readonly #inner: RunOrders
-  readonly #perSecond: number
   readonly #waiting: WaitingCall[] = []
   #isClosed = false
 
   /** @param inner - carries the orders out @param perSecond - orders that get through in a second */
-  constructor (inner: RunOrders, perSecond: number) {
+  constructor (inner: RunOrders, public perSecond: number) {
     this.#inner = inner
-    this.#perSecond = perSecond
     void this.#sendAtRate()
   }
 
@@ -36,20 +39,17 @@
   }
 
   async start (worker: WorkerInstance, start: RunStart): Promise<Result<number, RunOrderError>> {
-    if (!await this.#whenSent()) {
-      this.unsentStarts++
-      return Err({ kind: 'not-sent', detail: 'no connection became free in time' })
-    }
+    if (!await this.#whenSent()) return UNSENT
     this.startedJobs.push(start.taskKey.split('.')[0] ?? '')
     return await this.#inner.start(worker, start)
   }
 
   async stop (worker: WorkerInstance, run: RunRef, fencingToken: number): Promise<Result<number, RunOrderError>> {
-    if (!await this.#whenSent()) return Err({ kind: 'not-sent', detail: 'no connection became free in time' })
-    return await this.#inner.stop(worker, run, fencingToken)
+    return await this.#whenSent() ? await this.#inner.stop(worker, run, fencingToken) : UNSENT
   }
 
   hold (worker: WorkerInstance, request: HoldRequest): Promise<Result<HoldReport, RunOrderError>> {
+    this.holds++
     return this.#inner.hold(worker, request)
   }
 
@@ -68,19 +68,23 @@
   }
 
   async #sendAtRate (): Promise<void> {
-    let sent = 0
-    const beganMs = performance.now()
-    while (!this.#isClosed) {
+    let due = 0
+    for (let lastMs = performance.now(); !this.#isClosed;) {
       await delay(TICK_MS)
       const nowMs = performance.now()
-      const due = Math.floor((nowMs - beganMs) * this.#perSecond / 1000)
-      for (; sent < due; sent++) this.#next(nowMs)?.send()
+      due += (nowMs - lastMs) * this.perSecond / 1000
+      lastMs = nowMs
+      for (; due >= 1; due--) this.#next(nowMs)?.send()
     }
   }
 
   #next (nowMs: number): WaitingCall | undefined {
     for (let call = this.#waiting.shift(); call !== undefined; call = this.#waiting.shift()) {
-      if (nowMs - call.sinceMs <= CALL_TIMEOUT_MS) return call
+      if (nowMs - call.sinceMs <= CALL_TIMEOUT_MS) {
+        this.sent++
+        return call
+      }
+      this.unsent++
       call.expire()
     }
     return undefined
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -2,6 +2,7 @@
 import { delay, Err, Ok, systemClock } from '@quillscale/utils'
 import type { HoldRequest, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
 import type { Run } from '@quillscale/policy'
+import type { StopSlots } from '../lib/workers/StopSlots.js'
 import { WorkerLink } from '../lib/workers/WorkerLink.js'
 
 const INSTANCE: WorkerInstance = {
@@ -16,6 +17,7 @@
   capacity: { cpuMillis: 1, memoryMb: 1, gpus: 0 }
 }
 const HOLD_WAIT_MS = 1000
+const SEND_AT_ONCE: Pick<StopSlots, 'use'> = { use: (_job, send) => send() }
 
 /** A fake worker: answers each hold at once if a run has ended, otherwise after the requested wait. */
 class FakeWorker {
@@ -57,7 +59,8 @@
       isRecordedSilent: () => this.isRecorded,
       removeSilentRecord: () => this.onRemoveRecord(),
       onReport: () => {},
-      onStartAnswered: () => {},
+      stopSlots: { answering: SEND_AT_ONCE, failing: SEND_AT_ONCE },
+      onOrderAnswered: () => {},
       onStarted: (run) => this.started.push(run),
       onNotStarted: (_link, _run, error) => this.notStarted.push(error),
       ensureDurable: () => new Promise(() => {}),
--- a/packages/scheduler/src/test/slowHosts.test.ts
+++ b/packages/scheduler/src/test/slowHosts.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai'
 import { SlowOrders } from './SlowOrders.js'
-import { TestService } from './TestService.js'
+import { SERVICE, TestService } from './TestService.js'
 
 /** The time that callers allow until an accepted job has begun; a job may wait for no more starts than the host makes in this time. */
 const LOST_S = 3
 const LARGE_STEP = { taskCount: 3000, cpuMillis: 1 }
+const LARGE_TASKS = 1500
 const ORDINARY_STEP = { taskCount: 4, cpuMillis: 1 }
 
 describe('a host that makes few starts a second', () => {
@@ -30,7 +31,28 @@
         await service.until('the ordinary job has started', () => startsOf().length >= ORDINARY_STEP.taskCount, 30_000)
         expect((startsOf()[ORDINARY_STEP.taskCount - 1] ?? Infinity) - before, 'starts before the last one of the ordinary job').to.be.at.most(LOST_S / 2 * perSecond)
       }
-      expect(orders.unsentStarts, 'starts that were not sent').to.be.at.most(orders.startedJobs.length / 100)
+      expect(orders.unsent, 'starts that were not sent').to.be.at.most(orders.sent / 100)
     }).timeout(150_000)
   }
+
+  // Guards against a cancelled job whose stops hold up the starts of others for longer, the larger the job and the slower the host is.
+  it('starts ordinary jobs while a large job is cancelled, with few holds', async () => {
+    const perSecond = 300
+    service = new TestService(4, 16_000)
+    service.maxLeaseMs = 10_000
+    const fast = orders = service.orders = new SlowOrders(service.runs, 5000)
+    await service.takeOver()
+    const large = await service.submit(1, { runMs: 60_000 }, [{ taskCount: LARGE_TASKS, cpuMillis: 1 }])
+    await service.until('the large job runs', () => service.runs.records.length === LARGE_TASKS, 30_000)
+    fast.perSecond = perSecond
+    expect(await service.jobApi.cancel(large, [SERVICE], performance.now() + 1000)).to.equal('accepted')
+    await service.until('its runs are being stopped', () => fast.sent > LARGE_TASKS)
+    const [before, holdsBefore] = [fast.sent, fast.holds]
+    const ordinary = await service.submit(2, { runMs: 10 }, [ORDINARY_STEP])
+    await service.until('the ordinary job has started', () => fast.startedJobs.filter((jobId) => jobId === ordinary).length === ORDINARY_STEP.taskCount, 30_000)
+    expect(fast.sent - before, 'orders before the last start of the ordinary job').to.be.at.most(LOST_S / 2 * perSecond)
+    await service.until('all runs are stopped', () => service.runs.records.every(({ end }) => end !== undefined), 60_000)
+    expect(fast.unsent, 'orders that were not sent').to.be.at.most(fast.sent / 100)
+    expect(fast.holds - holdsBefore, 'holds while the runs were stopped').to.be.at.most(LARGE_TASKS / 2)
+  }).timeout(60_000)
 })
