Submissions in small chunks are read later when there are many, not closed

Cause: one bucket of small chunks for all clients, of which the largest body takes nearly all; who exceeded it was closed.

--- a/packages/ingress/src/lib/ClientConnection.ts
+++ b/packages/ingress/src/lib/ClientConnection.ts
@@ -5,11 +5,12 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { ReadingPause } from './ReadingPause.js'
 
 /**
  * Why a connection was closed. `connections`: more were open than allowed; `memory`: all clients together held too much; `requests-ahead`: it had too many
- * requests in progress; `endless-body`: it went on sending a body that had been refused; `small-chunks`: its body came in many small chunks while all such
- * bodies together took too much processor time.
+ * requests in progress; `endless-body`: it went on sending a body that had been refused; `small-chunks`: its body came in many small chunks, and those of all
+ * bodies were too many.
  *
  * @public
  */
@@ -44,10 +45,12 @@
   #waiting: Array<() => Promise<void>> = []
   #isServingInTurn = false
   readonly #waits = new Set<() => void>()
+  readonly #readingPause: ReadingPause
 
   /** @param socket - the connection @param owner - is told what it holds @param nowMs - monotonic time */
   constructor (socket: Socket, owner: ConnectionOwner, nowMs: number) {
     this.#socket = socket
+    this.#readingPause = new ReadingPause(socket)
     this.#owner = owner
     this.#lastActivityMs = nowMs
     this.hold(CONNECTION_BYTES)
@@ -148,6 +151,18 @@
     }
   }
 
+  /**
+   * Slows a body down that comes in many small chunks.
+   *
+   * @param pauseMs - for how long the connection must not be read; infinite closes it
+   * @param nowMs - monotonic time
+   */
+  slowDown (pauseMs: number, nowMs: number): void {
+    if (pauseMs === 0 || this.#isClosed) return
+    if (pauseMs === Infinity) this.close('small-chunks')
+    else this.#readingPause.extend(nowMs + pauseMs, nowMs)
+  }
+
   /** Closes it. @param reason - why */
   close (reason: ClosingReason): void {
     if (this.#isClosed) return
@@ -164,6 +179,7 @@
     if (this.#isClosed) return
     this.release(this.#heldBytes)
     this.#isClosed = true
+    this.#readingPause.end()
     this.#waiting = []
     this.#requests.clear()
     for (const end of this.#waits) end()
--- a/packages/ingress/src/lib/CompactBody.ts
+++ b/packages/ingress/src/lib/CompactBody.ts
@@ -43,13 +43,13 @@
   #heldBytes = 0
   /** Parts that have been passed on since the reader had read all. */
   #parts = 0
-  readonly #isTooExpensive: ChunkCounter
+  readonly #countChunk: ChunkCounter
 
   /** @param options - the request, its limit, and what it counts against */
   constructor (options: CompactBodyOptions) {
     super({ highWaterMark: READ_AHEAD_BYTES })
     this.#options = options
-    this.#isTooExpensive = options.budget.chunks.countBody()
+    this.#countChunk = options.budget.chunks.countBody()
     const { request } = options
     request.on('data', (chunk: Buffer) => this.#add(chunk))
     request.on('end', () => {
@@ -84,7 +84,8 @@
       this.#flush()
       this.#pass(chunk)
     } else this.#join(chunk)
-    if (this.#isTooExpensive(chunk.length, clock.monotonicMs())) connection.close('small-chunks')
+    // Read later, it would occupy its target for longer.
+    if (this.#countChunk(chunk.length, clock.monotonicMs()) > 0) connection.close('small-chunks')
   }
 
   #join (chunk: Buffer): void {
--- a/packages/ingress/src/lib/IngressBudget.ts
+++ b/packages/ingress/src/lib/IngressBudget.ts
@@ -6,7 +6,7 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '@quillscale/utils'
 import { BlockPool } from './BlockPool.js'
-import { ChunkMeter } from './ChunkMeter.js'
+import { ChunkMeter, type ChunkLimits } from './ChunkMeter.js'
 import { ClientConnection, type ClosingReason } from './ClientConnection.js'
 
 /** The bounds of a process. @public */
@@ -29,6 +29,8 @@
 /** Dependencies of an {@link IngressBudget}. @public */
 export interface IngressBudgetOptions {
   readonly limits: IngressLimits
+  /** Bounds for bodies in small chunks, by default those that no client within the limits of the interface meets. */
+  readonly chunkLimits?: ChunkLimits
   readonly clock: Clock
   /** Called for each connection that was closed because of a limit. */
   readonly onClosed: (closed: ClosedConnection) => void
@@ -58,12 +60,13 @@
   /** Memory of the bodies that are being received. */
   readonly blocks = new BlockPool()
   /** Limits the processor time that bodies in small chunks take. */
-  readonly chunks = new ChunkMeter()
+  readonly chunks: ChunkMeter
   #heldBytes = 0
 
   /** @param options - the limits, and who is told of closed connections */
   constructor (options: IngressBudgetOptions) {
     this.#options = options
+    this.chunks = new ChunkMeter(options.chunkLimits)
   }
 
   /** The bounds. */
--- a/packages/ingress/src/lib/collectBody.ts
+++ b/packages/ingress/src/lib/collectBody.ts
@@ -37,13 +37,13 @@
   readonly #limitBytes: number
   #blocks: Buffer[] = []
   #receivedBytes = 0
-  readonly #isTooExpensive: ChunkCounter
+  readonly #countChunk: ChunkCounter
   isTooLarge: boolean
 
   constructor (request: IncomingMessage, connection: ClientConnection, budget: IngressBudget, limitBytes: number) {
     this.#connection = connection
     this.#budget = budget
-    this.#isTooExpensive = budget.chunks.countBody()
+    this.#countChunk = budget.chunks.countBody()
     this.#limitBytes = limitBytes
     this.isTooLarge = Number(request.headers['content-length'] ?? 0) > limitBytes
   }
@@ -74,7 +74,7 @@
     // A chunk is a part of what was read from the socket, and would keep all of it.
     if (!this.isTooLarge) this.#copy(chunk, offset)
     else if (this.#receivedBytes > Math.max(MIN_REFUSED_BYTES, this.#limitBytes * MAX_REFUSED_RATIO)) return this.#connection.close('endless-body')
-    if (this.#isTooExpensive(chunk.length, nowMs)) this.#connection.close('small-chunks')
+    this.#connection.slowDown(this.#countChunk(chunk.length, nowMs), nowMs)
   }
 
   #copy (chunk: Buffer, offset: number): void {
