Starts on workers that have stopped answering do not hold up those on others

Cause, by reading: a worker that is cut off leaves its starts unanswered for 0.7 s, and counts as not answering only after 2.5 s. With a window of eight starts, a few of them hold up all other starts of the service meanwhile, and their waits, which say nothing about this host, make the window smaller still. With 1,000 starts under way that did not matter.

Change: a start that is over 400 ms old, on a worker that has answered nothing for as long, counts no longer as under way; on a host that is slow, workers answer other starts meanwhile. The wait of an order that got no answer counts for the window only if its worker answered another one meanwhile.

Test: PlacementRound.test.ts, WorkerLink.test.ts.

Conclusion: the window follows the speed of this host, not that of its workers.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -66,6 +66,9 @@
 /** A run without progress for this long is stopped and placed elsewhere. */
 const STALL_TIMEOUT_MS = 3000
 
+/** A start that is this old counts no longer as under way if its worker has answered nothing for as long. */
+const START_ANSWER_MS = 400
+
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
 
@@ -234,13 +237,20 @@
     return tickets === undefined ? undefined : { tasks, mayReserve, mayShareWorker, isUrgent, tickets }
   }
 
-  /** Counts by job the runs that wait for their record or for the answer to their start, apart from those on workers that do not answer. */
+  /**
+   * Counts by job the runs that wait for their record or for the answer to their start, apart from starts on workers that may have stopped answering: they
+   * say nothing about how fast this host is.
+   */
   #countStartsUnderWay (): Map<Job, number> {
     const { nowMs, workerViews } = this.#options
     const counts = new Map<Job, number>()
     for (const workerView of workerViews) {
       if (!workerView.isAnswering(nowMs)) continue
-      for (const { phase, task: { job } } of workerView.runs.values()) if (phase === 'recording' || phase === 'starting') counts.set(job, (counts.get(job) ?? 0) + 1)
+      const silentForMs = workerView.silentForMs?.(nowMs) ?? Infinity
+      for (const { phase, placedMs = -Infinity, task: { job } } of workerView.runs.values()) {
+        const isUnanswered = Math.min(silentForMs, nowMs - placedMs) > START_ANSWER_MS
+        if (phase === 'recording' || (phase === 'starting' && !isUnanswered)) counts.set(job, (counts.get(job) ?? 0) + 1)
+      }
     }
     return counts
   }
--- a/packages/policy/src/lib/placement/WorkerView.ts
+++ b/packages/policy/src/lib/placement/WorkerView.ts
@@ -26,4 +26,6 @@
   readonly isRecordedSilent: boolean
   /** @param nowMs - monotonic @returns whether it has answered recently */
   isAnswering (nowMs: number): boolean
+  /** Returns the time since its last answer. @param nowMs - monotonic time @returns `undefined` if it never answered */
+  readonly silentForMs?: (nowMs: number) => number | undefined
 }
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -280,6 +280,23 @@
     expect(service.place(job)).to.have.length(onSilent)
   })
 
+  // Guards against starts on workers that have just been cut off, which hold up those on all others.
+  it('does not count starts that a worker has left unanswered, but those that it gets to one after the other', () => {
+    const service = new RoomyService()
+    const job = jobOf(1, [{ taskCount: many }])
+    const first = service.place(job)
+    let silentForMs = 500
+    for (const worker of service.workers) Object.assign(worker, { silentForMs: () => silentForMs })
+    for (const run of first) Object.assign(run, { placedMs: NOW_MS - 500 })
+    expect(service.place(job)).to.have.length(0)
+    for (const run of first) run.phase = 'starting'
+    silentForMs = 50
+    expect(service.place(job)).to.have.length(0)
+    silentForMs = 500
+    expect(service.place(job)).to.have.length(first.length)
+    expect(service.place(job)).to.have.length(0)
+  })
+
   it('asks for the quota of tasks that it does not place', () => {
     const limit = { cpuMillis: 1e6, memoryMb: 1e6, gpus: 0 }
     const none = { cpuMillis: 0, memoryMb: 0, gpus: 0 }
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -33,7 +33,7 @@
   readonly mayRepeatStart: (run: Run) => boolean
   /** Give stops their turn; those to workers whose calls fail, which wait for the whole time limit of a call, apart from the others. */
   readonly stopSlots: Readonly<Record<'answering' | 'failing', Pick<StopSlots, 'use'>>>
-  /** Called for each start or stop that was answered or given up without an answer, with the time since it was handed over for sending. */
+  /** Called for each start or stop that was answered, or given up while the worker answered others, with the time since it was handed over for sending. */
   readonly onOrderAnswered: (waitedMs: number) => void
   /** Called when a start is confirmed. */
   readonly onStarted: (run: Run) => void
@@ -340,7 +340,7 @@
       const started = await orders.start(this.instance, {
         taskKey: run.taskKey, runNumber: run.runNumber, command, leaseEndsAtMs, fencingToken, checkpoint, ticket: run.ticket
       })
-      this.#options.onOrderAnswered(clock.monotonicMs() - nowMs)
+      this.#reportWait(nowMs, started)
       if (started.err && started.val.kind === 'not-sent') {
         if (this.#mayWaitLonger(nowMs, beganMs) && mayRepeatStart(run)) continue
         return this.#reportNotStarted(run, started.val)
@@ -361,6 +361,12 @@
     }
   }
 
+  /** Reports how long an order waited, unless the worker has answered nothing meanwhile: then the wait says nothing about this host. */
+  #reportWait (handedOverMs: number, answer: Result<number, RunOrderError>): void {
+    const isUnanswered = answer.err && (answer.val.kind === 'unknown-effect' || answer.val.kind === 'not-sent')
+    if (!isUnanswered || this.#lastResponseMs >= handedOverMs) this.#options.onOrderAnswered(this.#options.clock.monotonicMs() - handedOverMs)
+  }
+
   /**
    * Tells whether a start that found no free connection is handed over once more: this host is busy, and the worker is not the reason.
    *
@@ -394,10 +400,10 @@
   /** Sends a stop order, unless the run has ended while it waited for its turn. */
   async #sendStop (run: Run, fencingToken: number): Promise<Result<number, RunOrderError> | undefined> {
     if (!this.runs.has(runKey(run)) || this.#stop.signal.aborted) return undefined
-    const { orders, clock, onOrderAnswered } = this.#options
+    const { orders, clock } = this.#options
     const handedOverMs = clock.monotonicMs()
     const stopped = await orders.stop(this.instance, run, fencingToken)
-    onOrderAnswered(clock.monotonicMs() - handedOverMs)
+    this.#reportWait(handedOverMs, stopped)
     return stopped
   }
 
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -31,6 +31,8 @@
   unsentAfterMs = 600
   readonly started: Run[] = []
   readonly notStarted: RunOrderError[] = []
+  /** How long orders waited that say how fast the host is. */
+  readonly waits: number[] = []
   readonly link: WorkerLink
 
   constructor () {
@@ -60,7 +62,7 @@
       removeSilentRecord: () => this.onRemoveRecord(),
       onReport: () => {},
       stopSlots: { answering: SEND_AT_ONCE, failing: SEND_AT_ONCE },
-      onOrderAnswered: () => {},
+      onOrderAnswered: (waitedMs) => this.waits.push(waitedMs),
       onStarted: (run) => this.started.push(run),
       onNotStarted: (_link, _run, error) => this.notStarted.push(error),
       ensureDurable: () => new Promise(() => {}),
@@ -127,6 +129,7 @@
       worker.unsentStarts = 2
       await startRun()
       expect([worker.started.length, worker.notStarted.length]).to.deep.equal([1, 0])
+      expect(worker.waits).to.have.length(3)
     })
 
     it('gives a start up if the worker has answered nothing meanwhile', async () => {
@@ -134,6 +137,7 @@
       worker.unsentStarts = 3
       await startRun(true)
       expect(worker.notStarted.map(({ kind }) => kind)).to.deep.equal(['not-sent'])
+      expect(worker.waits).to.deep.equal([])
     })
 
     it('gives a start up if the worker begins to drain meanwhile', async () => {
