Unanswered starts count as under way while no worker answers at all

While this host itself stands still for so long, no worker seems to answer, so that a round places another window of starts, and the next one another, on the very hosts that the window is for.

Change: what counts is how much later than the start another worker has answered.

Conclusion: only a difference between workers says that one of them is the cause.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -66,7 +66,7 @@
 /** A run without progress for this long is stopped and placed elsewhere. */
 const STALL_TIMEOUT_MS = 3000
 
-/** A start that is this old counts no longer as under way if its worker has answered nothing for as long. */
+/** A start counts no longer as under way once other workers have answered this long after it, and its own has not. */
 const START_ANSWER_MS = 400
 
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
@@ -238,17 +238,20 @@
   }
 
   /**
-   * Counts by job the runs that wait for their record or for the answer to their start, apart from starts on workers that may have stopped answering: they
-   * say nothing about how fast this host is.
+   * Counts by job the runs that wait for their record or for the answer to their start, apart from starts on workers that have left them unanswered while
+   * others answered: they say nothing about how fast this host is.
    */
   #countStartsUnderWay (): Map<Job, number> {
     const { nowMs, workerViews } = this.#options
     const counts = new Map<Job, number>()
+    const silenceOf = (workerView: WorkerView): number => workerView.silentForMs?.(nowMs) ?? Infinity
+    // While this host itself stands still, no worker seems to answer.
+    const lastAnswerMs = nowMs - workerViews.reduce((least, workerView) => Math.min(least, silenceOf(workerView)), Infinity)
     for (const workerView of workerViews) {
       if (!workerView.isAnswering(nowMs)) continue
-      const silentForMs = workerView.silentForMs?.(nowMs) ?? Infinity
+      const ownAnswerMs = nowMs - silenceOf(workerView)
       for (const { phase, placedMs = -Infinity, task: { job } } of workerView.runs.values()) {
-        const isUnanswered = Math.min(silentForMs, nowMs - placedMs) > START_ANSWER_MS
+        const isUnanswered = lastAnswerMs - Math.max(ownAnswerMs, placedMs) > START_ANSWER_MS
         if (phase === 'recording' || (phase === 'starting' && !isUnanswered)) counts.set(job, (counts.get(job) ?? 0) + 1)
       }
     }
--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -281,20 +281,22 @@
   })
 
   // Guards against starts on workers that have just been cut off, which hold up those on all others.
-  it('does not count starts that a worker has left unanswered, but those that it gets to one after the other', () => {
+  it('does not count starts that a worker has left unanswered while others answered, but does while none answers', () => {
     const service = new RoomyService()
     const job = jobOf(1, [{ taskCount: many }])
     const first = service.place(job)
-    let silentForMs = 500
-    for (const worker of service.workers) Object.assign(worker, { silentForMs: () => silentForMs })
-    for (const run of first) Object.assign(run, { placedMs: NOW_MS - 500 })
-    expect(service.place(job)).to.have.length(0)
+    const ownId = first[0]?.instanceId
+    let [ownSilenceMs, otherSilenceMs] = [600, 0]
+    for (const worker of service.workers) Object.assign(worker, { silentForMs: () => worker.instance.instanceId === ownId ? ownSilenceMs : otherSilenceMs })
+    for (const run of first) Object.assign(run, { placedMs: NOW_MS - 600 })
+    expect(service.place(job), 'starts that wait for their record').to.have.length(0)
     for (const run of first) run.phase = 'starting'
-    silentForMs = 50
-    expect(service.place(job)).to.have.length(0)
-    silentForMs = 500
+    ownSilenceMs = 50
+    expect(service.place(job), 'on a worker that answers').to.have.length(0)
+    ownSilenceMs = otherSilenceMs = 600
+    expect(service.place(job), 'while no worker answers').to.have.length(0)
+    otherSilenceMs = 0
     expect(service.place(job)).to.have.length(first.length)
-    expect(service.place(job)).to.have.length(0)
   })
 
   it('asks for the quota of tasks that it does not place', () => {
