The slow host of the tests has a clock of its own

Cause: SlowOrders sent what was due since the last tick, so that after the test process had stood still for a second it sent a second's orders at once, and calls expired meanwhile: the verdict of slowHosts.test.ts would have hung on the machine.

Change: no more than 50 ms pass for the host between two ticks.

--- a/packages/scheduler/src/test/SlowOrders.ts
+++ b/packages/scheduler/src/test/SlowOrders.ts
@@ -9,6 +9,8 @@
 /** Time limit of a call that waits to be sent. */
 const CALL_TIMEOUT_MS = 700
 const TICK_MS = 5
+/** More time than this between two ticks does not count: this process stood still, and not the host that it stands for. */
+const MAX_TICK_MS = 50
 const UNSENT: Result<number, RunOrderError> = Err({ kind: 'not-sent', detail: 'no connection became free in time' })
 
 interface WaitingCall { readonly sinceMs: number, readonly send: () => void, readonly expire: () => void }
@@ -26,6 +28,8 @@
   readonly #inner: RunOrders
   readonly #perSecond: number
   readonly #waiting: WaitingCall[] = []
+  /** The time of the host, which does not pass while this process stands still. */
+  #nowMs = 0
   #isClosed = false
 
   /** @param inner - carries the orders out @param perSecond - orders that get through in a second */
@@ -65,7 +69,7 @@
 
   #whenSent (): Promise<boolean> {
     return new Promise((resolve) => {
-      this.#waiting.push({ sinceMs: performance.now(), send: () => resolve(true), expire: () => resolve(false) })
+      this.#waiting.push({ sinceMs: this.#nowMs, send: () => resolve(true), expire: () => resolve(false) })
     })
   }
 
@@ -73,16 +77,17 @@
     let due = 0
     for (let lastMs = performance.now(); !this.#isClosed;) {
       await delay(TICK_MS)
-      const nowMs = performance.now()
-      due += (nowMs - lastMs) * this.#perSecond / 1000
-      lastMs = nowMs
-      for (; due >= 1; due--) this.#next(nowMs)?.send()
+      const tickMs = Math.min(MAX_TICK_MS, performance.now() - lastMs)
+      lastMs = performance.now()
+      this.#nowMs += tickMs
+      due += tickMs * this.#perSecond / 1000
+      for (; due >= 1; due--) this.#next()?.send()
     }
   }
 
-  #next (nowMs: number): WaitingCall | undefined {
+  #next (): WaitingCall | undefined {
     for (let call = this.#waiting.shift(); call !== undefined; call = this.#waiting.shift()) {
-      if (nowMs - call.sinceMs <= CALL_TIMEOUT_MS) {
+      if (this.#nowMs - call.sinceMs <= CALL_TIMEOUT_MS) {
         this.sent++
         return call
       }
