The comment on the debt of small chunks tells what a connection adds

Cause: found on reading the change once more: '10,900 chunks of 64 KB each' reads as the size of a chunk, where the content of one read of a connection was meant.

Ruled out: other changes.

Change: one comment; nothing that runs.

Conclusion: nothing else to mend.

--- a/packages/ingress/src/lib/ChunkMeter.ts
+++ b/packages/ingress/src/lib/ChunkMeter.ts
@@ -19,7 +19,7 @@
   readonly maxDebt: number
 }
 
-/** The burst is more than the largest body has. The debt is what some ten connections add before they are read no more: up to 10,900 chunks of 64 KB each. */
+/** The burst is more than the largest body has. The debt is that of some ten connections: each adds the chunks of one read of 64 KB before it pauses. */
 const DEFAULT_LIMITS: ChunkLimits = { burst: 300_000, perSecond: 50_000, maxDebt: 120_000 }
 
 /**
