--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,45 +1,90 @@
-// A client sends some jobs of many small steps at once, each within the limit of a body, and again to the next host when no answer comes: each host that they
-// reach stands still for seconds or runs out of memory.
+// Half of the open channels to the store go silent for good, again and again, while new ones work. Clients cancel jobs just then: where the channel is among
+// them on which the holder of the service waits for news, it goes on to start work units of these jobs for 3.5 s.
 import { fileURLToPath } from 'node:url'
-import { Deployment, newJobId, pause, Record } from '../lib-3/deployment.mjs'
-import { OrdinaryJobs } from '../lib-3/ordinary.mjs'
+import { Deployment, newJobId, pause, Record, taskSpec } from '../lib-3/deployment.mjs'
+import { ChannelProxy } from '../lib-3/proxy.mjs'
 
 const record = new Record(fileURLToPath(new URL('.', import.meta.url)))
 const isTrouble = process.env.TROUBLE !== '0'
-const JOBS = 16
-const STEPS = 87_000
-/** 261 KB; the configuration allows 262,144 bytes. Fields that are 0, false or empty are left out. */
-const BODY = `{"TaskSpec":"","Steps":[${new Array(STEPS).fill('{}').join(',')}]}`
 const SERVICE = 'grids'
-/** RULES.md, Fault: three ends of processes, and two machines of few. */
-const MOST_ENDS = 3
-const MIN_HOSTS = 2
+const ROUNDS = 14
+/** `reset_conns` has x (.5) of the connections. */
+const SHARE = 0.5
+/** `ContactMs` and `cancel_ms` of the site. */
+const CONTACT_MS = 3000
+const CANCEL_MS = 3000
+const JOBS = 8
+/** Steps of 80 ms, one after the other. */
+const STEPS = Array.from({ length: 90 }, (_, index) => ({ Count: 1, Cpu: 500, MemMb: 10, EstimateMs: 80, ...(index === 0 ? {} : { DependsOn: [index - 1] }) }))
 
 const deployment = new Deployment(record)
+const proxies = []
+const state = { isEnded: false }
 let exitCode = 2
+
+/** Sends small jobs, as ordinary traffic. */
+async function sendJobs () {
+  const body = { TaskSpec: taskSpec(200), Steps: [{ Count: 1, Cpu: 500, MemMb: 10, EstimateMs: 200 }] }
+  for (let index = 0; !state.isEnded; index++) {
+    void deployment.hosts[index % deployment.hosts.length].call('POST', `/${SERVICE}/${newJobId()}`, { body })
+    await pause(100)
+  }
+}
+
 try {
-  await deployment.start()
-  const ordinary = new OrdinaryJobs(deployment, record, SERVICE)
-  void ordinary.run(1000)
-  await pause(4000)
-  if (isTrouble) {
-    await Promise.all(Array.from({ length: JOBS }, async () => {
-      const id = newJobId()
-      const { status, error, host } = await deployment.callAny('POST', `/${SERVICE}/${id}`, { body: BODY, tries: 5 })
-      record.write('job of many steps: last outcome', { id, bytes: BODY.length, status, error, host })
+  await deployment.start({
+    hosts: 3,
+    machines: 5,
+    storePort: async (port) => {
+      const proxy = new ChannelProxy(port)
+      proxies.push(proxy)
+      return await proxy.listen()
+    }
+  })
+  void sendJobs()
+  await pause(2000)
+  let broken = 0
+  for (let round = 0; round < ROUNDS; round++) {
+    const jobs = Array.from({ length: JOBS }, newJobId)
+    await Promise.all(jobs.map((id) => deployment.callAny('POST', `/${SERVICE}/${id}`, { body: { TaskSpec: taskSpec(80), Steps: STEPS } })))
+    await pause(1000)
+    const holder = await deployment.holderOf(SERVICE)
+    const struckMs = performance.now()
+    const struck = isTrouble ? proxies.map((proxy) => proxy.silence(SHARE)) : []
+    const cancelled = await Promise.all(jobs.map(async (id, index) => {
+      const { status, host } = await deployment.callAny('DELETE', `/${SERVICE}/${id}`, { from: index })
+      return { id, status, host, acknowledgedMs: performance.now() }
     }))
+    await pause(4200)
+    const late = cancelled.flatMap(({ id, status, acknowledgedMs }) => {
+      const isAcknowledged = status >= 200 && status < 300
+      const fromMs = Math.max(acknowledgedMs + CANCEL_MS, struckMs + CONTACT_MS)
+      const runs = deployment.fleet.runs.filter(({ taskKey, startedMs }) => taskKey.startsWith(id) && startedMs > fromMs)
+      return isAcknowledged
+        ? runs.map(({ taskKey, fencingToken, startedMs }) =>
+          ({ taskKey, fencingToken, afterAckMs: Math.round(startedMs - acknowledgedMs), afterStrikeMs: Math.round(startedMs - struckMs) }))
+        : []
+    })
+    const last = Math.max(...cancelled.flatMap(({ id, acknowledgedMs }) =>
+      deployment.fleet.runs.filter(({ taskKey }) => taskKey.startsWith(id)).map(({ startedMs }) => Math.round(startedMs - acknowledgedMs))))
+    if (late.length > 0) broken++
+    record.write(late.length > 0 ? 'UNASKED: started later than cancel_ms after the cancelling was acknowledged' : 'round', {
+      round,
+      holder: holder?.name,
+      holderAfter: (await deployment.holderOf(SERVICE))?.name,
+      struck,
+      acknowledgedAfterStrikeMs: cancelled.map(({ status, acknowledgedMs }) => `${status} ${Math.round(acknowledgedMs - struckMs)}`),
+      lastStartAfterAckMs: last,
+      late
+    })
   }
-  await pause(10_000)
-  ordinary.end()
-  const ends = deployment.hosts.flatMap((host) => host.ends.map((end) => ({ ...end, host: host.name })))
-  const hosts = new Set(ends.map(({ host }) => host))
-  const isFault = ends.length >= MOST_ENDS && hosts.size >= MIN_HOSTS
-  const unanswered = ordinary.jobs.filter(({ answer }) => answer !== 200).length
-  record.write('result', { processesEnded: ends.length, onHosts: [...hosts], ordinaryJobs: ordinary.jobs.length, notAccepted: unanswered, isFault })
-  exitCode = isFault ? 1 : 0
+  record.write('result', { rounds: ROUNDS, broken })
+  exitCode = broken > 0 ? 1 : 0
 } catch (error) {
   record.write('could not run', { error: String(error) })
 } finally {
+  state.isEnded = true
   await deployment.close()
+  for (const proxy of proxies) proxy.close()
 }
 process.exit(exitCode)
