Review: scripts end their hosts also when they are ended themselves

Looked for: processes that stay behind. Change: review/lib-3/deployment.mjs kills the hosts when the script exits or is told to end. The checks are as they were.

--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -118,6 +118,12 @@
     this.#child?.kill(name)
   }
 
+  /** Ends the process without waiting, as the test itself ends. */
+  kill () {
+    this.#isClosed = true
+    this.#child?.kill('SIGKILL')
+  }
+
   async close () {
     this.#isClosed = true
     const child = this.#child
@@ -175,6 +181,8 @@
     this.record = record
     this.memory = new MemoryKeyValueStore(systemClock)
     this.store = new StoreServer(this.memory)
+    process.once('exit', () => { for (const host of this.hosts) host.kill() })
+    for (const name of ['SIGTERM', 'SIGINT']) process.once(name, () => process.exit(2))
   }
 
   /**
