--- a/review/lib-3/ordinary.mjs
+++ b/review/lib-3/ordinary.mjs
@@ -5,6 +5,8 @@
 export const FINISH_MS = 14_000
 /** A job may have nothing running for so long while its turn has come. */
 export const LOST_MS = 3000
+/** Half of what the four workers of the service can run at once. */
+const HALF_ROOM = 32
 const RUN_MS = 300
 const STEPS = [{ Count: 1, Cpu: 1000, MemMb: 10, EstimateMs: RUN_MS }]
 
@@ -55,15 +57,34 @@
   }
 
   /**
-   * Returns the jobs that had nothing running for 3 s, none of these before `fromMs`.
+   * Returns the jobs that had nothing running for 3 s on end, none of these before `fromMs`, with under half of the service's room in use all the while, so that there
+   * was room for them twice over. All runs are of this service, as no other gets jobs.
    *
    * @param fromMs - when the check begins
    * @param endMs - when the observation ended
    */
   lost (fromMs, endMs) {
-    const waits = this.waits(endMs, Date.now() - performance.now())
-    const lost = waits.filter(({ acceptedMs, waitedMs }) => acceptedMs + waitedMs - Math.max(acceptedMs, fromMs) > LOST_MS)
+    const offsetMs = Date.now() - performance.now()
+    const changes = this.deployment.fleet.runs.flatMap(({ startedMs, endedMs = Infinity }) => [[startedMs + offsetMs, 1], [endedMs + offsetMs, -1]])
+    changes.sort((a, b) => a[0] - b[0])
+    const lost = this.waits(endMs, offsetMs).filter(({ acceptedMs, waitedMs }) =>
+      longestWithRoom(changes, Math.max(acceptedMs, fromMs), acceptedMs + waitedMs) > LOST_MS)
     for (const job of lost) this.record.write('LOST: accepted job has nothing running for over 3 s though its service has room', { ...job, acceptedMs: undefined })
     return lost
   }
 }
+
+/** Returns the longest time on end within a span in which less than half of the room was in use. */
+function longestWithRoom (changes, fromMs, toMs) {
+  let running = 0
+  let longestMs = 0
+  let sinceMs = fromMs
+  for (const [atMs, change] of changes) {
+    const isFull = running >= HALF_ROOM
+    const clampedMs = Math.min(Math.max(atMs, fromMs), toMs)
+    if (isFull) sinceMs = clampedMs
+    else longestMs = Math.max(longestMs, clampedMs - sinceMs)
+    running += change
+  }
+  return running >= HALF_ROOM ? longestMs : Math.max(longestMs, toMs - sinceMs)
+}
