--- a/review/lib-3/ordinary.mjs
+++ b/review/lib-3/ordinary.mjs
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Returns the jobs that had nothing running for 3 s on end, none of these before `fromMs`, with under half of the service's room in use all the while, so that there
-   * was room for them twice over. All runs are of this service, as no other gets jobs.
+   * Returns the jobs that had nothing running for 3 s on end, none of these before `fromMs`, with under half of the service's room in use all the while,
+   * so that there was room for them twice over. All runs are of this service, as no other gets jobs.
    *
    * @param fromMs - when the check begins
    * @param endMs - when the observation ended
