Hold starts back while cancellations and registrations may be out of date

Half of the open connections to the store go silent without an error; jobs cancelled just then go on starting for up to 3.6 s after the acknowledgement, where cancel_ms is 3 s. A relative (DRAIN): workers that state draining get starts for 3.7 s.

Cause: one constant, a watch of 3 s, served all replicas and knew none of the bounds that rest on them. A watch that is the only silent call is noticed by its own time-out alone, after its wait and 0.6 s. A routine list took the place of the watch for as long as it lasted, and no start asked how old the replicas were.

Ruled out: the write of the cancellation (durable before the answer), the stops (sent as soon as the watch answers), a change of holders.

FreshnessGate places nothing and sends no start while the inbox or the registrations are older than their bound. Routine lists run beside the watch. A start that was never sent counts as not sent, not as unanswered.

Conclusion: the age of what is known is bounded by what rests on it, also where no call is answered. A cancellation answered 410 while its submission is under way is another fault and stays open.

--- a/packages/leases/src/lib/PrefixReplica.ts
+++ b/packages/leases/src/lib/PrefixReplica.ts
@@ -2,7 +2,7 @@
  * A local replica of all keys with a given prefix, kept up to date by a watch.
  *
  * A watch may be interrupted, miss events, or ask for changes that the store no longer keeps; then the prefix is listed again. Lists are
- * linearizable, so a key never goes back to an older value.
+ * linearizable, so a key never goes back to an older value. Routine lists run beside the watch, which goes on to bring changes however long they take.
  *
  * @module
  */
@@ -40,7 +40,12 @@
   readonly items = new Map<string, KeyValue>()
   readonly #options: PrefixReplicaOptions
   #revision = 0
+  /** Revision that the last list reflects; events up to it are older than what is known. */
+  #listedRevision = 0
   #isListed = false
+  #isRelisting = false
+  /** Revisions at which keys were removed while a list is under way, which may still have them. */
+  readonly #removedRevisions = new Map<string, number>()
   #lastWatchHadEvents = false
   #isInContact = true
   #inContactSinceMs = 0
@@ -72,13 +77,12 @@
     let failures = 0
     let mustList = true
     while (!signal.aborted) {
-      const isRoutine: boolean = !mustList && this.#isRelistDue()
-      const error: PlatformError | undefined = await (mustList || isRoutine ? this.#list(signal) : this.#watch(signal))
+      if (!mustList && this.#isRelistDue()) void this.#relist(signal)
+      const error: PlatformError | undefined = await (mustList ? this.#list(signal, true) : this.#watch(signal))
       if (signal.aborted) return
       this.#updateContact(error)
       if (error === undefined && this.#lastWatchHadEvents && this.#options.spacingMs !== undefined) await delay(this.#options.spacingMs, signal)
-      // A routine list that fails, as a long one may on a busy link, does not interrupt the watch.
-      mustList = error !== undefined && !isRoutine
+      mustList = error !== undefined
       failures = error === undefined || error.kind === 'history-gone' ? 0 : failures + 1
       if (failures > 0) await backOff(Math.min(failures - 1, MAX_BACK_OFF_EXPONENT), signal)
     }
@@ -86,24 +90,37 @@
 
   #isRelistDue (): boolean {
     const nowMs = this.#options.clock.monotonicMs()
-    if (nowMs - this.#lastRelistMs <= this.#options.relistMs) return false
+    if (this.#isRelisting || nowMs - this.#lastRelistMs <= this.#options.relistMs) return false
     this.#lastRelistMs = nowMs
     return true
   }
 
-  async #list (signal: AbortSignal): Promise<PlatformError | undefined> {
+  /** Lists the prefix beside the watch. A failure, as of a long list on a busy link, has no consequences. */
+  async #relist (signal: AbortSignal): Promise<void> {
+    this.#isRelisting = true
+    await this.#list(signal, false)
+    this.#isRelisting = false
+  }
+
+  /** @param signal - stops the replication @param isRestart - whether the watch is to continue from this list */
+  async #list (signal: AbortSignal, isRestart: boolean): Promise<PlatformError | undefined> {
     const askedMs = this.#options.clock.monotonicMs()
     const listed = await this.#options.store.list(this.#options.prefix)
     if (listed.err) return listed.val
     if (signal.aborted) return undefined
     const { items, revision } = listed.val
+    if (isRestart) this.#revision = revision
+    // A list that was asked for before a restart may be older than what is known since.
+    else if (revision < this.#listedRevision) return undefined
     const listedKeys = new Set(items.map(({ key }) => key))
-    const changed = items.filter(({ key, modRevision }) => (this.items.get(key)?.modRevision ?? 0) < modRevision)
-    const removed = [...this.items.keys()].filter((key) => !listedKeys.has(key))
+    const changed = items.filter(({ key, modRevision }) => modRevision > Math.max(this.items.get(key)?.modRevision ?? 0, this.#removedRevisions.get(key) ?? 0))
+    // A key that a watch has brought since the list was read is not missing from it.
+    const removed = [...this.items.values()].filter(({ key, modRevision }) => !listedKeys.has(key) && modRevision <= revision).map(({ key }) => key)
     this.#apply(changed, removed)
-    this.#revision = revision
-    this.#confirmedAtMs = askedMs
-    this.#lastRelistMs = askedMs
+    this.#listedRevision = revision
+    this.#removedRevisions.clear()
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, askedMs)
+    this.#lastRelistMs = Math.max(this.#lastRelistMs, askedMs)
     const isFirstList = !this.#isListed
     this.#isListed = true
     if (isFirstList || changed.length + removed.length > 0) this.#options.onChange({ changed, removed })
@@ -115,10 +132,12 @@
     const watched = await this.#options.store.watch(this.#options.prefix, this.#revision, this.#options.watchMs)
     if (watched.err) return watched.val
     if (signal.aborted) return undefined
-    this.#confirmedAtMs = askedMs
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, askedMs)
     const last = new Map<string, KeyValue | undefined>()
     for (const { key, value, modRevision } of watched.val.events) {
-      if ((this.items.get(key)?.modRevision ?? 0) < modRevision) last.set(key, value === undefined ? undefined : { key, value, modRevision })
+      if (modRevision <= Math.max(this.items.get(key)?.modRevision ?? 0, this.#listedRevision)) continue
+      last.set(key, value === undefined ? undefined : { key, value, modRevision })
+      if (value === undefined && this.#isRelisting) this.#removedRevisions.set(key, modRevision)
     }
     const changed = [...last.values()].filter((item) => item !== undefined)
     this.#lastWatchHadEvents = watched.val.events.length > 0
--- a/packages/leases/src/test/PrefixReplica.test.ts
+++ b/packages/leases/src/test/PrefixReplica.test.ts
@@ -10,9 +10,13 @@
   isHistoryGone = false
   /** Makes every list fail, as if it had timed out. */
   failsLists = false
+  /** How long the answer of a list takes after it was read. */
+  listAnswerMs = 0
 
   override async list (prefix: string): ReturnType<MemoryKeyValueStore['list']> {
-    return this.failsLists ? Err({ kind: 'unknown-effect', detail: 'timed out' }) : await super.list(prefix)
+    const listed = await super.list(prefix)
+    if (this.listAnswerMs > 0) await delay(this.listAnswerMs)
+    return this.failsLists ? Err({ kind: 'unknown-effect', detail: 'timed out' }) : listed
   }
 
   override async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
@@ -73,6 +77,21 @@
     await until(() => replica.items.get('p/b')?.value === '3')
   })
 
+  // Guards against a replica that learns nothing while a long routine list is under way, and against an outdated list that undoes later changes.
+  it('brings changes beside a routine list that takes long, and keeps them after it', async () => {
+    store.listAnswerMs = 600
+    await delay(300)
+    const askedMs = performance.now()
+    await write('p/a', undefined)
+    await write('p/b', '3')
+    await until(() => replica.items.get('p/b')?.value === '3' && !replica.items.has('p/a'))
+    expect(performance.now() - askedMs).to.be.below(store.listAnswerMs / 2)
+    for (let waitedMs = 0; waitedMs < 2 * store.listAnswerMs; waitedMs += 10) {
+      await delay(10)
+      expect([...replica.items.keys()]).to.deep.equal(['p/b'])
+    }
+  })
+
   it('reports no changes after it was stopped, not even from a pending response', async () => {
     let changes = 0
     const ended = new AbortController()
--- a/packages/scheduler/src/lib/accounts/QuotaLedger.ts
+++ b/packages/scheduler/src/lib/accounts/QuotaLedger.ts
@@ -15,7 +15,7 @@
   resourcesOf, stepOf, type AccountQuota, type QuotaClaim, type GrantPlan, type OwnClaim, type QuotaShortage, type Resources, type Run, type Task
 } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
-import { createReplica } from '../records/createReplica.js'
+import { ADVISORY_AGE_MS, createReplica } from '../records/createReplica.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import type { AccountDirectory } from './AccountDirectory.js'
 import { QUOTA_PREFIX, quotaKey, decodeQuotaRecord, encodeQuotaRecord } from './quotaRecord.js'
@@ -82,7 +82,7 @@
     this.#options = options
     const { store, clock, log } = options
     this.#replica = createReplica(log, {
-      store, clock, prefix: QUOTA_PREFIX, spacingMs: WATCH_SPACING_MS, onChange: (change) => this.#applyChange(change)
+      store, clock, prefix: QUOTA_PREFIX, maxAgeMs: ADVISORY_AGE_MS, spacingMs: WATCH_SPACING_MS, onChange: (change) => this.#applyChange(change)
     })
   }
 
--- a/packages/scheduler/src/lib/duties/DutyElector.ts
+++ b/packages/scheduler/src/lib/duties/DutyElector.ts
@@ -12,7 +12,7 @@
 import { LeaseHolder, type PrefixChange, type PrefixReplica } from '@quillscale/leases'
 import { dutyClaimDelayMs } from '@quillscale/policy'
 import * as z from 'zod'
-import { createReplica } from '../records/createReplica.js'
+import { ADVISORY_AGE_MS, createReplica } from '../records/createReplica.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import type { EventLog } from './EventLog.js'
 import { DUTY_PREFIX, hostKey, HOSTS_PREFIX } from '../records/storeKeys.js'
@@ -100,6 +100,7 @@
       store,
       clock,
       prefix: DUTY_PREFIX,
+      maxAgeMs: ADVISORY_AGE_MS,
       onChange: (change) => {
         options.onChange?.(change, this.#dutyReplica.reachableForMs(clock.monotonicMs()) > 0)
         void this.#refreshCapacities().then(() => this.#scheduleAttempts())
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -17,6 +17,7 @@
 import { PlacementAdviceCache } from '../workers/PlacementAdviceCache.js'
 import type { FencedBatchWriter, RecordEncoder } from '../records/FencedBatchWriter.js'
 import { createReplica } from '../records/createReplica.js'
+import { FreshnessGate } from '../records/FreshnessGate.js'
 import type { EventLog } from './EventLog.js'
 import { ConfigurationGate } from '../jobs/ConfigurationGate.js'
 import { CrashTracker } from '../jobs/CrashTracker.js'
@@ -69,6 +70,7 @@
   readonly #registrationReplica: PrefixReplica
   readonly #inboxReader: InboxReader
   readonly #inboxReplica: PrefixReplica
+  readonly #freshness: FreshnessGate
   readonly #stop = new AbortController()
   readonly #pacer: RoundPacer
   readonly #orderWindow = new OrderWindow()
@@ -134,7 +136,12 @@
       ...options, prefix: options.workersPrefix, isServiceConfigured: (name) => configuration()?.services.some((named) => named.name === name) === true
     })
     this.#registrationReplica = createReplica(options.log, {
-      store, clock, prefix: options.workersPrefix, spacingMs: REGISTRATIONS_INTERVAL_MS, onChange: () => this.#updateWorkers()
+      store,
+      clock,
+      prefix: options.workersPrefix,
+      maxAgeMs: options.bounds().drainMs,
+      spacingMs: REGISTRATIONS_INTERVAL_MS,
+      onChange: () => this.#updateWorkers()
     })
     this.#inboxReader = new InboxReader({
       ...options,
@@ -145,7 +152,19 @@
       onMachineDown: (workerId, report) => this.#workers.handleMachineDown(workerId, report)
     })
     this.#inboxReplica = createReplica(options.log, {
-      store, clock, prefix: inboxPrefix(service), spacingMs: INBOX_INTERVAL_MS, onChange: (change) => this.#applyInboxChange(change)
+      store,
+      clock,
+      prefix: inboxPrefix(service),
+      maxAgeMs: options.bounds().cancelMs,
+      spacingMs: INBOX_INTERVAL_MS,
+      onChange: (change) => this.#applyInboxChange(change)
+    })
+    this.#freshness = new FreshnessGate({
+      ...options,
+      sources: [
+        { name: 'registrations', replica: this.#registrationReplica, boundMs: () => options.bounds().drainMs },
+        { name: 'inbox', replica: this.#inboxReplica, boundMs: () => options.bounds().cancelMs }
+      ]
     })
   }
 
@@ -204,6 +223,7 @@
     const linkOptions: WorkerTrackerOptions['linkOptions'] = {
       orders,
       holdsDuty,
+      mayStart: () => this.#freshness.isOpenNow(),
       onReport: (link, report, askedMs) => {
         const { instanceId } = link.instance
         if (report.lifetimeStartMs === lifetimeStartMsOf(instanceId)) this.#crashTracker.recordReport(instanceId, askedMs)
@@ -354,7 +374,7 @@
   }
 
   #placeTasks (nowMs: number): void {
-    if (!this.#options.holdsDuty()) return
+    if (!this.#options.holdsDuty() || !this.#freshness.isOpen(nowMs)) return
     const configuration = this.#options.configuration()
     if (configuration === undefined) return
     const round = new PlacementRound({
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -20,6 +20,10 @@
   readonly minTtlMs: number
   /** How long the state of an ended job stays available. */
   readonly keepEndedMs: number
+  /** Time after the cancellation of a job from which none of its runs may start. */
+  readonly cancelMs: number
+  /** Time after a worker has reported that it drains from which no run may start there. */
+  readonly drainMs: number
 }
 
 /** Options of {@link ServiceScheduler}. @public */
--- a/packages/scheduler/src/lib/machines/MachineDuty.ts
+++ b/packages/scheduler/src/lib/machines/MachineDuty.ts
@@ -11,7 +11,7 @@
 import type { KeyValueStore, ListedMachine, MachineControl, MachineOrderOutcome, WaveRequest } from '@quillscale/ports'
 import type { PrefixReplica } from '@quillscale/leases'
 import type { FencedBatchWriter } from '../records/FencedBatchWriter.js'
-import { createReplica } from '../records/createReplica.js'
+import { ADVISORY_AGE_MS, createReplica } from '../records/createReplica.js'
 import type { DutyGrant, DutyTask } from '../duties/DutyElector.js'
 import type { EventLog } from '../duties/EventLog.js'
 import { chooseWaveMachines } from './chooseWaveMachines.js'
@@ -101,9 +101,9 @@
     this.#demands = new DemandTracker(options.records)
     this.#balancer = new PoolBalancer({ ...options })
     this.#cooldowns = new OrderCooldowns(() => options.holderChangeMs() + HOLDER_CHANGE_SLACK_MS)
-    const ignoreChange = (): void => {}
-    this.#drainedReplica = createReplica(log, { store, clock, prefix: VACATED_PREFIX, onChange: ignoreChange })
-    this.#demandReplica = createReplica(log, { store, clock, prefix: DEMAND_PREFIX, spacingMs: DEMAND_WATCH_SPACING_MS, onChange: ignoreChange })
+    const replica = { store, clock, maxAgeMs: ADVISORY_AGE_MS, onChange: (): void => {} }
+    this.#drainedReplica = createReplica(log, { ...replica, prefix: VACATED_PREFIX })
+    this.#demandReplica = createReplica(log, { ...replica, prefix: DEMAND_PREFIX, spacingMs: DEMAND_WATCH_SPACING_MS })
   }
 
   /** Runs until {@link close} is called or the duty is lost. */
--- a/packages/scheduler/src/lib/workers/WorkerLink.ts
+++ b/packages/scheduler/src/lib/workers/WorkerLink.ts
@@ -23,6 +23,8 @@
   readonly leaseMs: number
   /** Whether the duty is held at this moment; checked right before each start and lease extension. */
   readonly holdsDuty: () => boolean
+  /** Whether the records that starts depend on are recent enough; checked right before each start. */
+  readonly mayStart: () => boolean
   /** Whether the worker may be recorded as silent. Its leases must not be extended then: the next holder waits only for the recorded timer. */
   readonly isRecordedSilent: (link: WorkerLink) => boolean
   /** Removes the record so that leases may be extended; called when the worker answers. Resolves when the removal has succeeded or failed. */
@@ -326,12 +328,12 @@
    * @param checkpoint - the checkpoint to start from, if there is one
    */
   async startRun (run: Run, command: string, checkpoint: string | undefined): Promise<void> {
-    const { orders, clock, mayRepeatStart } = this.#options
+    const { orders, clock, mayStart, mayRepeatStart } = this.#options
     const fencingToken = await this.#options.fencingToken
     const beganMs = clock.monotonicMs()
     while (run.phase === 'starting' && !this.#stop.signal.aborted) {
       const nowMs = clock.monotonicMs()
-      const leaseEndsAtMs = this.#extendLease(nowMs)
+      const leaseEndsAtMs = mayStart() ? this.#extendLease(nowMs) : undefined
       if (leaseEndsAtMs === undefined) {
         if (nowMs - beganMs > START_RETRY_PERIOD_MS || !mayRepeatStart(run)) return this.#giveUpStart(run)
         await delay(MIN_RETRY_DELAY_MS, this.#stop.signal)
@@ -420,7 +422,8 @@
   }
 
   #giveUpStart (run: Run): void {
-    this.#options.onNotStarted(this, run, { kind: 'unknown-effect', detail: 'no answer to the start' })
+    const wasSent = this.#startsSentMs.has(run)
+    this.#options.onNotStarted(this, run, wasSent ? { kind: 'unknown-effect', detail: 'no answer to the start' } : { kind: 'not-sent', detail: 'held back' })
   }
 
   #reportNotStarted (run: Run, error: RunOrderError): void {
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -27,7 +27,8 @@
 export const SERVICE = 'checks'
 /** The queue of its jobs. */
 export const QUEUE = 'queue'
-const WORKERS_PREFIX = 'workers/'
+/** Prefix of the registrations of its workers. */
+export const WORKERS_PREFIX = 'workers/'
 const DUTY_KEY = serviceDutyKey(SERVICE)
 const DEADLINE_MS = 2000
 /** Decodes a registration that {@link TestService.list} wrote. */
@@ -41,6 +42,8 @@
   return Ok({ availabilityZone, revision: modRevision })
 }
 const POLL_INTERVAL_MS = 5
+/** After this time beyond its wait, a watch without an answer is asked again. */
+const OVERDUE_MS = 600
 /** The clock of a restarted worker is this much behind its clock before the restart. */
 const RESTARTED_CLOCK_SHIFT_MS = 3_600_000
 /** The account that queries all jobs of a test, whichever account submitted them. */
@@ -62,6 +65,9 @@
   writeDelayMs = (): number => 0
   /** Prefix of which watches hear nothing. */
   deafPrefix: string | undefined
+  /** Prefix of which watches get no answer at all. */
+  unansweredPrefix: string | undefined
+  readonly #watches = new Set<{ readonly prefix: string, isSilent: boolean }>()
   /** Additional delay of the two answers when a timer for silent workers is created: that of its lease and that of its key. */
   timerAnswerMs = 0
 
@@ -75,12 +81,25 @@
   }
 
   override async watch (prefix: string, afterRevision: number, timeoutMs: number): Promise<Result<WatchEvents, PlatformError>> {
+    const dueMs = performance.now() + timeoutMs + OVERDUE_MS
+    const call = { prefix, isSilent: false }
+    this.#watches.add(call)
     const watched = await super.watch(prefix, afterRevision, timeoutMs)
+    this.#watches.delete(call)
+    if (call.isSilent || prefix === this.unansweredPrefix) {
+      await delay(Math.max(0, dueMs - performance.now()))
+      return prefix === this.unansweredPrefix ? Err({ kind: 'unknown-effect', detail: 'no answer' }) : await super.watch(prefix, afterRevision, 1)
+    }
     if (prefix !== this.deafPrefix) return watched
     await delay(timeoutMs)
     return Ok({ events: [], revision: afterRevision })
   }
 
+  /** Lets the watches under way go silent without an error. Their client asks again once the answer is overdue. @param prefix - the watched prefix */
+  silenceWatches (prefix: string): void {
+    for (const call of this.#watches) if (call.prefix === prefix) call.isSilent = true
+  }
+
   override async transact (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformError>> {
     if (this.isDown || this.refusesWrites) return down()
     if (transaction.puts.some(({ value }) => Buffer.byteLength(value) > this.maxValueBytes)) {
@@ -171,6 +190,8 @@
   /** What operators are told. */
   readonly report = new FleetReport(this.store, { evacuationPrefix: EVACUATION_PREFIX, decodeEvacuation, workersPrefix: WORKERS_PREFIX, decodeWorker })
   maxLeaseMs = 1000
+  cancelMs = 3000
+  drainMs = 2000
   /** For how long ended jobs are kept. */
   keepEndedMs = 60_000
   /** What hosts record of the queue with its jobs; `undefined` as by program versions that record nothing. */
@@ -326,7 +347,7 @@
         this.requiredVersions.push(version)
         return this.configuration.version >= version
       },
-      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: this.keepEndedMs, minTtlMs: 100 }),
+      bounds: () => ({ maxLeaseMs: this.maxLeaseMs, stopMs: 20, keepEndedMs: this.keepEndedMs, minTtlMs: 100, cancelMs: this.cancelMs, drainMs: this.drainMs }),
       managesPressure: true,
       evacuations: this.requests,
       evacuationKey,
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -58,6 +58,7 @@
       hasPredecessor: false,
       leaseMs: 6500,
       holdsDuty: () => true,
+      mayStart: () => true,
       isRecordedSilent: () => this.isRecorded,
       removeSilentRecord: () => this.onRemoveRecord(),
       onReport: () => {},
--- a/packages/scheduler/src/test/admission.test.ts
+++ b/packages/scheduler/src/test/admission.test.ts
@@ -6,7 +6,7 @@
 import { encodeBacklog } from '../lib/pressure/backlogRecord.js'
 import { JobAdmission } from '../lib/pressure/JobAdmission.js'
 import { BacklogWatcher } from '../lib/pressure/BacklogWatcher.js'
-import { createReplica } from '../lib/records/createReplica.js'
+import { ADVISORY_AGE_MS, createReplica } from '../lib/records/createReplica.js'
 import { backlogKey, DUTY_PREFIX, jobKey, serviceDutyKey } from '../lib/records/storeKeys.js'
 import { QUEUE, SERVICE, testJobId, TestService } from './TestService.js'
 
@@ -77,7 +77,7 @@
     const watcher = new BacklogWatcher({ clock: systemClock, records: service.records })
     const stop = new AbortController()
     const onChange = (change: PrefixChange): void => watcher.apply(change, true)
-    const replica = createReplica(service.log, { store: service.store, clock: systemClock, prefix: DUTY_PREFIX, onChange })
+    const replica = createReplica(service.log, { store: service.store, clock: systemClock, prefix: DUTY_PREFIX, maxAgeMs: ADVISORY_AGE_MS, onChange })
     void replica.run(stop.signal)
     const { jobApiStore: store, log, metrics, records } = service
     const admission = new JobAdmission({ backlogs: watcher, log, metrics, random: () => 0.5 })
