Tasks that wait need no object, of whichever kind their step is

Four accepted requests of under 1 KB, of 100,000 lasting tasks each, end each holder of their service with "JavaScript heap out of memory", from host to host and again after each restart; other jobs of the service stay queued.

Cause: all tasks of lasting steps and gangs were created as soon as their step was ready, of other steps as many as might start for each step of each job, and all where the account has a limit. Some 600 bytes each, for tasks that no worker can run.

Ruled out: the size of the records (under 1 KB each) and of the progress records (nothing is placed).

Change: tasks are created when they are placed; one created task stands for those that wait. A gang is counted against the room before its members are created. Quotas and shares of starts go by counts. Limits on disruptions count tasks that were never created as away.

Conclusion: what a holder keeps for tasks is bounded by what it has started and by the number of ready steps.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,10 +13,10 @@
 } from './lib/jobs/JobSpec.js'
 export { createSubmissionId, type SubmissionId } from './lib/jobs/SubmissionId.js'
 export {
-  createJob, dueMs, gangOf, hasEnded, isOpen, stepOf, taskOrdinal, tasksPerOccurrence, occurrenceCount,
+  createJob, dueMs, hasEnded, isOpen, stepOf, taskOrdinal, tasksPerOccurrence, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
-export { allTasks, findTask, isJobDone, listReadySteps, tasksInRange, tasksOf } from './lib/jobs/jobTasks.js'
+export { allTasks, findTask, gangOf, hasOpenTask, isJobDone, listReadySteps, tasksInRange, tasksOf } from './lib/jobs/jobTasks.js'
 export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -119,9 +119,6 @@
   return schedule === undefined ? submittedMs : schedule.firstRunMs + occurrence * schedule.intervalMs
 }
 
-/** @param task - a task of a gang @returns all members of the gang @public */
-export const gangOf = (task: Task): readonly Task[] => task.job.occurrences.get(task.occurrence)?.[task.stepIndex] ?? [task]
-
 /** @param spec - a job @returns the number of tasks of all its steps @public */
 export const tasksPerOccurrence = ({ steps }: JobSpec): number => steps.reduce((sum, { taskCount }) => sum + taskCount, 0)
 
--- a/packages/policy/src/lib/jobs/jobTasks.ts
+++ b/packages/policy/src/lib/jobs/jobTasks.ts
@@ -1,12 +1,13 @@
 /**
  * Creates the tasks of jobs as they are needed, and tells which of them are left.
  *
- * A finite step of a large job has thousands of tasks that wait for their turn. They are created from the first on, only as many as may be placed, and
- * tasks that are done are not looked at again: what a placement round or the end of a run costs does not grow with the size of the job.
+ * A step of a large job has thousands of tasks that wait for their turn. They are created from the first on, when they are placed, and tasks that are done
+ * are not looked at again: what a holder keeps, and what a placement round or the end of a run costs, does not grow with the size of the jobs that wait.
  *
  * @module
  */
 import { createCrashRecord } from './CrashRecord.js'
+import type { StepSpec } from './JobSpec.js'
 import { dueMs, isOpen, occurrenceCount, stepOf, tasksPerOccurrence, type Job, type Task } from './JobState.js'
 
 /** Index of the first task of a step that is not done. Tasks stay done, so it only grows. */
@@ -15,7 +16,7 @@
 const firstUnfinishedOccurrences = new WeakMap<Job, number>()
 
 /**
- * Returns the tasks of an occurrence that were created so far. Lasting steps and gangs, whose members depend on each other, are always complete.
+ * Returns the tasks of an occurrence that were created so far.
  *
  * @param job - a job
  * @param occurrence - index of the occurrence
@@ -27,7 +28,6 @@
   if (known !== undefined) return known
   const steps: Task[][] = job.spec.steps.map(() => [])
   job.occurrences.set(occurrence, steps)
-  job.spec.steps.forEach(({ isLasting, isGang, taskCount }, stepIndex) => { if (isLasting || isGang) createTasks(job, occurrence, stepIndex, taskCount) })
   return steps
 }
 
@@ -48,6 +48,9 @@
   return tasks
 }
 
+/** @param task - a task of a gang that was placed, now or before @returns all members of the gang @public */
+export const gangOf = ({ job, occurrence, stepIndex }: Task): readonly Task[] => createTasks(job, occurrence, stepIndex, Infinity)
+
 /** @param job - a job @param occurrence - index of the occurrence @returns all of its tasks by step @public */
 export function tasksOf (job: Job, occurrence: number): Task[][] {
   return job.spec.steps.map(({ taskCount }, stepIndex) => createTasks(job, occurrence, stepIndex, taskCount))
@@ -83,6 +86,19 @@
   return createTasks(job, Number(occurrence), Number(step), Number(index) + 1)[Number(index)]
 }
 
+/**
+ * Tells whether a job has tasks that may be started, now or later, in certain steps.
+ *
+ * @param job - a job
+ * @param isIncluded - whether a step is included
+ * @returns true if it has; tasks that were not created yet count
+ * @public
+ */
+export function hasOpenTask (job: Job, isIncluded: (step: StepSpec) => boolean): boolean {
+  return job.spec.steps.some((step, stepIndex) => isIncluded(step) &&
+    (job.occurrences.size < occurrenceCount(job) || [...job.occurrences.values()].some((steps) => countOpen(steps[stepIndex] ?? [], step.taskCount) > 0)))
+}
+
 /** @param job - a job @returns all tasks created so far @public */
 export function allTasks (job: Job): Task[] {
   return [...job.occurrences.values()].flat(2)
@@ -103,6 +119,14 @@
   return tasks
 }
 
+/** Tasks of a step that are created when they are placed. @public */
+export interface FurtherTasks {
+  /** How many tasks of the step are not created yet. */
+  readonly count: number
+  /** Creates the next one and adds it to the tasks of the group. @returns the task, `undefined` if there is none left */
+  readonly create: () => Task | undefined
+}
+
 /** @param tasks - the created tasks of a step, at least one @returns the number of its tasks that were not created yet @public */
 export const uncreatedCount = (tasks: readonly Task[]): number => tasks[0] === undefined ? 0 : stepOf(tasks[0]).taskCount - tasks.length
 
@@ -128,8 +152,8 @@
   return count
 }
 
-/** @param tasks - the created tasks of a step, at least one @returns the number of its tasks that may be started, now or later @public */
-export const countOpen = (tasks: readonly Task[]): number => countUnfinished(tasks, isOpen)
+/** @param tasks - the created tasks of a step @param taskCount - number of all its tasks @returns how many may be started, now or later @public */
+export const countOpen = (tasks: readonly Task[], taskCount: number): number => tasks.length === 0 ? taskCount : countUnfinished(tasks, isOpen)
 
 /** @param job - a job @param occurrence - index of an occurrence @param stepIndex - index of a step @returns whether all tasks of the step are done @public */
 export function isStepDone (job: Job, occurrence: number, stepIndex: number): boolean {
--- a/packages/policy/src/lib/machines/computeServiceDemand.ts
+++ b/packages/policy/src/lib/machines/computeServiceDemand.ts
@@ -41,7 +41,7 @@
       const first = step[0]
       if (first === undefined) continue
       const { isLasting, maxPerWorker, taskCount } = stepOf(first)
-      wanted.add(first, countOpen(step))
+      wanted.add(first, countOpen(step, taskCount))
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
--- a/packages/policy/src/lib/machines/planDrain.ts
+++ b/packages/policy/src/lib/machines/planDrain.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { stepOf, type Run, type Task } from '../jobs/JobState.js'
+import { uncreatedCount } from '../jobs/jobTasks.js'
 
 /** Time that tasks get to finish before they are stopped, unless they are lasting or checkpointing; the longest declared tasks run 4.2 s. */
 const FINISH_TIMEOUT_MS = 4500
@@ -21,7 +22,7 @@
  * Decides whether a lasting task may be stopped now, by the disruption budget (`maxAway`) of its step.
  *
  * @param task - a lasting task
- * @param step - all tasks of its step
+ * @param step - the created tasks of its step
  * @param nowMs - monotonic
  * @returns whether few enough other tasks of the step are unavailable
  * @public
@@ -33,13 +34,13 @@
 
 /**
  * @param task - a lasting task
- * @param step - all tasks of its step
+ * @param step - the created tasks of its step; those that never started are away as well
  * @param nowMs - monotonic
  * @returns how many of the other tasks are not known to be ready
  * @public
  */
 export function countOthersAway (task: Task, step: readonly Task[], nowMs: number): number {
-  return step.filter((other) => other !== task && !isReportedReady(other, nowMs)).length
+  return step.filter((other) => other !== task && !isReportedReady(other, nowMs)).length + uncreatedCount(step)
 }
 
 /**
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -6,7 +6,7 @@
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { isCrashSuspect, decidePlacement, type PlacementDecision } from '../jobs/crashes.js'
 import { hasEnded, isOpen, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
-import { createTasks, firstUnfinishedIndex, listReadySteps, uncreatedCount } from '../jobs/jobTasks.js'
+import { createTasks, firstUnfinishedIndex, listReadySteps, uncreatedCount, type FurtherTasks } from '../jobs/jobTasks.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
 import { plus, type Resources } from '../quotas/resources.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
@@ -17,7 +17,7 @@
 import { placeTasks, type Placement } from './placeTasks.js'
 import { StartBudget } from './StartBudget.js'
 import { demandOf, fits, meetsConditions } from './suitability.js'
-import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
+import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { compareRanks, rankStep, RANK_TIERS, sumWork, type OccurrenceWork, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
@@ -72,10 +72,13 @@
 /** Tiers of steps whose results somebody waits for, and whose worth falls with time. */
 const URGENT_TIERS: ReadonlySet<RankTier> = new Set([RANK_TIERS.lasting, RANK_TIERS.inTime, RANK_TIERS.late])
 
+/** Monotonic time at which each step was first seen to wait, by its created tasks. */
+const waitingSince = new WeakMap<readonly Task[], number>()
+
 interface WaitingStep {
+  /** Created tasks that may be placed; further ones are added when they are created. */
   readonly tasks: readonly Task[]
-  /** Number of waiting tasks that are not created yet. */
-  readonly furtherTasks: number
+  readonly further: FurtherTasks | undefined
   readonly rank: StepRank
   readonly queue: QueueTerms | undefined
 }
@@ -143,7 +146,7 @@
       const task = step.tasks[0] as Task
       // Advice is not asked for a step that no worker can run.
       const group = this.#capacity.canRun(stepOf(task)) ? this.#groupOf(step, rooms) : { tasks: step.tasks, mayReserve: false }
-      const taskCount = step.tasks.length + step.furtherTasks
+      const taskCount = countWaiting({ ...step, mayReserve: false })
       const reason = this.quota.held.has(task) ? 'quota' : group === undefined ? 'advice' : 'workers'
       return { task, taskCount, waitedMs, reason, workers: countObstacles(task, group ?? { tasks: step.tasks, mayReserve: false }, rooms) }
     })
@@ -155,60 +158,54 @@
   }
 
   #listWaitingSteps (): WaitingStep[] {
-    const { jobs, runTimes, nowMs, wallMs } = this.#options
+    const { jobs, runTimes, wallMs } = this.#options
     const waiting: WaitingStep[] = []
     for (const job of jobs) {
       if (hasEnded(job)) continue
       const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
       const works = new Map<number, OccurrenceWork>()
       for (const step of listReadySteps(job, wallMs)) {
-        const tasks = this.#selectPlaceable(step)
-        const first = tasks[0]
+        const selected = this.#selectPlaceable(step)
+        const first = selected.tasks[0]
         if (first === undefined) continue
-        for (const task of tasks) task.waitingSinceMs ??= nowMs
         const work = works.get(first.occurrence) ?? sumWork(job, first.occurrence, runTimes)
         works.set(first.occurrence, work)
-        waiting.push({ tasks, furtherTasks: uncreatedCount(step), queue, rank: rankStep(first, queue, runTimes, wallMs, work) })
+        waiting.push({ ...selected, queue, rank: rankStep(first, queue, runTimes, wallMs, work) })
       }
     }
     return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
   }
 
   /**
-   * Selects the placeable tasks of a step, and creates as many as the round may start. Members of a gang are placed only together, so none may still have
-   * a run.
+   * Selects the tasks of a step that may be placed. At least one of those that wait is created, which stands for the others. Members of a gang are placed only
+   * together, so none may still have a run.
    */
-  #selectPlaceable (step: readonly Task[]): readonly Task[] {
+  #selectPlaceable (step: Task[]): Pick<WaitingStep, 'tasks' | 'further'> {
+    const none = { tasks: [], further: undefined }
     const first = step[0]
-    if (first === undefined || (stepOf(first).isGang && step.some(({ runs }) => runs.length > 0))) return []
+    if (first === undefined || (stepOf(first).isGang && step.some(({ runs }) => runs.length > 0))) return none
     const { nowMs } = this.#options
-    const { job, occurrence, stepIndex } = first
-    const wanted = this.#tasksWantedOf(job)
-    const placeable: Task[] = []
+    const sinceMs = waitingSince.get(step) ?? nowMs
+    waitingSince.set(step, sinceMs)
+    const tasks: Task[] = []
     const decisions = new Set<PlacementDecision>()
-    for (let index = firstUnfinishedIndex(step); index < step.length || placeable.length < wanted; index++) {
-      const task = createTasks(job, occurrence, stepIndex, index + 1)[index]
-      if (task === undefined) break
+    for (let index = firstUnfinishedIndex(step); index < step.length; index++) {
+      const task = step[index] as Task
       task.isGivenUp &&= decidePlacement(task, nowMs) === 'give-up'
       if (!isOpen(task) || (task.runs.length > 0 && !this.#needsSpeculativeCopy(task))) continue
       const decision = decidePlacement(task, nowMs)
       decisions.add(decision)
       if (decision === 'give-up') this.tasksToGiveUp.push(task)
       if (decision !== 'place') continue
-      placeable.push(task)
+      task.waitingSinceMs ??= nowMs
+      tasks.push(task)
     }
-    if (stepOf(first).isGang && (decisions.has('wait') || decisions.has('give-up'))) return []
+    if (stepOf(first).isGang && (decisions.has('wait') || decisions.has('give-up'))) return none
     // Other suspect tasks of the step wait too, since the whole job may be given up.
-    return decisions.has('wait') ? placeable.filter((task) => !isCrashSuspect(task)) : placeable
-  }
-
-  /**
-   * Returns how many tasks of a step are looked at: one more than may start, which shows that tasks wait for starts. What an account with a limit wants counts
-   * in full, since its share of the limit follows from it.
-   */
-  #tasksWantedOf ({ spec: { owner } }: Job): number {
-    const isLimited = owner !== undefined && this.#options.accountQuotaOf(owner.account) !== undefined
-    return isLimited ? Infinity : (this.#options.maxStartsUnderWay ?? Infinity) + 1
+    const placeable = decisions.has('wait') ? tasks.filter((task) => !isCrashSuspect(task)) : tasks
+    const further = createFurtherTasks(step, placeable, sinceMs)
+    if (placeable.length === 0) further.create()
+    return { tasks: placeable, further: further.count === 0 ? undefined : further }
   }
 
   /** A run that is likely lost or a straggler gets a copy at once, before its lease expires, if its step allows copies. */
@@ -227,14 +224,14 @@
     return isSilent || isBehind
   }
 
-  #groupOf ({ tasks, rank, queue }: WaitingStep, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
+  #groupOf ({ tasks, further, rank, queue }: WaitingStep, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
     const mayReserve = rank.tier === RANK_TIERS.lasting
     const mayShareWorker = this.#waitedMs(tasks) >= ISOLATION_WAIT_MS
     const isUrgent = URGENT_TIERS.has(rank.tier)
-    if (queue?.advice === undefined) return { tasks, mayReserve, mayShareWorker, isUrgent }
+    if (queue?.advice === undefined) return { tasks, further, mayReserve, mayShareWorker, isUrgent }
     const byRoom = [...rooms].sort((a, b) => b.cpuMillis - a.cpuMillis).map(({ instanceId }) => instanceId)
     const tickets = this.#options.advice.ticketsFor(tasks[0] as Task, byRoom, this.#options.nowMs)
-    return tickets === undefined ? undefined : { tasks, mayReserve, mayShareWorker, isUrgent, tickets }
+    return tickets === undefined ? undefined : { tasks, further, mayReserve, mayShareWorker, isUrgent, tickets }
   }
 
   /**
@@ -354,3 +351,19 @@
     })
   }
 }
+
+/** Lets the tasks of a step be created one by one. Each has waited since the step was first seen to wait. */
+function createFurtherTasks (step: Task[], placeable: Task[], sinceMs: number): FurtherTasks {
+  return {
+    get count () { return uncreatedCount(step) },
+    create: () => {
+      const { job, occurrence, stepIndex } = step[0] as Task
+      const index = step.length
+      const task = createTasks(job, occurrence, stepIndex, index + 1)[index]
+      if (task === undefined) return undefined
+      task.waitingSinceMs = sinceMs
+      placeable.push(task)
+      return task
+    }
+  }
+}
--- a/packages/policy/src/lib/placement/StartBudget.ts
+++ b/packages/policy/src/lib/placement/StartBudget.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { stepOf, type Job } from '../jobs/JobState.js'
-import type { PlacementGroup } from './WorkerRoom.js'
+import { countWaiting, type PlacementGroup } from './WorkerRoom.js'
 
 /** A job of as few tasks is not divided, unless a quarter of all starts is less: it would be recorded and logged several times. */
 const UNDIVIDED_TASKS = 16
@@ -30,7 +30,7 @@
     this.#left = size
     for (const count of underWay.values()) this.#left -= count
     const needs = new Map<Job, number>()
-    for (const { tasks } of groups) if (tasks[0] !== undefined) needs.set(tasks[0].job, (needs.get(tasks[0].job) ?? 0) + tasks.length)
+    for (const group of groups) if (group.tasks[0] !== undefined) needs.set(group.tasks[0].job, (needs.get(group.tasks[0].job) ?? 0) + countWaiting(group))
     const fairShare = Math.max(1, Math.floor(size / needs.size), Math.min(UNDIVIDED_TASKS, Math.ceil(size * UNDIVIDED_SHARE)))
     for (const [job, need] of needs) this.#reserve(job, Math.min(need, fairShare - (underWay.get(job) ?? 0)))
   }
@@ -50,7 +50,7 @@
     const [first] = group.tasks
     if (first === undefined) return 0
     const own = this.#reserved.get(first.job) ?? 0
-    this.#reserve(first.job, own - group.tasks.length)
+    this.#reserve(first.job, own - countWaiting(group))
     const others = this.#totalReserved - (this.#reserved.get(first.job) ?? 0)
     const starts = Math.max(0, Math.min(this.#left, Math.max(own, this.#left - others)))
     return starts > 0 && stepOf(first).isGang ? Infinity : starts
--- a/packages/policy/src/lib/placement/WorkerRoom.ts
+++ b/packages/policy/src/lib/placement/WorkerRoom.ts
@@ -5,6 +5,7 @@
  */
 import type { WorkerCapacity } from '@quillscale/ports'
 import type { Job, Task } from '../jobs/JobState.js'
+import type { FurtherTasks } from '../jobs/jobTasks.js'
 import type { Resources } from '../quotas/resources.js'
 
 /** A worker with its remaining capacity, which shrinks as tasks are placed. @public */
@@ -35,7 +36,10 @@
 
 /** Waiting tasks of one ready step. @public */
 export interface PlacementGroup {
+  /** Those that were created already, at least one. */
   readonly tasks: readonly Task[]
+  /** Those that are created when their turn comes, after the others; `undefined` if there are none. */
+  readonly further?: FurtherTasks | undefined
   /** Tickets of the workers that may run the step; `undefined` if every worker may. */
   readonly tickets?: ReadonlyMap<string, string> | undefined
   /** Whether capacity is reserved on a worker if a task does not fit anywhere. */
@@ -45,3 +49,6 @@
   /** Whether suspect tasks have waited long enough to share a worker with other jobs. */
   readonly mayShareWorker?: boolean
 }
+
+/** @param group - a step @returns how many of its tasks wait, whether they were created already or not @public */
+export const countWaiting = ({ tasks, further }: PlacementGroup): number => tasks.length + (further?.count ?? 0)
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -8,10 +8,10 @@
 import { stepOf, type Task } from '../jobs/JobState.js'
 import type { QuotaAdmission } from '../quotas/QuotaAdmission.js'
 import { StartBudget } from './StartBudget.js'
-import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
+import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
 import { minus, plus } from '../quotas/resources.js'
 import { adjustRunCounts, countRunsOfOtherJobs, orderSuspectsFirst } from './isolation.js'
-import { findReservableRoom, reserveForSuspects } from './reservations.js'
+import { countPlaces, findReservableRoom, reserveForSuspects } from './reservations.js'
 import { cpuDemandOf, demandOf, fits, isSuitable } from './suitability.js'
 
 /** Assignment of a task to a worker. @public */
@@ -35,7 +35,7 @@
   groups: readonly PlacementGroup[], rooms: readonly WorkerRoom[], quota: QuotaAdmission, budget = new StartBudget(Infinity)
 ): Placement[] {
   const placements: Placement[] = []
-  reserveForSuspects(groups.filter(({ tasks }) => quota.hasQuotaFor(tasks)), rooms)
+  reserveForSuspects(groups.filter((group) => quota.hasQuotaFor(group.tasks, countWaiting(group))), rooms)
   // Capacity only shrinks: once no worker has this much CPU left, later tasks that need as much are skipped.
   let leastRefusedMillis = Infinity
   for (const group of groups) {
@@ -44,11 +44,11 @@
     if (first === undefined) continue
     const wantedMillis = cpuDemandOf(stepOf(first))
     if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
-    const admitted = quota.admit(orderSuspectsFirst(group.tasks))
-    const tasks = admitted.slice(0, mostStarts)
-    if (tasks.length < admitted.length) budget.recordCut(group)
-    if (tasks.length === 0) continue
-    const placed = stepOf(first).isGang ? placeGang({ ...group, tasks }, rooms) : placeEach({ ...group, tasks }, rooms)
+    const admitted = quota.countAdmitted(orderSuspectsFirst(group.tasks), countWaiting(group))
+    const starts = Math.min(admitted, mostStarts)
+    if (starts < admitted) budget.recordCut(group)
+    if (starts === 0) continue
+    const placed = stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, starts, rooms)
     for (const { task } of placed) quota.consume(task)
     budget.take(placed.length)
     if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
@@ -57,9 +57,20 @@
   return placements
 }
 
-function placeEach (group: PlacementGroup, rooms: readonly WorkerRoom[]): Placement[] {
+/** Yields the tasks of a step as they may be placed, suspect ones first; those that do not exist yet are created one by one. */
+function * firstTasks (group: PlacementGroup, most: number): Generator<Task> {
+  const created = orderSuspectsFirst(group.tasks).slice(0, most)
+  yield * created
+  for (let count = created.length; count < most; count++) {
+    const task = group.further?.create()
+    if (task === undefined) return
+    yield task
+  }
+}
+
+function placeEach (group: PlacementGroup, most: number, rooms: readonly WorkerRoom[]): Placement[] {
   const placements: Placement[] = []
-  for (const task of group.tasks) {
+  for (const task of firstTasks(group, most)) {
     const room = findBestRoom(task, group, rooms)
     if (room !== undefined) {
       adjustRoom(room, task, 1)
@@ -76,14 +87,16 @@
   return placements
 }
 
-/** Places all members or none, since a member that waits for the others would waste its capacity. */
+/** Places all members or none, since a member that waits for the others would waste its capacity. Members are created only if there is room for all. */
 function placeGang (group: PlacementGroup, rooms: readonly WorkerRoom[]): Placement[] {
   const racks = new Set(rooms.map(({ labels }) => labels.at(-1)))
   const first = group.tasks[0] as Task
   const attempts = stepOf(first).wantsOneRack ? [...[...racks].map((rack) => rooms.filter(({ labels }) => labels.at(-1) === rack)), rooms] : [rooms]
+  const members = countWaiting(group)
   for (const candidates of attempts) {
-    const placements = placeEach({ ...group, mayReserve: false }, candidates)
-    if (placements.length === group.tasks.length) return placements
+    if (countPlaces(first, group, candidates, (room) => room) < members) continue
+    const placements = placeEach({ ...group, mayReserve: false }, members, candidates)
+    if (placements.length === members) return placements
     for (const { task, instanceId } of placements) adjustRoom(roomOf(instanceId, candidates), task, -1)
   }
   return []
--- a/packages/policy/src/lib/placement/reservations.ts
+++ b/packages/policy/src/lib/placement/reservations.ts
@@ -8,9 +8,10 @@
  */
 import { isCrashSuspect } from '../jobs/crashes.js'
 import { stepOf, type Job, type Task } from '../jobs/JobState.js'
+import type { Resources } from '../quotas/resources.js'
 import { countRunsOfOtherJobs } from './isolation.js'
 import { countFitting, fits, freeShareOf, isSuitable, meetsConditions } from './suitability.js'
-import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
+import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
 
 /** Largest share of workers reserved for suspect jobs; at least one may be. */
 const MAX_RESERVED_SHARE = 0.5
@@ -48,11 +49,24 @@
   const step = stepOf(suspect)
   if (!meetsConditions(suspect, group, room) || !fits(step, room.reservable)) return false
   if (!step.isGang) return true
-  const places = rooms.map((each) => {
-    const fitting = meetsConditions(suspect, group, each) ? countFitting(step, each.reservable) : 0
-    return step.maxPerWorker === 0 ? fitting : Math.min(fitting, step.maxPerWorker)
-  })
-  return places.reduce((sum, count) => sum + count, 0) >= group.tasks.length
+  return countPlaces(suspect, group, rooms, ({ reservable }) => reservable) >= countWaiting(group)
+}
+
+/**
+ * Counts the tasks of a step that can run at once.
+ *
+ * @param task - a task of the step
+ * @param group - the step
+ * @param rooms - available workers
+ * @param freeOf - the capacity of a worker that the step may take
+ * @returns the number of tasks, infinite if they need nothing
+ */
+export function countPlaces (task: Task, group: PlacementGroup, rooms: readonly WorkerRoom[], freeOf: (room: WorkerRoom) => Resources): number {
+  const step = stepOf(task)
+  return rooms.reduce((places, room) => {
+    const fitting = meetsConditions(task, group, room) ? countFitting(step, freeOf(room)) : 0
+    return places + (step.maxPerWorker === 0 ? fitting : Math.min(fitting, step.maxPerWorker))
+  }, 0)
 }
 
 function isolationCost (room: WorkerRoom, job: Job): number {
--- a/packages/policy/src/lib/quotas/QuotaAdmission.ts
+++ b/packages/policy/src/lib/quotas/QuotaAdmission.ts
@@ -7,7 +7,7 @@
  */
 import type { AccountName } from '@quillscale/ports'
 import { stepOf, type Task } from '../jobs/JobState.js'
-import { fitsWithin, minus, NO_RESOURCES, plus, type Resources, resourcesOf, times } from './resources.js'
+import { fitsWithin, minus, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, resourcesOf, times } from './resources.js'
 
 /** Quota of an account in this service. @public */
 export interface AccountQuota {
@@ -46,11 +46,15 @@
     this.#accountQuotaOf = accountQuotaOf
   }
 
-  /** @param tasks - tasks of one step @returns whether the quota allows at least one of them, or the whole gang, to start */
-  hasQuotaFor (tasks: readonly Task[]): boolean {
+  /**
+   * @param tasks - the created tasks of one step
+   * @param taskCount - number of its waiting tasks
+   * @returns whether the quota allows at least one of them, or the whole gang, to start
+   */
+  hasQuotaFor (tasks: readonly Task[], taskCount = tasks.length): boolean {
     const first = tasks[0]
     const quota = first === undefined ? undefined : this.#quotaLeftOf(first)
-    return first === undefined || quota === undefined || fitsWithin(admissionUnitOf(first, tasks.length), quota.left)
+    return first === undefined || quota === undefined || fitsWithin(admissionUnitOf(first, taskCount), quota.left)
   }
 
   /**
@@ -60,19 +64,31 @@
    * @returns the first tasks that fit; of a gang all or none
    */
   admit (tasks: readonly Task[]): readonly Task[] {
+    return tasks.slice(0, this.countAdmitted(tasks, tasks.length))
+  }
+
+  /**
+   * Counts the tasks of a step that fit the quota, and records the others as waiting.
+   *
+   * @param tasks - the created tasks of one step, in the order in which they start
+   * @param taskCount - number of its waiting tasks; those that are not created yet start last
+   * @returns how many fit; of a gang all or none
+   */
+  countAdmitted (tasks: readonly Task[], taskCount: number): number {
     const first = tasks[0]
     const quota = first === undefined ? undefined : this.#quotaLeftOf(first)
-    if (first === undefined || quota === undefined) return tasks
-    const unit = admissionUnitOf(first, tasks.length)
+    if (first === undefined || quota === undefined) return taskCount
+    const unit = admissionUnitOf(first, taskCount)
     if (!fitsWithin(unit, quota.limit)) {
       this.oversized.push(first)
       for (const task of tasks) this.held.add(task)
-      return []
+      return 0
     }
     const isGang = stepOf(first).isGang
-    const count = isGang ? (fitsWithin(unit, quota.left) ? tasks.length : 0) : countFitting(resourcesOf(stepOf(first)), quota.left, tasks.length)
-    this.#recordShortage(quota.account, tasks.slice(count), unit)
-    return tasks.slice(0, count)
+    const count = isGang ? (fitsWithin(unit, quota.left) ? taskCount : 0) : countFitting(resourcesOf(stepOf(first)), quota.left, taskCount)
+    this.#recordShortage(quota.account, first, taskCount - count, unit)
+    for (const task of tasks.slice(count)) this.held.add(task)
+    return count
   }
 
   /** Deducts a task from its account's remaining quota. @param task - a placed task */
@@ -88,12 +104,10 @@
     return { account, limit: quota.limit, left: this.#left.get(account) ?? minus(quota.usable, quota.used) }
   }
 
-  #recordShortage (account: AccountName, tasks: readonly Task[], unit: Resources): void {
-    const first = tasks[0]
-    if (first === undefined) return
-    for (const task of tasks) this.held.add(task)
+  #recordShortage (account: AccountName, first: Task, taskCount: number, unit: Resources): void {
+    if (taskCount === 0) return
     const existing = this.shortages.get(account)
-    const wanted = times(resourcesOf(stepOf(first)), tasks.length)
+    const wanted = times(resourcesOf(stepOf(first)), taskCount)
     this.shortages.set(account, { wanted: plus(existing?.wanted ?? NO_RESOURCES, wanted), first: existing?.first ?? unit })
   }
 }
@@ -107,7 +121,6 @@
 
 /** Counts how many tasks of equal size fit. */
 function countFitting (each: Resources, left: Resources, mostTasks: number): number {
-  let count = 0
-  while (count < mostTasks && fitsWithin(times(each, count + 1), left)) count++
-  return count
+  if (!fitsWithin(each, left)) return 0
+  return RESOURCE_KINDS.reduce((count, kind) => each[kind] === 0 ? count : Math.min(count, Math.floor(left[kind] / each[kind])), mostTasks)
 }
--- /dev/null
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+import type { FleetConfiguration } from '@quillscale/ports'
+import { createJob, type Job, type Run } from '../lib/jobs/JobState.js'
+import { allTasks } from '../lib/jobs/jobTasks.js'
+import { jobSpecSchema, type JobSpec, type StepSpec } from '../lib/jobs/JobSpec.js'
+import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
+import { PlacementRound } from '../lib/placement/PlacementRound.js'
+import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
+import type { WorkerView } from '../lib/placement/WorkerView.js'
+import { testJobId } from './testJobId.js'
+
+const WALL_MS = 1e12
+const MAX_STARTS_UNDER_WAY = 20
+const ROUNDS = 5
+const WORKERS = 4
+const configuration: FleetConfiguration = {
+  version: 1,
+  maxBodyBytes: 1000,
+  services: [{ name: 's', isHeadroom: false, refusesOverload: true, healthPath: '' }],
+  queues: [{ name: 'q', host: 'h', pathPrefix: '/', service: 's', priority: 0, attempts: 3, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000 }]
+}
+
+const jobOf = (number: number, steps: ReadonlyArray<Partial<StepSpec>>, schedule?: JobSpec['schedule']): Job => createJob(jobSpecSchema.parse({
+  jobId: testJobId(number), queue: 'q', command: '', submittedMs: WALL_MS - 1000, schedule, steps: steps.map((step) => ({ cpuMillis: 1000, estimateMs: 1000, ...step }))
+}))
+
+const createWorkers = (): WorkerView[] => Array.from({ length: WORKERS }, (_, index) => ({
+  instance: {
+    instanceId: `w${index}`,
+    machineId: `m${index}`,
+    service: 's',
+    address: '10.0.0.1',
+    port: 80,
+    availabilityZone: 'z',
+    state: 'ready',
+    labels: ['a'],
+    capacity: { cpuMillis: 8000, memoryMb: 10_000, gpus: 0 }
+  },
+  acceptsRuns: true,
+  runs: new Map(),
+  clock: { isKnown: true },
+  health: new WorkerHealth(),
+  refusingUntilMs: -Infinity,
+  coldUntilMs: -Infinity,
+  isRecordedSilent: false,
+  isAnswering: () => true
+}))
+
+/** Plays some placement rounds in which no run ends, and returns the runs. */
+function playRounds (jobs: readonly Job[]): Run[] {
+  const workerViews = createWorkers()
+  const placed: Run[] = []
+  for (let round = 0; round < ROUNDS; round++) {
+    const runs = new PlacementRound({
+      configuration,
+      jobs,
+      workerViews,
+      runTimes: new RunTimeEstimator(),
+      advice: { ticketsFor: () => undefined },
+      accountQuotaOf: () => undefined,
+      availability: { isMachineDraining: () => false, isEvacuated: () => false },
+      maxStartsUnderWay: MAX_STARTS_UNDER_WAY,
+      nowMs: 1000 * round,
+      wallMs: WALL_MS + 1000 * round
+    }).place()
+    for (const run of runs) {
+      run.phase = 'running'
+      const view = workerViews.find(({ instance }) => instance.instanceId === run.instanceId);
+      (view?.runs as Map<string, Run>).set(run.taskKey, run)
+    }
+    placed.push(...runs)
+  }
+  return placed
+}
+
+/** Work that waits, in sizes that grow tenfold; `ready` is the number of its ready steps. */
+const forms: ReadonlyArray<{ readonly name: string, readonly ready: number, readonly jobs: (size: number) => Job[] }> = [
+  { name: 'lasting tasks that no worker can run', ready: 40, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, Array.from({ length: 10 }, () => ({ taskCount: size, isLasting: true, requiredLabel: 'none' })))) },
+  { name: 'lasting tasks beyond the room', ready: 4, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, [{ taskCount: size, isLasting: true }])) },
+  { name: 'fillers beyond the starts', ready: 4, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, [{ taskCount: size, isLasting: true, isFiller: true }])) },
+  { name: 'gangs that do not fit', ready: 40, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, Array.from({ length: 10 }, () => ({ taskCount: size, isGang: true })))) },
+  { name: 'gangs that do not fit on one rack', ready: 10, jobs: (size) => [jobOf(1, Array.from({ length: 10 }, () => ({ taskCount: size, isGang: true, wantsOneRack: true })))] },
+  { name: 'finite tasks beyond the room', ready: 4, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, [{ taskCount: size }])) }
+]
+
+describe('work that waits', () => {
+  for (const { name, ready, jobs } of forms) {
+    // Guards against a holder that keeps an object for each task of each accepted job, until it runs out of memory.
+    it(`takes no task of its own for each of 100, 1,000 and 10,000 in a step: ${name}`, () => {
+      for (const size of [100, 1000, 10_000]) {
+        const waiting = jobs(size)
+        const runs = playRounds(waiting)
+        expect(waiting.flatMap(allTasks).length, `${size}`).to.be.at.most(ready + runs.length)
+        expect(runs.length, `${size}`).to.be.at.most(ROUNDS * MAX_STARTS_UNDER_WAY)
+      }
+    })
+  }
+
+  it('starts as far as there is room and starts', () => {
+    expect(playRounds([jobOf(1, [{ taskCount: 1000, isLasting: true }])])).to.have.length(32)
+    expect(playRounds([jobOf(1, [{ taskCount: 30, isGang: true }])])).to.have.length(30)
+    expect(playRounds([jobOf(1, [{ taskCount: 7 }]), jobOf(2, [{ taskCount: 9, isLasting: true }])])).to.have.length(16)
+  })
+})
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
-import { allTasks, gangOf, hasEnded, isJobDone, isOpen, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
+import { allTasks, gangOf, hasEnded, hasOpenTask, isJobDone, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { isKeepableCheckpoint } from './jobProgress.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
@@ -130,7 +130,7 @@
   giveUpTask (task: Task): void {
     const { job, key, crashes, avoidedInstances } = task
     task.isGivenUp = true
-    const goesOn = stepOf(task).isLasting && allTasks(job).some((other) => isOpen(other) && stepOf(other).isLasting && !stepOf(other).isGang)
+    const goesOn = stepOf(task).isLasting && hasOpenTask(job, ({ isLasting, isGang }) => isLasting && !isGang)
     const details = { jobId: job.spec.jobId, taskKey: key, points: crashes.points, starts: task.lastRunNumber, lastOn: [...avoidedInstances].at(-1), goesOn }
     this.#options.log.warn(details, 'task given up: it ends the workers that start it')
     if (goesOn) return this.#options.onChanged(job, [task])
