Due times that have not begun are counted, not visited one by one

One accepted request of 126 bytes, a job of 100,000 times that are all due, stops its service: no holder keeps the duty for longer than 1.2 s, and ordinary jobs wait for 20 s and more with nothing running.

Cause: each placement round visited every due time of every job (tasks, rank, sort) in one turn of the event loop before any bound on starts applied, and so did the demand for machines, each 100 ms, and the backlog. Times that were done were kept with their tasks.

Ruled out: memory alone, the store, the lease of the duty.

Change: times that have not begun are alike. A round lists the first of each tier, found by arithmetic, and the next one takes its turn by its rank once all tasks of it are placed; demand, backlog, quotas and shares of starts count the others. Times that are done are kept as ranges of numbers, and their part of the progress records is written from that, in the same format.

Conclusion: a round's work is bounded by what it starts, and by one visit for each job, ready step and tier. Sums over jobs are still to be bounded at the door.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,7 +16,7 @@
   createJob, dueMs, hasEnded, isOpen, stepOf, taskOrdinal, tasksPerOccurrence, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
-export { allTasks, findTask, gangOf, hasOpenTask, isJobDone, listReadySteps, tasksInRange, tasksOf } from './lib/jobs/jobTasks.js'
+export { allTasks, createdTasksIn, findTask, gangOf, hasOpenTask, isJobDone, rangesBetween, retireOccurrence, tasksOf, type TaskRange } from './lib/jobs/jobTasks.js'
 export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
 export { RunTimeEstimator } from './lib/jobs/RunTimeEstimator.js'
--- a/packages/policy/src/lib/jobs/JobState.ts
+++ b/packages/policy/src/lib/jobs/JobState.ts
@@ -6,6 +6,7 @@
 import type { RunRef } from '@quillscale/ports'
 import type { CrashRecord } from './CrashRecord.js'
 import type { JobSpec, StepSpec } from './JobSpec.js'
+import { NumberRanges } from './NumberRanges.js'
 
 /** Status of a job as reported to clients. @public */
 export type JobStatus = 'queued' | 'running' | 'succeeded' | 'failed' | 'cancelled'
@@ -86,8 +87,10 @@
 /** A job with the state of its tasks. @public */
 export interface Job {
   readonly spec: JobSpec
-  /** Tasks by occurrence, then by step, as far as they were needed so far; see `jobTasks.ts`. */
+  /** Tasks by occurrence, then by step, of the occurrences that have begun and are not done, as far as they were needed so far; see `jobTasks.ts`. */
   readonly occurrences: Map<number, Task[][]>
+  /** Occurrences of which every task is done and no run is left. */
+  readonly doneOccurrences: NumberRanges
   status: JobStatus
   /** Its account was beyond its share of jobs when it was submitted, so that others go first. */
   isOverShare: boolean
@@ -101,7 +104,9 @@
 
 /** @param spec - the accepted specification @returns a job of which nothing has run @public */
 export function createJob (spec: JobSpec): Job {
-  return { spec, occurrences: new Map(), status: 'queued', isOverShare: false, isRecordedWhole: false, failure: undefined, endedMs: undefined }
+  return {
+    spec, occurrences: new Map(), doneOccurrences: new NumberRanges(), status: 'queued', isOverShare: false, isRecordedWhole: false, failure: undefined, endedMs: undefined
+  }
 }
 
 /** @param job - a job or its status @returns whether it has ended @public */
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -6,9 +6,10 @@
  *
  * @module
  */
-import { dueMs, stepOf, type Job, type Task } from './JobState.js'
+import type { StepSpec } from './JobSpec.js'
+import { dueMs, type Job } from './JobState.js'
 import { criticalPathMs } from './criticalPathMs.js'
-import { countUnfinished, isStepDone } from './jobTasks.js'
+import { countUnfinished, isStepDone, type StepOfOccurrence } from './jobTasks.js'
 import type { QueueTerms } from './QueueTerms.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
@@ -62,27 +63,53 @@
   return { total, left }
 }
 
+/** What the rank of an occurrence follows from, besides the time. */
+export interface OccurrenceOutlook {
+  readonly work: OccurrenceWork
+  /** Length of the critical path. */
+  readonly totalMs: number
+  /** Length of the critical path through the steps that are not done. */
+  readonly leftMs: number
+}
+
+/**
+ * Computes the outlook of an occurrence. All occurrences of a job that have not begun share one.
+ *
+ * @param job - a job
+ * @param occurrence - index of the occurrence
+ * @param runTimes - learned run times
+ * @returns its work and critical path
+ */
+export const outlookOf = (job: Job, occurrence: number, runTimes: RunTimeEstimator): OccurrenceOutlook => ({
+  work: sumWork(job, occurrence, runTimes),
+  totalMs: criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)),
+  leftMs: criticalPathMs(job.spec.steps, (each, index) => isStepDone(job, occurrence, index) ? 0 : runTimes.expectedMs(each))
+})
+
+const objectiveMsOf = (queue: QueueTerms | undefined, { totalMs }: OccurrenceOutlook): number => (queue?.stretch ?? 1) * totalMs + (queue?.targetLatencyMs ?? 0)
+
 /**
  * Ranks a step.
  *
- * @param task - a waiting task of the step
+ * @param ready - a step that is ready
  * @param queue - the terms of the job's queue, `undefined` if they are not known
  * @param runTimes - learned run times
  * @param wallMs - current wall-clock time
- * @param work - the work of the task's occurrence
+ * @param outlook - the outlook of its occurrence
  * @returns the rank of the step
  * @public
  */
 export function rankStep (
-  task: Task, queue: QueueTerms | undefined, runTimes: RunTimeEstimator, wallMs: number, work = sumWork(task.job, task.occurrence, runTimes)
+  ready: StepOfOccurrence, queue: QueueTerms | undefined, runTimes: RunTimeEstimator, wallMs: number,
+  outlook = outlookOf(ready.job, ready.occurrence, runTimes)
 ): StepRank {
-  const { job, occurrence } = task
-  const step = stepOf(task)
+  const { job, occurrence, stepIndex } = ready
+  const step = job.spec.steps[stepIndex] as StepSpec
   const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER
-  const startMs = dueMs(job, task.occurrence)
+  const startMs = dueMs(job, occurrence)
   if (step.isLasting) return { tier: step.isFiller ? RANK_TIERS.filler : RANK_TIERS.lasting, priority, placedShare: 0, workLeft: 0, startByMs: startMs }
-  const objectiveMs = (queue?.stretch ?? 1) * criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)) + (queue?.targetLatencyMs ?? 0)
-  const leftMs = criticalPathMs(job.spec.steps, (each, index) => isStepDone(job, occurrence, index) ? 0 : runTimes.expectedMs(each))
+  const { work, leftMs } = outlook
+  const objectiveMs = objectiveMsOf(queue, outlook)
   const tier = tierOf(wallMs + leftMs, startMs, objectiveMs)
   return {
     tier: job.isOverShare && tier < RANK_TIERS.overShare ? RANK_TIERS.overShare : tier,
@@ -93,6 +120,35 @@
   }
 }
 
+/** Occurrences that follow each other: from the first up to, but not including, the other. @public */
+export interface OccurrenceRange { readonly from: number, readonly to: number }
+
+/**
+ * Divides the due occurrences of a job by the tier that their finite steps have if they have not begun. Within a range, the first one goes first.
+ *
+ * @param job - a job with a schedule
+ * @param due - number of its due occurrences
+ * @param queue - the terms of the job's queue, `undefined` if they are not known
+ * @param wallMs - current wall-clock time
+ * @param outlook - the outlook of an occurrence that has not begun
+ * @returns the ranges that are not empty
+ */
+export function divideByTier (job: Job, due: number, queue: QueueTerms | undefined, wallMs: number, outlook: OccurrenceOutlook): OccurrenceRange[] {
+  const objectiveMs = objectiveMsOf(queue, outlook)
+  const earliestEndMs = wallMs + outlook.leftMs
+  const late = firstStartingFrom(job, due, earliestEndMs - LATE_FACTOR * objectiveMs)
+  const inTime = Math.max(late, firstStartingFrom(job, due, earliestEndMs - objectiveMs))
+  return [{ from: inTime, to: due }, { from: late, to: inTime }, { from: 0, to: late }].filter(({ from, to }) => from < to)
+}
+
+/** Returns the first due occurrence that is due at a time or after it, the number of due ones if none is. */
+function firstStartingFrom (job: Job, due: number, startMs: number): number {
+  const intervalMs = job.spec.schedule?.intervalMs ?? 0
+  const sinceFirstMs = startMs - dueMs(job, 0)
+  if (intervalMs <= 0) return sinceFirstMs <= 0 ? 0 : due
+  return Math.min(due, Math.max(0, Math.ceil(sinceFirstMs / intervalMs)))
+}
+
 /** @param earliestEndMs - end with unlimited capacity @param startMs - when the job is due @param objectiveMs - time allowed from then on */
 function tierOf (earliestEndMs: number, startMs: number, objectiveMs: number): RankTier {
   if (earliestEndMs <= startMs + objectiveMs) return RANK_TIERS.inTime
--- a/packages/policy/src/lib/machines/computeServiceDemand.ts
+++ b/packages/policy/src/lib/machines/computeServiceDemand.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { AccountName } from '@quillscale/ports'
-import { hasEnded, stepOf, type Job, type Task } from '../jobs/JobState.js'
-import { countOpen, listReadySteps } from '../jobs/jobTasks.js'
+import type { StepSpec } from '../jobs/JobSpec.js'
+import { hasEnded, isOpen, stepOf, type Job } from '../jobs/JobState.js'
+import { countReadyTasks } from '../jobs/jobTasks.js'
 import { cpuDemandOf, demandOf } from '../placement/suitability.js'
 import { mapResources, NO_RESOURCES, plus, RESOURCE_KINDS, resourcesOf, times, type Resources } from '../quotas/resources.js'
 import { MachineSizes } from './MachineSizes.js'
@@ -37,11 +38,10 @@
   let leastMachines = MIN_MACHINES
   for (const job of jobs) {
     if (hasEnded(job)) continue
-    for (const step of listReadySteps(job, wallMs)) {
-      const first = step[0]
-      if (first === undefined) continue
-      const { isLasting, maxPerWorker, taskCount } = stepOf(first)
-      wanted.add(first, countOpen(step, taskCount))
+    for (const { stepIndex, count } of countReadyTasks(job, wallMs, isOpen)) {
+      const step = job.spec.steps[stepIndex] as StepSpec
+      const { isLasting, maxPerWorker, taskCount } = step
+      wanted.add(job.spec.owner?.account, step, count)
       if (isLasting && maxPerWorker > 0) leastMachines = Math.max(leastMachines, Math.ceil(taskCount / maxPerWorker) + 1)
     }
   }
@@ -71,11 +71,9 @@
     this.#sizes = sizes
   }
 
-  add (first: Task, taskCount: number): void {
-    const account = first.job.spec.owner?.account
+  add (account: AccountName | undefined, step: StepSpec, taskCount: number): void {
     const demand = this.#demands.get(account) ?? { cpuMillis: 0, resources: NO_RESOURCES, shares: NO_RESOURCES, places: NO_RESOURCES }
     this.#demands.set(account, demand)
-    const step = stepOf(first)
     demand.cpuMillis += cpuDemandOf(step) * taskCount
     demand.resources = plus(demand.resources, times(resourcesOf(step), taskCount))
     const each = demandOf(step)
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -5,8 +5,10 @@
  */
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { isCrashSuspect, decidePlacement, type PlacementDecision } from '../jobs/crashes.js'
-import { hasEnded, isOpen, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
-import { createTasks, firstUnfinishedIndex, listReadySteps, uncreatedCount, type FurtherTasks } from '../jobs/jobTasks.js'
+import { dueMs, hasEnded, isOpen, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
+import {
+  countDue, countUnbegun, createdTasksOf, createTasks, firstUnfinishedIndex, listBegun, nextUnbegun, readyStepsOf, uncreatedCount, type FurtherTasks
+} from '../jobs/jobTasks.js'
 import { QuotaAdmission, type AccountQuotaLookup } from '../quotas/QuotaAdmission.js'
 import { plus, type Resources } from '../quotas/resources.js'
 import { ISOLATION_WAIT_MS } from './isolation.js'
@@ -19,7 +21,7 @@
 import { demandOf, fits, meetsConditions } from './suitability.js'
 import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
-import { compareRanks, rankStep, RANK_TIERS, sumWork, type OccurrenceWork, type RankTier, type StepRank } from '../jobs/rankStep.js'
+import { compareRanks, divideByTier, outlookOf, rankStep, RANK_TIERS, type OccurrenceOutlook, type OccurrenceRange, type RankTier, type StepRank } from '../jobs/rankStep.js'
 import type { RunTimeEstimator } from '../jobs/RunTimeEstimator.js'
 import type { WorkerView } from './WorkerView.js'
 
@@ -75,12 +77,25 @@
 /** Monotonic time at which each step was first seen to wait, by its created tasks. */
 const waitingSince = new WeakMap<readonly Task[], number>()
 
+/** Monotonic time at which a round first met each scheduled job. */
+const metSince = new WeakMap<Job, number>()
+
+/** Occurrences of a job that have not begun, the first of which stands for the others until it is placed. */
+interface UnbegunOccurrences extends OccurrenceRange {
+  readonly queue: QueueTerms | undefined
+  readonly outlook: OccurrenceOutlook
+  /** Step for which the next occurrence is wanted; all ready steps if left out. */
+  readonly stepIndex?: number
+}
+
 interface WaitingStep {
   /** Created tasks that may be placed; further ones are added when they are created. */
   readonly tasks: readonly Task[]
   readonly further: FurtherTasks | undefined
   readonly rank: StepRank
   readonly queue: QueueTerms | undefined
+  /** The occurrences for which it stands, if they have not begun. */
+  readonly unbegun: UnbegunOccurrences | undefined
 }
 
 /** Places the waiting tasks of a service once. @public */
@@ -94,7 +109,9 @@
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
   readonly #capacity: CapacityCheck
-  #waiting: readonly WaitingStep[] = []
+  #waiting: WaitingStep[] = []
+  /** Occurrences that have tasks only for this round, unless one of them is placed. */
+  readonly #newOccurrences = new Map<Job, Set<number>>()
   #budget = new StartBudget(Infinity)
 
   /** @param options - state of the service */
@@ -114,7 +131,7 @@
   place (): Run[] {
     const rooms = this.#availableRooms()
     const waiting = this.#listWaitingSteps()
-    this.#waiting = waiting
+    this.#waiting = [...waiting]
     // Runs placed for a job that ends in this round would be lost from its state, yet keep occupying workers.
     const givenUp = new Set(this.tasksToGiveUp.map(({ job }) => job))
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
@@ -124,7 +141,9 @@
     const placements = placeTasks(groups, rooms, this.quota, this.#budget)
     this.#preemptForLastingTask(groups, placements)
     this.#stopStalledRuns()
-    return this.#createRuns(placements)
+    const runs = this.#createRuns(placements)
+    this.#dropUnbegun()
+    return runs
   }
 
   /**
@@ -157,35 +176,72 @@
     return tasks.reduce((waitedMs, { waitingSinceMs = nowMs }) => Math.max(waitedMs, nowMs - waitingSinceMs), 0)
   }
 
+  /** Lists what waits, in order of rank. Of occurrences that have not begun, the first of each tier is listed, since the others are like it. */
   #listWaitingSteps (): WaitingStep[] {
     const { jobs, runTimes, wallMs } = this.#options
     const waiting: WaitingStep[] = []
     for (const job of jobs) {
       if (hasEnded(job)) continue
       const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
-      const works = new Map<number, OccurrenceWork>()
-      for (const step of listReadySteps(job, wallMs)) {
-        const selected = this.#selectPlaceable(step)
-        const first = selected.tasks[0]
-        if (first === undefined) continue
-        const work = works.get(first.occurrence) ?? sumWork(job, first.occurrence, runTimes)
-        works.set(first.occurrence, work)
-        waiting.push({ ...selected, queue, rank: rankStep(first, queue, runTimes, wallMs, work) })
-      }
+      const due = countDue(job, wallMs)
+      if (job.spec.schedule === undefined && !job.doneOccurrences.has(0)) createdTasksOf(job, 0)
+      for (const occurrence of listBegun(job, due)) waiting.push(...this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
+      const first = nextUnbegun(job, 0, due)
+      if (first === due) continue
+      const outlook = outlookOf(job, first, runTimes)
+      for (const range of divideByTier(job, due, queue, wallMs, outlook)) waiting.push(...this.#firstUnbegunOf(job, { ...range, queue, outlook }))
     }
     return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
   }
 
+  /** Returns the steps of the first occurrence of a range that has not begun. */
+  #firstUnbegunOf (job: Job, unbegun: UnbegunOccurrences): WaitingStep[] {
+    const created = this.#newOccurrences.get(job) ?? new Set()
+    const occurrence = nextUnbegun(job, unbegun.from, unbegun.to, (each) => created.has(each))
+    if (occurrence === unbegun.to) return []
+    this.#newOccurrences.set(job, created.add(occurrence))
+    return this.#waitingStepsOf(job, occurrence, unbegun.queue, unbegun.outlook, { ...unbegun, from: occurrence + 1 })
+  }
+
+  #waitingStepsOf (job: Job, occurrence: number, queue: QueueTerms | undefined, outlook: OccurrenceOutlook, unbegun?: UnbegunOccurrences): WaitingStep[] {
+    const { runTimes, wallMs } = this.#options
+    const ready = unbegun?.stepIndex === undefined ? readyStepsOf(job, occurrence) : [unbegun.stepIndex]
+    return ready.flatMap((stepIndex) => {
+      const { tasks, further } = this.#selectPlaceable(createTasks(job, occurrence, stepIndex, 1), unbegun !== undefined)
+      if (tasks[0] === undefined) return []
+      const rank = rankStep({ job, occurrence, stepIndex }, queue, runTimes, wallMs, outlook)
+      return [{ tasks, further, rank, queue, unbegun: unbegun === undefined ? undefined : { ...unbegun, stepIndex } }]
+    })
+  }
+
+  /** Drops the tasks of new occurrences of which nothing was placed. */
+  #dropUnbegun (): void {
+    for (const [job, occurrences] of this.#newOccurrences) {
+      for (const occurrence of occurrences) {
+        const hasBegun = job.occurrences.get(occurrence)?.some((tasks) => tasks.some(({ lastRunNumber }) => lastRunNumber > 0))
+        if (hasBegun !== true) job.occurrences.delete(occurrence)
+      }
+    }
+  }
+
+  /** Returns since when the tasks of an occurrence that has not begun have waited here. */
+  #unbegunSinceMs (job: Job, occurrence: number): number {
+    const { nowMs, wallMs } = this.#options
+    const metMs = metSince.get(job) ?? nowMs
+    metSince.set(job, metMs)
+    return Math.min(nowMs, Math.max(metMs, nowMs - (wallMs - dueMs(job, occurrence))))
+  }
+
   /**
    * Selects the tasks of a step that may be placed. At least one of those that wait is created, which stands for the others. Members of a gang are placed only
    * together, so none may still have a run.
    */
-  #selectPlaceable (step: Task[]): Pick<WaitingStep, 'tasks' | 'further'> {
+  #selectPlaceable (step: Task[], isUnbegun: boolean): Pick<WaitingStep, 'tasks' | 'further'> {
     const none = { tasks: [], further: undefined }
     const first = step[0]
     if (first === undefined || (stepOf(first).isGang && step.some(({ runs }) => runs.length > 0))) return none
     const { nowMs } = this.#options
-    const sinceMs = waitingSince.get(step) ?? nowMs
+    const sinceMs = waitingSince.get(step) ?? (isUnbegun ? this.#unbegunSinceMs(first.job, first.occurrence) : nowMs)
     waitingSince.set(step, sinceMs)
     const tasks: Task[] = []
     const decisions = new Set<PlacementDecision>()
@@ -197,7 +253,7 @@
       decisions.add(decision)
       if (decision === 'give-up') this.tasksToGiveUp.push(task)
       if (decision !== 'place') continue
-      task.waitingSinceMs ??= nowMs
+      task.waitingSinceMs ??= isUnbegun ? sinceMs : nowMs
       tasks.push(task)
     }
     if (stepOf(first).isGang && (decisions.has('wait') || decisions.has('give-up'))) return none
@@ -224,14 +280,34 @@
     return isSilent || isBehind
   }
 
-  #groupOf ({ tasks, further, rank, queue }: WaitingStep, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
-    const mayReserve = rank.tier === RANK_TIERS.lasting
-    const mayShareWorker = this.#waitedMs(tasks) >= ISOLATION_WAIT_MS
-    const isUrgent = URGENT_TIERS.has(rank.tier)
-    if (queue?.advice === undefined) return { tasks, further, mayReserve, mayShareWorker, isUrgent }
+  #groupOf (step: WaitingStep, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
+    const { tasks, further, rank, queue, unbegun } = step
+    const { job, stepIndex } = tasks[0] as Task
+    const group: PlacementGroup = {
+      tasks,
+      further,
+      rank,
+      mayReserve: rank.tier === RANK_TIERS.lasting,
+      mayShareWorker: this.#waitedMs(tasks) >= ISOLATION_WAIT_MS,
+      isUrgent: URGENT_TIERS.has(rank.tier),
+      ...(unbegun === undefined ? {} : { next: () => this.#nextGroup(job, unbegun, rooms), laterTasks: this.#countLater(job, stepIndex, unbegun) })
+    }
+    if (queue?.advice === undefined) return group
     const byRoom = [...rooms].sort((a, b) => b.cpuMillis - a.cpuMillis).map(({ instanceId }) => instanceId)
     const tickets = this.#options.advice.ticketsFor(tasks[0] as Task, byRoom, this.#options.nowMs)
-    return tickets === undefined ? undefined : { tasks, further, mayReserve, mayShareWorker, isUrgent, tickets }
+    return tickets === undefined ? undefined : { ...group, tickets }
+  }
+
+  /** Returns the same step of the next occurrence that has not begun. */
+  #nextGroup (job: Job, unbegun: UnbegunOccurrences, rooms: readonly WorkerRoom[]): PlacementGroup | undefined {
+    const [step] = this.#firstUnbegunOf(job, unbegun)
+    if (step === undefined) return undefined
+    this.#waiting.push(step)
+    return this.#groupOf(step, rooms)
+  }
+
+  #countLater (job: Job, stepIndex: number, { from, to }: UnbegunOccurrences): number {
+    return countUnbegun(job, from, to) * (job.spec.steps[stepIndex]?.taskCount ?? 0)
   }
 
   /**
--- a/packages/policy/src/lib/placement/StartBudget.ts
+++ b/packages/policy/src/lib/placement/StartBudget.ts
@@ -30,7 +30,10 @@
     this.#left = size
     for (const count of underWay.values()) this.#left -= count
     const needs = new Map<Job, number>()
-    for (const group of groups) if (group.tasks[0] !== undefined) needs.set(group.tasks[0].job, (needs.get(group.tasks[0].job) ?? 0) + countWaiting(group))
+    for (const group of groups) {
+      const job = group.tasks[0]?.job
+      if (job !== undefined) needs.set(job, (needs.get(job) ?? 0) + countWaiting(group) + (group.laterTasks ?? 0))
+    }
     const fairShare = Math.max(1, Math.floor(size / needs.size), Math.min(UNDIVIDED_TASKS, Math.ceil(size * UNDIVIDED_SHARE)))
     for (const [job, need] of needs) this.#reserve(job, Math.min(need, fairShare - (underWay.get(job) ?? 0)))
   }
--- a/packages/policy/src/lib/placement/WorkerRoom.ts
+++ b/packages/policy/src/lib/placement/WorkerRoom.ts
@@ -6,6 +6,7 @@
 import type { WorkerCapacity } from '@quillscale/ports'
 import type { Job, Task } from '../jobs/JobState.js'
 import type { FurtherTasks } from '../jobs/jobTasks.js'
+import type { StepRank } from '../jobs/rankStep.js'
 import type { Resources } from '../quotas/resources.js'
 
 /** A worker with its remaining capacity, which shrinks as tasks are placed. @public */
@@ -40,6 +41,12 @@
   readonly tasks: readonly Task[]
   /** Those that are created when their turn comes, after the others; `undefined` if there are none. */
   readonly further?: FurtherTasks | undefined
+  /** Position of the step among those that wait; needed only with {@link next}. */
+  readonly rank?: StepRank
+  /** Returns the same step of the next occurrence, whose turn comes once all tasks of this one are placed; `undefined` if there is none. */
+  readonly next?: (() => PlacementGroup | undefined) | undefined
+  /** Tasks of the same step in later occurrences that {@link next} leads to. */
+  readonly laterTasks?: number
   /** Tickets of the workers that may run the step; `undefined` if every worker may. */
   readonly tickets?: ReadonlyMap<string, string> | undefined
   /** Whether capacity is reserved on a worker if a task does not fit anywhere. */
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -6,6 +6,7 @@
 import type { StepSpec } from '../jobs/JobSpec.js'
 import { isCrashSuspect } from '../jobs/crashes.js'
 import { stepOf, type Task } from '../jobs/JobState.js'
+import { compareRanks } from '../jobs/rankStep.js'
 import type { QuotaAdmission } from '../quotas/QuotaAdmission.js'
 import { StartBudget } from './StartBudget.js'
 import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
@@ -38,13 +39,15 @@
   reserveForSuspects(groups.filter((group) => quota.hasQuotaFor(group.tasks, countWaiting(group))), rooms)
   // Capacity only shrinks: once no worker has this much CPU left, later tasks that need as much are skipped.
   let leastRefusedMillis = Infinity
-  for (const group of groups) {
+  const queue = [...groups]
+  for (const [at, group] of queue.entries()) {
     const mostStarts = budget.admit(group)
     const first = group.tasks[0]
     if (first === undefined) continue
     const wantedMillis = cpuDemandOf(stepOf(first))
     if (wantedMillis >= leastRefusedMillis && !group.mayReserve) continue
-    const admitted = quota.countAdmitted(orderSuspectsFirst(group.tasks), countWaiting(group))
+    const waiting = countWaiting(group)
+    const admitted = quota.countAdmitted(orderSuspectsFirst(group.tasks), waiting, group.laterTasks)
     const starts = Math.min(admitted, mostStarts)
     if (starts < admitted) budget.recordCut(group)
     if (starts === 0) continue
@@ -53,10 +56,25 @@
     budget.take(placed.length)
     if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
     placements.push(...placed)
+    const next = placed.length === waiting ? group.next?.() : undefined
+    if (next !== undefined) insertByRank(queue, at + 1, next)
   }
   return placements
 }
 
+/** Inserts a step behind those of the same rank or a higher one. */
+function insertByRank (queue: PlacementGroup[], from: number, group: PlacementGroup): void {
+  let low = from
+  let high = queue.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    const other = queue[middle]?.rank
+    if (other !== undefined && group.rank !== undefined && compareRanks(other, group.rank) <= 0) low = middle + 1
+    else high = middle
+  }
+  queue.splice(low, 0, group)
+}
+
 /** Yields the tasks of a step as they may be placed, suspect ones first; those that do not exist yet are created one by one. */
 function * firstTasks (group: PlacementGroup, most: number): Generator<Task> {
   const created = orderSuspectsFirst(group.tasks).slice(0, most)
--- a/packages/policy/src/lib/pressure/computeBacklog.ts
+++ b/packages/policy/src/lib/pressure/computeBacklog.ts
@@ -8,7 +8,7 @@
  */
 import type { AccountName } from '@quillscale/ports'
 import { hasEnded, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
-import { countUnfinished, listReadySteps } from '../jobs/jobTasks.js'
+import { countReadyTasks } from '../jobs/jobTasks.js'
 import type { StepSpec } from '../jobs/JobSpec.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
 import { rankStep, RANK_TIERS } from '../jobs/rankStep.js'
@@ -92,12 +92,11 @@
   const queue = effectiveTerms(job.spec, queueOf(job.spec.queue))
   if (hasEnded(job) || queue === undefined || queue.advice !== undefined) return undefined
   const isWaiting = ({ isDone, runs }: Task): boolean => !isDone && runs.length === 0
-  const waiting = listReadySteps(job, wallMs).flatMap((tasks) => {
-    const first = tasks[0]
-    const count = first !== undefined && waitsForCpu(stepOf(first)) ? countUnfinished(tasks, isWaiting) : 0
-    return first === undefined || count === 0 ? [] : [{ first, step: stepOf(first), count }]
+  const waiting = countReadyTasks(job, wallMs, isWaiting).flatMap((ready) => {
+    const step = job.spec.steps[ready.stepIndex] as StepSpec
+    return waitsForCpu(step) && ready.count > 0 ? [{ ready, step, count: ready.count }] : []
   })
-  const first = waiting[0]?.first
+  const first = waiting[0]?.ready
   if (first === undefined) return undefined
   const { tier, priority, startByMs } = rankStep(first, queue, runTimes, wallMs)
   if (tier !== RANK_TIERS.inTime) return undefined
--- a/packages/policy/src/lib/quotas/QuotaAdmission.ts
+++ b/packages/policy/src/lib/quotas/QuotaAdmission.ts
@@ -72,9 +72,10 @@
    *
    * @param tasks - the created tasks of one step, in the order in which they start
    * @param taskCount - number of its waiting tasks; those that are not created yet start last
+   * @param laterTasks - waiting tasks of the same step in later occurrences, which are wanted as well
    * @returns how many fit; of a gang all or none
    */
-  countAdmitted (tasks: readonly Task[], taskCount: number): number {
+  countAdmitted (tasks: readonly Task[], taskCount: number, laterTasks = 0): number {
     const first = tasks[0]
     const quota = first === undefined ? undefined : this.#quotaLeftOf(first)
     if (first === undefined || quota === undefined) return taskCount
@@ -86,7 +87,7 @@
     }
     const isGang = stepOf(first).isGang
     const count = isGang ? (fitsWithin(unit, quota.left) ? taskCount : 0) : countFitting(resourcesOf(stepOf(first)), quota.left, taskCount)
-    this.#recordShortage(quota.account, first, taskCount - count, unit)
+    if (count < taskCount) this.#recordShortage(quota.account, first, taskCount - count + laterTasks, unit)
     for (const task of tasks.slice(count)) this.held.add(task)
     return count
   }
@@ -105,7 +106,6 @@
   }
 
   #recordShortage (account: AccountName, first: Task, taskCount: number, unit: Resources): void {
-    if (taskCount === 0) return
     const existing = this.shortages.get(account)
     const wanted = times(resourcesOf(stepOf(first)), taskCount)
     this.shortages.set(account, { wanted: plus(existing?.wanted ?? NO_RESOURCES, wanted), first: existing?.first ?? unit })
--- a/packages/policy/src/test/jobTasks.test.ts
+++ b/packages/policy/src/test/jobTasks.test.ts
@@ -1,7 +1,11 @@
 import { expect } from 'chai'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
-import { createJob, type Job, type Task } from '../lib/jobs/JobState.js'
-import { allTasks, countOpen, findTask, gangOf, isJobDone, listReadySteps, tasksInRange, tasksOf } from '../lib/jobs/jobTasks.js'
+import { createJob, isOpen, type Job, type Run, type Task } from '../lib/jobs/JobState.js'
+import {
+  allTasks, countDue, countOpen, countReadyTasks, createdTasksIn, findTask, gangOf, isJobDone, listBegun, nextUnbegun, rangesBetween, readyStepsOf,
+  retireOccurrence, tasksOf
+} from '../lib/jobs/jobTasks.js'
+import { listReadySteps } from './listReadySteps.js'
 import { rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { testJobId } from './testJobId.js'
@@ -38,9 +42,9 @@
 /** What is done at each end of a run, or in each placement round. */
 const passes: ReadonlyArray<{ readonly name: string, readonly pass: (job: Job) => void }> = [
   { name: 'whether it is done', pass: (job) => { isJobDone(job) } },
-  { name: 'which of its steps are ready', pass: (job) => { listReadySteps(job, Infinity) } },
-  { name: 'how many of its tasks are open', pass: (job) => { for (const step of listReadySteps(job, Infinity)) countOpen(step, 2000) } },
-  { name: 'its rank', pass: (job) => { for (const [task] of listReadySteps(job, Infinity)) if (task !== undefined) rankStep(task, undefined, new RunTimeEstimator(), 0) } }
+  { name: 'which of its steps are ready', pass: (job) => { for (const occurrence of listBegun(job, countDue(job, Infinity))) readyStepsOf(job, occurrence) } },
+  { name: 'how many of its tasks are open', pass: (job) => { countReadyTasks(job, Infinity, isOpen) } },
+  { name: 'its rank', pass: (job) => { for (const ready of countReadyTasks(job, Infinity, isOpen)) rankStep(ready, undefined, new RunTimeEstimator(), 0) } }
 ]
 
 describe('tasks of a job', () => {
@@ -68,6 +72,25 @@
     expect(counter.looks).to.be.at.most(100)
   })
 
+  // Guards against a holder that keeps each time of a scheduled job that is done.
+  it('of past occurrences are dropped once no run is left', () => {
+    const job = jobOf([{ taskCount: 2 }], 100)
+    for (const occurrence of [1, 0, 3, 2]) {
+      const tasks = tasksOf(job, occurrence).flat()
+      for (const task of tasks) task.isDone = true
+      tasks[0]?.runs.push({} as Run)
+      expect(retireOccurrence(job, occurrence)).to.equal(true)
+      expect(job.occurrences.has(occurrence)).to.equal(true)
+      tasks[0]?.runs.pop()
+      retireOccurrence(job, occurrence)
+    }
+    expect(job.occurrences.size).to.equal(0)
+    expect(job.doneOccurrences.size).to.equal(4)
+    expect(findTask(job, `${testJobId(1)}.2.0.0`)).to.equal(undefined)
+    expect(nextUnbegun(job, 0, 100)).to.equal(4)
+    expect(countReadyTasks(job, Infinity, isOpen).map(({ occurrence, count }) => ({ occurrence, count }))).to.deep.equal([{ occurrence: 4, count: 192 }])
+  })
+
   it('are not created before their turn, of whichever kind their step is, but for one of each ready step', () => {
     const job = jobOf([{ taskCount: 30, isLasting: true }, { taskCount: 20, isGang: true }, { taskCount: 10 }])
     expect(listReadySteps(job, 0).map(({ length }) => length)).to.deep.equal([1, 1, 1])
@@ -120,6 +143,6 @@
     findTask(job, `${testJobId(1)}.0.1.5`)
     findTask(job, `${testJobId(1)}.0.0.2`)
     expect(allTasks(job)).to.have.length(9)
-    expect(tasksInRange(job, 2, 103).map(({ key }) => key.slice(17))).to.deep.equal(['0.0.2', '0.1.0', '0.1.1', '0.1.2'])
+    expect(rangesBetween(job, 2, 103).flatMap((range) => createdTasksIn(job, range)).map(({ key }) => key.slice(17))).to.deep.equal(['0.0.2', '0.1.0', '0.1.1', '0.1.2'])
   })
 })
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -83,7 +83,45 @@
   { name: 'finite tasks beyond the room', ready: 4, jobs: (size) => [1, 2, 3, 4].map((number) => jobOf(number, [{ taskCount: size }])) }
 ]
 
+/** Due times of scheduled jobs, in sizes that grow tenfold. */
+const scheduled = (size: number, intervalMs: number): JobSpec['schedule'] => ({ runs: size, firstRunMs: WALL_MS - 1e9, intervalMs })
+const times: ReadonlyArray<{ readonly name: string, readonly jobs: (size: number) => Job[] }> = [
+  { name: 'all of them long ago', jobs: (size) => [jobOf(1, [{ taskCount: 1 }], scheduled(size, 1))] },
+  { name: 'all at one time', jobs: (size) => [jobOf(1, [{ taskCount: 1 }], scheduled(size, 0))] },
+  { name: 'up to now', jobs: (size) => [jobOf(1, [{ taskCount: 1 }, { taskCount: 2, dependsOn: [0] }], scheduled(Math.floor(size / 3), 3e9 / size))] },
+  { name: 'of several jobs', jobs: (size) => [1, 2, 3, 4, 5].map((number) => jobOf(number, [{ taskCount: 1 }, { taskCount: 1 }], scheduled(size / 5, 1))) },
+  { name: 'of lasting tasks that do not fit', jobs: (size) => [jobOf(1, [{ taskCount: 1, isLasting: true, requiredLabel: 'none' }], scheduled(size, 1))] },
+  { name: 'of gangs that do not fit', jobs: (size) => [jobOf(1, [{ taskCount: 100, isGang: true }], scheduled(size / 100, 1))] }
+]
+
 describe('work that waits', () => {
+  for (const { name, jobs } of times) {
+    // Guards against a holder that visits each due time in each round, until it has lost the duty.
+    it(`takes no visit of each of 1,000, 10,000 and 100,000 due times: ${name}`, () => {
+      for (const size of [1000, 10_000, 100_000]) {
+        const waiting = jobs(size)
+        let looks = 0
+        for (const job of waiting) {
+          const { spec: { schedule } } = job
+          // Each look at the time at which an occurrence is due asks for the interval.
+          const intervalMs = schedule?.intervalMs ?? 0
+          if (schedule !== undefined) Object.defineProperty(schedule, 'intervalMs', { get: () => { looks++; return intervalMs } })
+        }
+        const runs = playRounds(waiting)
+        expect(looks, `${size}`).to.be.at.most(40 * (ROUNDS * waiting.length + runs.length))
+        expect(waiting.flatMap((job) => [...job.occurrences]).length, `${size}`).to.be.at.most(runs.length)
+      }
+    })
+  }
+
+  it('starts due times beside each other, the oldest of a tier first', () => {
+    const runs = playRounds([jobOf(1, [{ taskCount: 2 }], scheduled(1000, 1))])
+    expect(runs).to.have.length(32)
+    expect([...new Set(runs.map(({ task }) => task.occurrence))]).to.deep.equal(Array.from({ length: 16 }, (_, occurrence) => occurrence))
+    const [first] = playRounds([jobOf(1, [{ taskCount: 1 }], scheduled(50_001, 2e4))])
+    expect(first?.task.occurrence).to.equal(50_000)
+  })
+
   for (const { name, ready, jobs } of forms) {
     // Guards against a holder that keeps an object for each task of each accepted job, until it runs out of memory.
     it(`takes no task of its own for each of 100, 1,000 and 10,000 in a step: ${name}`, () => {
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
-import { allTasks, gangOf, hasEnded, hasOpenTask, isJobDone, type Job, type JobId, type JobStatus, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
+import { allTasks, gangOf, hasEnded, hasOpenTask, isJobDone, type Job, type JobId, type JobStatus, retireOccurrence, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
 import { isKeepableCheckpoint } from './jobProgress.js'
 import { runKey, type WorkerLink } from '../workers/WorkerLink.js'
@@ -87,6 +87,7 @@
     this.#logEnd(run, outcome, evidence)
     // The end of a gang member marks all members.
     this.#options.onChanged(job, stepOf(task).isGang ? gangOf(task) : [task])
+    retireOccurrence(job, task.occurrence)
   }
 
   /**
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -8,7 +8,10 @@
  */
 import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
-import { createCrashRecord, findTask, jobOwnerSchema, occurrenceCount, tasksInRange, taskOrdinal, tasksPerOccurrence, type Job, type Run, type Task } from '@quillscale/policy'
+import {
+  createCrashRecord, createdTasksIn, findTask, jobOwnerSchema, occurrenceCount, rangesBetween, retireOccurrence, taskOrdinal, tasksPerOccurrence,
+  type Job, type Run, type Task, type TaskRange
+} from '@quillscale/policy'
 
 /** Tasks of one record. With the longest checkpoints, a 7 Mbit/s link, the slowest in use, carries a record in half of the call timeout. */
 export const TASKS_PER_RECORD = 64
@@ -35,6 +38,7 @@
   checkpoint: z.string().optional(),
   runs: z.array(runProgressSchema).optional()
 })
+type TaskProgress = z.infer<typeof taskProgressSchema>
 
 const storedSchema = z.object({
   status: z.enum(['queued', 'running', 'succeeded', 'failed', 'cancelled']),
@@ -98,21 +102,30 @@
   return tasks.length === 0 ? undefined : JSON.stringify(progress)
 }
 
-function encodeTasks (job: Job, from: number, to: number): NonNullable<StoredProgress['tasks']> {
+function encodeTasks (job: Job, from: number, to: number): TaskProgress[] {
   const isEnded = job.endedMs !== undefined
-  const kept = tasksInRange(job, from, to).filter(({ lastRunNumber, runs }) => lastRunNumber > 0 && (!isEnded || runs.length > 0))
-  return kept.map((task) => ({
-    key: task.key,
-    isDone: task.isDone || undefined,
-    isGivenUp: task.isGivenUp || undefined,
-    lastRunNumber: task.lastRunNumber,
-    failures: task.failures === 0 ? undefined : task.failures,
-    crashPoints: task.crashes.points === 0 ? undefined : task.crashes.points,
-    checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
-    runs: task.runs.length === 0 ? undefined : task.runs.map(encodeRun)
-  }))
+  return rangesBetween(job, from, to).flatMap((range) => {
+    if (job.doneOccurrences.has(range.occurrence)) return isEnded ? [] : encodeDoneTasks(job, range)
+    return createdTasksIn(job, range).filter(({ lastRunNumber, runs }) => lastRunNumber > 0 && (!isEnded || runs.length > 0)).map(encodeTask)
+  })
 }
 
+/** Encodes tasks of an occurrence that is done. They are never started again, so the number of their last run does not matter. */
+function encodeDoneTasks ({ spec: { jobId } }: Job, { occurrence, stepIndex, fromIndex, toIndex }: TaskRange): TaskProgress[] {
+  return Array.from({ length: toIndex - fromIndex }, (_, at) => ({ key: `${jobId}.${occurrence}.${stepIndex}.${fromIndex + at}`, isDone: true, lastRunNumber: 1 }))
+}
+
+const encodeTask = (task: Task): TaskProgress => ({
+  key: task.key,
+  isDone: task.isDone || undefined,
+  isGivenUp: task.isGivenUp || undefined,
+  lastRunNumber: task.lastRunNumber,
+  failures: task.failures === 0 ? undefined : task.failures,
+  crashPoints: task.crashes.points === 0 ? undefined : task.crashes.points,
+  checkpoint: task.checkpoint === '' ? undefined : task.checkpoint,
+  runs: task.runs.length === 0 ? undefined : task.runs.map(encodeRun)
+})
+
 /** @param checkpoint - as reported by a worker @returns whether it can be kept in the records of its job @public */
 export const isKeepableCheckpoint = (checkpoint: string): boolean => Buffer.byteLength(JSON.stringify(checkpoint)) <= MAX_CHECKPOINT_BYTES
 
@@ -188,6 +201,7 @@
       task.runs.push(run)
       restored.push(run)
     }
+    if (task.isDone) retireOccurrence(job, task.occurrence)
   }
   return restored
 }
