Lists of any length are no arguments, and one job stops no others

One accepted request, a step that depends on step 0 130,500 times, stops its service: nothing of it is started for as long as the job lasts, on whichever host.

Cause: criticalPathMs passed the list as arguments of Math.max, which throws above some 120,000; the round threw, and the duty was released, by each holder.

Ruled out: memory and time (120,000 repeats are placed).

Change: largestOf and smallestOf in place of every spread of a list whose length a caller, a record or the fleet decides; push(...list) likewise. Repeated dependencies are dropped on entry and from records. A job whose steps cannot be listed is held and logged, and the others are placed.

Conclusion: the class is closed in the packages of the platform's program; packages/entry and the tools were not looked at.

--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -26,8 +26,8 @@
   gpus: count.default(0),
   /** The client's rough guess of how long a task takes. */
   estimateMs: z.number().nonnegative().default(0),
-  /** Indices of earlier steps that must be done first. */
-  dependsOn: z.array(count).default([]),
+  /** Indices of earlier steps that must be done first, each once. */
+  dependsOn: z.array(count).default([]).transform((indices) => [...new Set(indices)]),
   isCheckpointing: z.boolean().default(false),
   /** Its tasks run only all at once. */
   isGang: z.boolean().default(false),
--- a/packages/policy/src/lib/jobs/criticalPathMs.ts
+++ b/packages/policy/src/lib/jobs/criticalPathMs.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { StepSpec } from './JobSpec.js'
 
 /**
@@ -15,6 +16,10 @@
  */
 export function criticalPathMs (steps: readonly StepSpec[], expectedMs: (step: StepSpec, index: number) => number): number {
   const endMs: number[] = []
-  steps.forEach((step, index) => endMs.push(Math.max(0, ...step.dependsOn.map((earlier) => endMs[earlier] ?? 0)) + expectedMs(step, index)))
-  return Math.max(0, ...endMs)
+  steps.forEach((step, index) => {
+    let startMs = 0
+    for (const earlier of step.dependsOn) startMs = Math.max(startMs, endMs[earlier] ?? 0)
+    endMs.push(startMs + expectedMs(step, index))
+  })
+  return largestOf(endMs, 0)
 }
--- a/packages/policy/src/lib/machines/MachineNeedTracker.ts
+++ b/packages/policy/src/lib/machines/MachineNeedTracker.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import { machinesNeeded, type ServiceDemand } from './planPools.js'
 
 /** Machines that were needed within this time are not released. @public */
@@ -24,7 +25,7 @@
       const needs = (this.#needs.get(demand.service) ?? []).filter(({ atMs }) => nowMs - atMs < NEED_WINDOW_MS)
       needs.push({ machines: machinesNeeded(demand), atMs: nowMs })
       this.#needs.set(demand.service, needs)
-      return [demand.service, Math.max(...needs.map(({ machines }) => machines))]
+      return [demand.service, largestOf(needs.map(({ machines }) => machines))]
     }))
   }
 
--- a/packages/policy/src/lib/machines/planPools.ts
+++ b/packages/policy/src/lib/machines/planPools.ts
@@ -96,7 +96,7 @@
       apply(move, counts, taken, moves)
     }
   }
-  moves.push(...releaseIdleMachines(counts, input, taken, input.maxMoves - moves.length))
+  for (const move of releaseIdleMachines(counts, input, taken, input.maxMoves - moves.length)) moves.push(move)
   return moves
 }
 
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { isCrashSuspect, decidePlacement, type PlacementDecision } from '../jobs/crashes.js'
 import { dueMs, hasEnded, isOpen, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
@@ -104,6 +105,8 @@
   readonly runsToStop: Run[] = []
   /** Tasks that crash their workers and are to be given up, filled by {@link place}. */
   readonly tasksToGiveUp: Task[] = []
+  /** Jobs left out because their steps could not be listed, filled by {@link place}. */
+  readonly failedJobs: Array<{ readonly job: Job, readonly error: unknown }> = []
   /** Quota admission of this round, with the shortages that it found. */
   readonly quota: QuotaAdmission
   readonly #options: PlacementRoundOptions
@@ -176,24 +179,33 @@
     return tasks.reduce((waitedMs, { waitingSinceMs = nowMs }) => Math.max(waitedMs, nowMs - waitingSinceMs), 0)
   }
 
-  /** Lists what waits, in order of rank. Of occurrences that have not begun, the first of each tier is listed, since the others are like it. */
+  /** Lists what waits, in order of rank. */
   #listWaitingSteps (): WaitingStep[] {
-    const { jobs, runTimes, wallMs } = this.#options
     const waiting: WaitingStep[] = []
-    for (const job of jobs) {
+    for (const job of this.#options.jobs) {
       if (hasEnded(job)) continue
-      const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
-      const due = countDue(job, wallMs)
-      if (job.spec.schedule === undefined && !job.doneOccurrences.has(0)) createdTasksOf(job, 0)
-      for (const occurrence of listBegun(job, due)) waiting.push(...this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
-      const first = nextUnbegun(job, 0, due)
-      if (first === due) continue
-      const outlook = outlookOf(job, first, runTimes)
-      for (const range of divideByTier(job, due, queue, wallMs, outlook)) waiting.push(...this.#firstUnbegunOf(job, { ...range, queue, outlook }))
+      try {
+        for (const step of this.#waitingStepsOfJob(job)) waiting.push(step)
+      } catch (error) {
+        this.failedJobs.push({ job, error })
+      }
     }
     return waiting.sort((a, b) => compareRanks(a.rank, b.rank))
   }
 
+  /** Lists the ready steps of a job. Of occurrences that have not begun, the first of each tier is listed, since the others are like it. */
+  #waitingStepsOfJob (job: Job): WaitingStep[] {
+    const { runTimes, wallMs } = this.#options
+    const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
+    const due = countDue(job, wallMs)
+    if (job.spec.schedule === undefined && !job.doneOccurrences.has(0)) createdTasksOf(job, 0)
+    const begun = listBegun(job, due).flatMap((occurrence) => this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
+    const first = nextUnbegun(job, 0, due)
+    if (first === due) return begun
+    const outlook = outlookOf(job, first, runTimes)
+    return [...begun, ...divideByTier(job, due, queue, wallMs, outlook).flatMap((range) => this.#firstUnbegunOf(job, { ...range, queue, outlook }))]
+  }
+
   /** Returns the steps of the first occurrence of a range that has not begun. */
   #firstUnbegunOf (job: Job, unbegun: UnbegunOccurrences): WaitingStep[] {
     const created = this.#newOccurrences.get(job) ?? new Set()
@@ -353,7 +365,7 @@
       if (task === undefined) continue
       rooms ??= this.#availableRooms()
       const victims = this.#findVictims(task, group, rooms)
-      this.runsToStop.push(...victims ?? [])
+      for (const victim of victims ?? []) this.runsToStop.push(victim)
       if (victims !== undefined) return
     }
   }
@@ -399,7 +411,7 @@
     return placements.map(({ task, instanceId, ticket }) => {
       const members = task.job.occurrences.get(task.occurrence)?.[task.stepIndex] ?? [task]
       const next = stepOf(task).isGang
-        ? gangNumbers.get(members) ?? Math.max(...members.map(({ lastRunNumber }) => lastRunNumber)) + 1
+        ? gangNumbers.get(members) ?? largestOf(members.map(({ lastRunNumber }) => lastRunNumber), 0) + 1
         : task.lastRunNumber + 1
       gangNumbers.set(members, next)
       task.lastRunNumber = next
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -55,7 +55,7 @@
     for (const { task } of placed) quota.consume(task)
     budget.take(placed.length)
     if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
-    placements.push(...placed)
+    for (const placement of placed) placements.push(placement)
     const next = placed.length === waiting ? group.next?.() : undefined
     if (next !== undefined) insertByRank(queue, at + 1, next)
   }
--- a/packages/policy/src/lib/placement/planPaces.ts
+++ b/packages/policy/src/lib/placement/planPaces.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import { stepOf, type Run } from '../jobs/JobState.js'
 
 /** Fillers slow down above the first share of a latency target and speed up below the second; between them nothing changes. */
@@ -32,7 +33,7 @@
   if (fillers.length === 0) return []
   const shares = runs.filter((run) => run.phase === 'running' && stepOf(run.task).targetTailMs > 0)
     .map((run) => run.load / stepOf(run.task).targetTailMs)
-  const worst = Math.max(0, ...shares)
+  const worst = largestOf(shares, 0)
   if (worst > THROTTLE_ABOVE_SHARE) return changesTo(fillers, (percent) => percent * CUT_FACTOR < MIN_PERCENT ? 0 : Math.floor(percent * CUT_FACTOR))
   if (worst < RAISE_BELOW_SHARE) return changesTo(fillers, (percent) => Math.min(100, percent + RAISE_PERCENT))
   return []
--- a/packages/policy/src/lib/pressure/computeBacklog.ts
+++ b/packages/policy/src/lib/pressure/computeBacklog.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { AccountName } from '@quillscale/ports'
 import { hasEnded, stepOf, type Job, type Run, type Task } from '../jobs/JobState.js'
 import { countReadyTasks } from '../jobs/jobTasks.js'
@@ -69,7 +70,7 @@
   return {
     roomMillis,
     freeMillis: sum(free),
-    largestFreeMillis: Math.max(0, ...free),
+    largestFreeMillis: largestOf(free, 0),
     ahead: roomMillis === 0 ? [] : createRows(waiting, runningWork, { roomMillis, limitOf: sources.limitOf }),
     runTimes: learnedRunTimes(jobs, runTimes)
   }
@@ -101,7 +102,7 @@
   const { tier, priority, startByMs } = rankStep(first, queue, runTimes, wallMs)
   if (tier !== RANK_TIERS.inTime) return undefined
   const work = sum(waiting.map(({ step, count }) => count * cpuDemandOf(step) * runTimes.expectedMs(step)))
-  const taskMillis = Math.max(...waiting.map(({ step }) => cpuDemandOf(step)))
+  const taskMillis = largestOf(waiting.map(({ step }) => cpuDemandOf(step)))
   return { account: job.spec.owner?.account, priority, leftMs: startByMs - wallMs, work, taskMillis }
 }
 
@@ -111,7 +112,7 @@
     const feasible = selectStartable(waiting.filter((job) => job.priority <= priority), runningWork, room)
     const buckets = new Set(feasible.map(({ leftMs }) => bucketOf(leftMs)))
     const waits = [...buckets].map((bucketMs) => fillsRoomMs(feasible.filter(({ leftMs }) => leftMs >= bucketMs), bucketMs, runningWork, room))
-    return { priority, waitMs: Math.round(Math.max(0, ...waits)), taskMillis: Math.max(0, ...feasible.map(({ taskMillis }) => taskMillis)) }
+    return { priority, waitMs: Math.round(largestOf(waits, 0)), taskMillis: largestOf(feasible.map(({ taskMillis }) => taskMillis), 0) }
   })
 }
 
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -114,6 +114,22 @@
     })
   }
 
+  // Guards against a list from a caller that is passed as arguments, of which there may be only some 120,000.
+  it('is placed whatever a step depends on, and however often it says so', () => {
+    const job = jobOf(1, [{ taskCount: 1 }, { taskCount: 1, dependsOn: Array.from({ length: 200_000 }, () => 0) }])
+    expect(job.spec.steps[1]?.dependsOn).to.deep.equal([0])
+    const old = jobOf(2, [{ taskCount: 1 }, { taskCount: 1 }])
+    old.spec.steps[1]!.dependsOn = Array.from({ length: 200_000 }, () => 0)
+    expect(playRounds([job, old, jobOf(3, [{ taskCount: 1 }])])).to.have.length(3)
+  })
+
+  // Guards against one job that throws in each round and stops all others of its service.
+  it('is placed beside a job that cannot be', () => {
+    const broken = jobOf(1, [{ taskCount: 1 }])
+    Object.defineProperty(broken.spec, 'steps', { get: () => { throw new RangeError('broken') } })
+    expect(playRounds([broken, jobOf(2, [{ taskCount: 1 }])])).to.have.length(1)
+  })
+
   it('starts due times beside each other, the oldest of a tier first', () => {
     const runs = playRounds([jobOf(1, [{ taskCount: 2 }], scheduled(1000, 1))])
     expect(runs).to.have.length(32)
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -369,7 +369,7 @@
     this.#drainer.drainLeavingWorkers(this.#workers.leaving(this.#registrationReplica.reachableForMs(nowMs), nowMs), nowMs)
     this.#evacuator.reconcile(nowMs)
     this.#placeTasks(nowMs)
-    this.#statusWriter.write([...this.#registry.jobs.values()], this.#workers, nowMs)
+    this.#statusWriter.write([...this.#registry.jobs.values()].filter((job) => this.#progress.canRecord(job)), this.#workers, nowMs)
     this.#removeEndedJobs()
   }
 
@@ -390,6 +390,7 @@
       wallMs: this.#options.clock.wallMs()
     })
     const runs = round.place()
+    for (const { job, error } of round.failedJobs) this.#progress.hold(job, error)
     if (round.isStartLimited) this.#orderWindow.recordFull()
     for (const run of runs) this.#trackRun(run)
     this.#unplacedLog.write(round, nowMs)
--- a/packages/scheduler/src/lib/jobs/ConfigurationGate.ts
+++ b/packages/scheduler/src/lib/jobs/ConfigurationGate.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { FleetConfiguration } from '@quillscale/ports'
 import { hasEnded, type Job } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
@@ -58,7 +59,7 @@
       this.#wait = undefined
       return
     }
-    const needed = Math.max(...[...waiting].map((job) => versionNeededBy(job)))
+    const needed = largestOf([...waiting].map((job) => versionNeededBy(job)))
     if (before?.version !== needed) log.info({ service, version, needed, jobs: waiting.size }, 'jobs wait for a newer configuration')
     this.#wait = { version: needed, sinceMs: before?.sinceMs ?? nowMs }
     void this.#read(needed)
--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -115,7 +115,7 @@
       for (const { key, value } of listed.val.items) {
         const progress = decodeProgress(value)
         if (progress.err) unreadableKeys.push(key)
-        else runs.push(...progress.val.tasks.flatMap((task) => task.runs ?? []).map(({ instanceId }) => ({ service, instanceId })))
+        else for (const task of progress.val.tasks) for (const { instanceId } of task.runs ?? []) runs.push({ service, instanceId })
       }
     }
     return Ok({ zones: listZones({ evacuations: evacuations.val, workers: workers.val, runs }), unreadableKeys })
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
 import { allTasks, gangOf, hasEnded, hasOpenTask, isJobDone, type Job, type JobId, type JobStatus, retireOccurrence, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
@@ -181,7 +182,7 @@
     }
     if (outcome === 'failed' && !step.isLasting) {
       task.failures++
-      const failures = step.isGang ? Math.max(...gangOf(task).map((member) => member.failures)) : task.failures
+      const failures = step.isGang ? largestOf(gangOf(task).map((member) => member.failures)) : task.failures
       if (failures >= this.#options.maxAttemptsOf(job)) {
         job.failure = { reason: 'attempts', taskKey: task.key }
         return this.endJob(job, 'failed')
--- a/packages/scheduler/src/lib/jobs/ProgressRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/ProgressRecorder.ts
@@ -82,7 +82,18 @@
     log.warn({ service, key, jobId, chars, error }, 'record left out: the store refuses it')
   }
 
-  /** @param job - a job @returns whether it may start anything; not if the store has refused one of its records */
+  /**
+   * Holds a job until the duty has another holder, so that it keeps no others from being placed.
+   *
+   * @param job - a job whose placement has failed
+   * @param error - why
+   */
+  hold ({ spec: { jobId, queue } }: Job, error: unknown): void {
+    this.#heldJobs.add(jobId)
+    this.#options.log.warn({ service: this.#options.service, jobId, queue, error: error instanceof Error ? error.stack : String(error) }, 'job set aside: its placement has failed')
+  }
+
+  /** @param job - a job @returns whether it may start anything; not if the store has refused one of its records or its placement has failed */
   canRecord (job: Job): boolean {
     return !this.#heldJobs.has(job.spec.jobId)
   }
--- a/packages/scheduler/src/lib/records/FencedBatchWriter.ts
+++ b/packages/scheduler/src/lib/records/FencedBatchWriter.ts
@@ -87,7 +87,7 @@
 export class FencedBatchWriter {
   readonly #options: FencedBatchWriterOptions
   readonly #pending = new Map<string, PendingRecord>()
-  readonly #waiters: FlushWaiter[] = []
+  #waiters: FlushWaiter[] = []
   /** Chain values of rejected transactions of which an attempt without an answer may still take effect. */
   readonly #rejectedChainValues = new Set<string>()
   /** Values that the store refused, by key; they are not sent again. */
@@ -360,7 +360,7 @@
   #resolveWaiters (): void {
     const oldest = this.#oldestPending()
     const done = this.#waiters.filter(({ sequence }) => sequence < oldest)
-    this.#waiters.splice(0, this.#waiters.length, ...this.#waiters.filter(({ sequence }) => sequence >= oldest))
+    this.#waiters = this.#waiters.filter(({ sequence }) => sequence >= oldest)
     for (const { resolve } of done) resolve(true)
   }
 }
--- a/packages/scheduler/src/lib/workers/SilentWorkers.ts
+++ b/packages/scheduler/src/lib/workers/SilentWorkers.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import { decodeJson, delay, type Clock } from '@quillscale/utils'
+import { decodeJson, delay, type Clock, largestOf } from '@quillscale/utils'
 import type { KeyValue, KeyValueStore } from '@quillscale/ports'
 import * as z from 'zod'
 import type { RecordEncoder } from '../records/FencedBatchWriter.js'
@@ -209,7 +209,7 @@
 
   /** Computes the duration of a timer; the store's clock may drift as much as a worker's. */
   #ttlMs (newIds: readonly string[], nowMs: number): number {
-    const leftMs = Math.max(...newIds.map((instanceId) => this.#options.leasesLeftMs(instanceId, nowMs)))
+    const leftMs = largestOf(newIds.map((instanceId) => this.#options.leasesLeftMs(instanceId, nowMs)))
     return Math.max(this.#options.minTtlMs(), Math.ceil(leftMs * (1 + MAX_CLOCK_DRIFT_RATIO)))
   }
 
--- a/packages/scheduler/src/lib/workers/StepAdvice.ts
+++ b/packages/scheduler/src/lib/workers/StepAdvice.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { smallestOf } from '@quillscale/utils'
 
 /** A worker may be asked about again this long after it was refused, in case its refusal did not concern the worker itself. */
 const REFUSAL_MS = 10_000
@@ -29,7 +30,7 @@
   ticketsAt (nowMs: number): ReadonlyMap<string, string> {
     if (nowMs < this.#ticketsUntilMs) return this.#tickets
     const valid = [...this.#workers].filter(([, { ticket, untilMs }]) => ticket !== undefined && nowMs < untilMs)
-    this.#ticketsUntilMs = Math.min(Infinity, ...valid.map(([, { untilMs }]) => untilMs))
+    this.#ticketsUntilMs = smallestOf(valid.map(([, { untilMs }]) => untilMs))
     this.#tickets = new Map(valid.map(([instanceId, { ticket = '' }]) => [instanceId, ticket]))
     return this.#tickets
   }
--- a/packages/scheduler/src/lib/workers/WorkerTracker.ts
+++ b/packages/scheduler/src/lib/workers/WorkerTracker.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largestOf } from '@quillscale/utils'
 import type { Clock } from '@quillscale/utils'
 import { isNextLifetime, workerIdOf, type WorkerId, type WorkerInstance } from '@quillscale/ports'
 import { type Run, stepOf } from '@quillscale/policy'
@@ -281,7 +282,7 @@
     if (waiting.length === 0) return
     const runs = waiting.slice(0, MAX_LOGGED_RUNS).map(({ taskKey, runNumber, instanceId }) => `${taskKey}#${runNumber}@${instanceId}`)
     const instanceIds = new Set(waiting.map(({ instanceId }) => instanceId))
-    const mostLeftMs = Math.round(Math.max(...[...instanceIds].map((instanceId) => this.leasesLeftMs(instanceId, nowMs))))
+    const mostLeftMs = Math.round(largestOf([...instanceIds].map((instanceId) => this.leasesLeftMs(instanceId, nowMs))))
     this.#options.log.warn({ runs, count: waiting.length, mostLeftMs }, 'runs wait for leases of former holders')
   }
 
