Know what a submission of many steps costs before it is spent

Submissions of 261 KB with 87,000 empty steps end the hosts that receive them, or keep them from answering for seconds; ordinary submissions are not accepted meanwhile. A record above the store's ValueBytes is answered 503, which asks for repeats in vain.

Ruled out: the crowd limits of packages/ingress, which count bytes received and worked as meant.

--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -117,6 +117,19 @@
   return caller !== undefined && (caller.account === owner.account || caller.keyTag === owner.keyTag)
 }
 
+/** Most steps of a job: each takes some 1 KB where it is decoded, and a turn in each placement round of its service. @public */
+export const MAX_STEPS = 10_000
+
+/** A step with all fields that may be left out. */
+const DEFAULT_STEP: Readonly<Record<string, unknown>> = stepSpecSchema.parse({ taskCount: 1 })
+const isDefault = (name: string, value: unknown): boolean => name !== 'taskCount' && (value === DEFAULT_STEP[name] || (Array.isArray(value) && value.length === 0))
+
+/** @param spec - a job @returns its record as text, without the fields of steps that have their default value @public */
+export function encodeJobSpec (spec: JobSpec): string {
+  const steps = spec.steps.map((step) => Object.fromEntries(Object.entries(step).filter(([name, value]) => !isDefault(name, value))))
+  return JSON.stringify({ ...spec, steps })
+}
+
 /** Checks the order of dependencies, which the schema cannot. @param steps - steps of a job @returns the invalid field and why, if any @public */
 export function findDependencyProblem (steps: readonly StepSpec[]): string | undefined {
   const index = steps.findIndex((step, at) => step.dependsOn.some((earlier) => earlier >= at))
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -26,15 +26,17 @@
   readonly records: RecordReader
   /** Decides which jobs are of no use any more; without it, all are accepted. */
   readonly admission?: Pick<JobAdmission, 'decide' | 'report'> | undefined
+  /** Longest value that the store takes, in bytes; no limit if left out. */
+  readonly maxRecordBytes?: (() => number) | undefined
 }
 
 /**
  * Outcome of a submission. `refused`: this request has not written the job and never will. `unknown`: the job may or may not be written.
- * `taken`: the id belongs to a job of another account.
+ * `taken`: the id belongs to a job of another account. `too-large`: the store takes no record of this size.
  *
  * @public
  */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | OverloadedOutcome | OutdatedOutcome
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | 'too-large' | OverloadedOutcome | OutdatedOutcome
 /** This request has not written the job and never will, since the job would end too late to be of use. @public */
 export interface OverloadedOutcome { readonly kind: 'overloaded', readonly retryAfterMs: number }
 /** This request has not written the job and never will, since the configuration has changed. @public */
@@ -280,8 +282,9 @@
 
 /** Returns the outcome of a submission from that of its recording. A job that this request wrote itself was admitted by the configuration of that time. */
 function submitOutcomeOf (
-  { owner }: JobSpec, { result, mayHaveEffect, existing, isOwn }: RecordingOutcome, isOutdated: boolean
+  { owner }: JobSpec, { result, mayHaveEffect, existing, isOwn, isTooLarge }: RecordingOutcome, isOutdated: boolean
 ): Exclude<SubmitOutcome, OverloadedOutcome> {
+  if (isTooLarge === true) return 'too-large'
   if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
   if (isOutdated && isOwn !== true) return { kind: 'outdated' }
   return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -9,7 +9,7 @@
  */
 import { decodeJson, Err } from '@quillscale/utils'
 import { MAX_TRANSACTION_ENTRIES, type KeyValue, type PlatformError, type RevisionCondition, type TransactionOutcome } from '@quillscale/ports'
-import { createSubmissionId, jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
+import { createSubmissionId, encodeJobSpec, jobSpecSchema, type JobId, type JobSpec } from '@quillscale/policy'
 import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
@@ -20,6 +20,8 @@
   readonly store: MonitoredStore
   readonly records: RecordReader
   readonly calls: CallRetrier
+  /** Longest value that the store takes, in bytes; no limit if left out. */
+  readonly maxRecordBytes?: (() => number) | undefined
 }
 
 /** Where a job is to be recorded. @public */
@@ -35,12 +37,21 @@
 /** A job that was recorded before, by an earlier request or by an attempt of this one that got no answer. @public */
 export interface RecordedJob { readonly service: string, readonly record: KeyValue, readonly spec: JobSpec }
 
-/** Outcome of the recording; `existing` is set if the id was accepted before, and `isOwn` tells whether by this request. @public */
-export interface RecordingOutcome extends RetryResult<TransactionOutcome> { readonly existing?: RecordedJob | undefined, readonly isOwn?: boolean }
+/** Outcome of the recording. @public */
+export interface RecordingOutcome extends RetryResult<TransactionOutcome> {
+  /** Set if the id was accepted before. */
+  readonly existing?: RecordedJob | undefined
+  /** Whether it was accepted by this request. */
+  readonly isOwn?: boolean
+  /** Whether the record is longer than the store ever takes. */
+  readonly isTooLarge?: boolean
+}
 
 /** Reported when the record of a job in the store cannot be decoded. @public */
 export const RECORD_UNREADABLE: PlatformError = { kind: 'unavailable', detail: 'the record of the job in the store cannot be decoded' }
 
+const RECORD_TOO_LARGE: PlatformError = { kind: 'refused', detail: 'the record of the job is larger than the store takes' }
+
 /** Entries of the transaction besides the conditions on job records: the recorded service and the configuration, and the two puts. */
 const OVERHEAD_ENTRIES = 4
 const MAX_SERVICES = MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES
@@ -67,13 +78,16 @@
   async record (job: JobSpec, { service, otherServices, configuration }: RecordingTarget, deadlineMs: number): Promise<RecordingOutcome> {
     const { jobId } = job
     const spec = { ...job, submissionId: createSubmissionId() }
+    const text = encodeJobSpec(spec)
+    const isTooLarge = Buffer.byteLength(text) > (this.#options.maxRecordBytes?.() ?? Infinity)
+    if (isTooLarge) return { result: Err(RECORD_TOO_LARGE), mayHaveEffect: false, tries: 0, isTooLarge }
     let services = [...new Set([service, ...otherServices])].slice(0, MAX_SERVICES)
     let replaced: readonly KeyValue[] = []
     let home = service
     let mayHaveEffect = false
     let tries = 0
     for (let round = 1; ; round++) {
-      const attempt = await this.#transact(spec, home, services, configuration, replaced, deadlineMs)
+      const attempt = await this.#transact(jobId, text, home, services, configuration, replaced, deadlineMs)
       mayHaveEffect ||= attempt.mayHaveEffect
       tries += attempt.tries
       const outcome = { result: attempt.result, mayHaveEffect, tries }
@@ -94,15 +108,15 @@
 
   /** Writes the job, provided that no records of its id exist but those that it replaces. */
   #transact (
-    spec: JobSpec, home: string, services: readonly string[], configuration: RevisionCondition | undefined, replaced: readonly KeyValue[], deadlineMs: number
+    jobId: JobId, text: string, home: string, services: readonly string[], configuration: RevisionCondition | undefined,
+    replaced: readonly KeyValue[], deadlineMs: number
   ): Promise<RetryResult<TransactionOutcome>> {
     const { store, calls } = this.#options
-    const { jobId } = spec
     const keys = [jobServiceKey(jobId), ...services.map((service) => jobKey(service, jobId))]
     const conditions = keys.map((key) => ({ key, modRevision: replaced.find((item) => item.key === key)?.modRevision ?? 0 }))
     return calls.retry(deadlineMs, () => store.transact({
       conditions: configuration === undefined ? conditions : [...conditions, configuration],
-      puts: [{ key: jobKey(home, jobId), value: JSON.stringify(spec) }, { key: jobServiceKey(jobId), value: home }],
+      puts: [{ key: jobKey(home, jobId), value: text }, { key: jobServiceKey(jobId), value: home }],
       removals: []
     }))
   }
