Ready steps take turns, and runs without demand leave room for others

Tasks that need no resources fit everywhere, any number of times, and nothing bounded the runs that a holder keeps.

Cause: a round listed, ranked and grouped each ready step of all jobs, and the demand for machines visited each of them every 100 ms.

Change: a round lists at most 4,000 ready steps, each job at least 64; jobs with more take turns, and the next round is asked for at once. The demand is computed with pauses of 20 times what it took. A service has at most 20,000 runs, of which a job leaves as many to others as it has itself.

The tests in waitingWork.test.ts of turns and of the bound on runs are new with this change.

Conclusion: what a round does is bounded by jobs and starts. The bound on runs has no play that shows an end of a process without it.

--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -18,7 +18,7 @@
 import { CapacityCheck } from './CapacityCheck.js'
 import { countObstacles, type UnplacedStep } from './explainUnplaced.js'
 import { placeTasks, type Placement } from './placeTasks.js'
-import { StartBudget } from './StartBudget.js'
+import { StartBudget, type RunLimit } from './StartBudget.js'
 import { demandOf, fits, meetsConditions } from './suitability.js'
 import { countWaiting, type PlacementGroup, type WorkerRoom } from './WorkerRoom.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
@@ -78,6 +78,15 @@
 /** Monotonic time at which each step was first seen to wait, by its created tasks. */
 const waitingSince = new WeakMap<readonly Task[], number>()
 
+/** Runs that a holder keeps for a service, some 1 KB each. */
+const MAX_RUNS = 20_000
+
+/** Ready steps that a round lists, of all jobs together, and the fewest of a job with more of them. */
+const MAX_LISTED_STEPS = 4000
+const MIN_LISTED_STEPS_OF_JOB = 64
+/** The ready step with which the next round begins, for each job that has more than a round lists. */
+const nextListedSteps = new WeakMap<Job, number>()
+
 /** Monotonic time at which a round first met each scheduled job. */
 const metSince = new WeakMap<Job, number>()
 
@@ -116,6 +125,9 @@
   /** Occurrences that have tasks only for this round, unless one of them is placed. */
   readonly #newOccurrences = new Map<Job, Set<number>>()
   #budget = new StartBudget(Infinity)
+  #hasMoreSteps = false
+  /** Ready steps that may be listed of each job. */
+  #maxStepsOfJob = MAX_LISTED_STEPS
 
   /** @param options - state of the service */
   constructor (options: PlacementRoundOptions) {
@@ -130,6 +142,11 @@
     return this.#budget.isUsedUp
   }
 
+  /** Whether jobs have more ready steps than the round has listed; the next rounds list the others. */
+  get hasMoreSteps (): boolean {
+    return this.#hasMoreSteps
+  }
+
   /** Places waiting tasks. @returns new runs in phase `recording`, already added to their tasks */
   place (): Run[] {
     const rooms = this.#availableRooms()
@@ -140,7 +157,7 @@
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
     const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
-    this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay(), groups)
+    this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay(), groups, this.#runLimit())
     const placements = placeTasks(groups, rooms, this.quota, this.#budget)
     this.#preemptForLastingTask(groups, placements)
     this.#stopStalledRuns()
@@ -182,8 +199,9 @@
   /** Lists what waits, in order of rank. */
   #listWaitingSteps (): WaitingStep[] {
     const waiting: WaitingStep[] = []
-    for (const job of this.#options.jobs) {
-      if (hasEnded(job)) continue
+    const jobs = this.#options.jobs.filter((job) => !hasEnded(job))
+    this.#maxStepsOfJob = Math.max(MIN_LISTED_STEPS_OF_JOB, Math.floor(MAX_LISTED_STEPS / Math.max(1, jobs.length)))
+    for (const job of jobs) {
       try {
         for (const step of this.#waitingStepsOfJob(job)) waiting.push(step)
       } catch (error) {
@@ -217,7 +235,7 @@
 
   #waitingStepsOf (job: Job, occurrence: number, queue: QueueTerms | undefined, outlook: OccurrenceOutlook, unbegun?: UnbegunOccurrences): WaitingStep[] {
     const { runTimes, wallMs } = this.#options
-    const ready = unbegun?.stepIndex === undefined ? readyStepsOf(job, occurrence) : [unbegun.stepIndex]
+    const ready = unbegun?.stepIndex === undefined ? this.#takeTurns(job, readyStepsOf(job, occurrence)) : [unbegun.stepIndex]
     return ready.flatMap((stepIndex) => {
       const { tasks, further } = this.#selectPlaceable(createTasks(job, occurrence, stepIndex, 1), unbegun !== undefined)
       if (tasks[0] === undefined) return []
@@ -226,6 +244,15 @@
     })
   }
 
+  /** Returns as many of the ready steps of a job as a round lists. Those of jobs with more take turns. */
+  #takeTurns (job: Job, ready: readonly number[]): readonly number[] {
+    if (ready.length <= this.#maxStepsOfJob) return ready
+    this.#hasMoreSteps = true
+    const from = (nextListedSteps.get(job) ?? 0) % ready.length
+    nextListedSteps.set(job, from + this.#maxStepsOfJob)
+    return [...ready.slice(from), ...ready.slice(0, from)].slice(0, this.#maxStepsOfJob)
+  }
+
   /** Drops the tasks of new occurrences of which nothing was placed. */
   #dropUnbegun (): void {
     for (const [job, occurrences] of this.#newOccurrences) {
@@ -343,6 +370,14 @@
     return counts
   }
 
+  /** Bounds the runs of the service: a task that needs no resources fits everywhere, any number of times. */
+  #runLimit (): RunLimit {
+    const { workerViews } = this.#options
+    const runsOf = new Map<Job, number>()
+    for (const { runs } of workerViews) for (const { task: { job } } of runs.values()) runsOf.set(job, (runsOf.get(job) ?? 0) + 1)
+    return { most: MAX_RUNS, runsOf }
+  }
+
   #availableRooms (): WorkerRoom[] {
     const { nowMs, workerViews } = this.#options
     return workerViews.filter((workerView) => this.#isAvailable(workerView)).map((workerView) => createWorkerRoom(workerView, nowMs))
--- a/packages/policy/src/lib/placement/StartBudget.ts
+++ b/packages/policy/src/lib/placement/StartBudget.ts
@@ -10,6 +10,12 @@
 const UNDIVIDED_TASKS = 16
 const UNDIVIDED_SHARE = 1 / 4
 
+/** Runs of a service that its holder keeps, and the most that it may keep. @public */
+export interface RunLimit {
+  readonly most: number
+  readonly runsOf: ReadonlyMap<Job, number>
+}
+
 /**
  * The starts left to a placement round. They go to the steps in order of importance, but each job leaves to those behind it what they need, up to their fair
  * share of all starts under way: otherwise a large job would use up all starts of a slow host for as long as it goes first.
@@ -20,14 +26,24 @@
   readonly #reserved = new Map<Job, number>()
   #totalReserved = 0
   readonly #cutGroups = new Set<PlacementGroup>()
+  readonly #runLimit: RunLimit
+  #freeRuns: number
+  readonly #startsOf = new Map<Job, number>()
 
   /**
    * @param size - the starts that may be under way at once
    * @param underWay - the starts under way, by job
    * @param groups - the steps that wait
+   * @param runLimit - bounds the runs, also of tasks that need no resources
    */
-  constructor (size: number, underWay: ReadonlyMap<Job, number> = new Map(), groups: readonly PlacementGroup[] = []) {
+  constructor (
+    size: number, underWay: ReadonlyMap<Job, number> = new Map(), groups: readonly PlacementGroup[] = [],
+    runLimit: RunLimit = { most: Infinity, runsOf: new Map() }
+  ) {
     this.#left = size
+    this.#runLimit = runLimit
+    this.#freeRuns = runLimit.most
+    for (const runs of runLimit.runsOf.values()) this.#freeRuns -= runs
     for (const count of underWay.values()) this.#left -= count
     const needs = new Map<Job, number>()
     for (const group of groups) {
@@ -56,12 +72,23 @@
     this.#reserve(first.job, own - countWaiting(group))
     const others = this.#totalReserved - (this.#reserved.get(first.job) ?? 0)
     const starts = Math.max(0, Math.min(this.#left, Math.max(own, this.#left - others)))
-    return starts > 0 && stepOf(first).isGang ? Infinity : starts
+    if (stepOf(first).isGang) return starts > 0 && countWaiting(group) <= this.#freeRuns ? Infinity : 0
+    return Math.min(starts, this.#runsLeftTo(first.job))
+  }
+
+  /** Returns how many more runs a job may have: it leaves as many to others as it has itself. */
+  #runsLeftTo (job: Job): number {
+    if (this.#freeRuns === Infinity) return Infinity
+    const own = (this.#runLimit.runsOf.get(job) ?? 0) + (this.#startsOf.get(job) ?? 0)
+    return Math.max(0, Math.floor((this.#freeRuns - own) / 2))
   }
 
-  /** @param starts - the number of tasks that were placed; a gang may exceed what is left */
-  take (starts: number): void {
+  /** @param starts - the number of tasks that were placed; a gang may exceed what is left @param group - their step */
+  take (starts: number, group: PlacementGroup): void {
     this.#left -= starts
+    this.#freeRuns -= starts
+    const job = group.tasks[0]?.job
+    if (job !== undefined) this.#startsOf.set(job, (this.#startsOf.get(job) ?? 0) + starts)
   }
 
   /** @param group - a step of which not all tasks got a start */
--- a/packages/policy/src/lib/placement/placeTasks.ts
+++ b/packages/policy/src/lib/placement/placeTasks.ts
@@ -53,7 +53,7 @@
     if (starts === 0) continue
     const placed = stepOf(first).isGang ? placeGang(group, rooms) : placeEach(group, starts, rooms)
     for (const { task } of placed) quota.consume(task)
-    budget.take(placed.length)
+    budget.take(placed.length, group)
     if (placed.length === 0 && rooms.every(({ cpuMillis }) => cpuMillis < wantedMillis)) leastRefusedMillis = Math.min(leastRefusedMillis, wantedMillis)
     for (const placement of placed) placements.push(placement)
     const next = placed.length === waiting ? group.next?.() : undefined
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai'
 import type { FleetConfiguration } from '@quillscale/ports'
 import { createJob, type Job, type Run } from '../lib/jobs/JobState.js'
-import { allTasks } from '../lib/jobs/jobTasks.js'
+import { allTasks, createTasks } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type JobSpec, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { PlacementRound } from '../lib/placement/PlacementRound.js'
+import { StartBudget } from '../lib/placement/StartBudget.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
 import { testJobId } from './testJobId.js'
@@ -130,6 +131,30 @@
     expect(playRounds([broken, jobOf(2, [{ taskCount: 1 }])])).to.have.length(1)
   })
 
+  // Guards against tasks without any demand, which fit everywhere, until their runs take all memory of the holder.
+  it('that needs no resources leaves room for runs of others, in any number of jobs', () => {
+    const flood = Array.from({ length: 4 }, (_, index) => jobOf(index + 1, [{ taskCount: 10_000, cpuMillis: 0, isLasting: true }]))
+    const runsOf = new Map(flood.map((job) => [job, 3900]))
+    const groups = flood.map((job) => ({ tasks: createTasks(job, 0, 0, 1), further: { count: 9999, create: () => undefined }, mayReserve: true }))
+    const budget = new StartBudget(1000, new Map(), groups, { most: 20_000, runsOf })
+    expect(groups.map((group) => budget.admit(group))).to.deep.equal([250, 250, 250, 250])
+    const ordinary = jobOf(9, [{ taskCount: 10 }])
+    const full = new StartBudget(1000, new Map(), groups, { most: 20_000, runsOf: new Map(flood.map((job) => [job, 4000])) })
+    expect(groups.map((group) => full.admit(group))).to.deep.equal([0, 0, 0, 0])
+    expect(full.admit({ tasks: createTasks(ordinary, 0, 0, 10), mayReserve: false })).to.equal(1000)
+  })
+
+  // Guards against a round that visits each ready step of all jobs, until the holder has lost the duty.
+  it('has ready steps that take turns, and all get theirs', () => {
+    const last = 9000
+    const waiting = [1, 2, 3].map((number) => jobOf(number, Array.from({ length: last }, (_, index) => ({ taskCount: 1, cpuMillis: 500, requiredLabel: index === last - 1 ? '' : 'none' }))))
+    const placed: Run[] = []
+    for (let rounds = 0; rounds < 2; rounds++) for (const run of playRounds(waiting)) placed.push(run)
+    expect(placed.map(({ task }) => task.stepIndex)).to.deep.equal([last - 1, last - 1, last - 1])
+    const ordinary = jobOf(4, [{ taskCount: 1 }])
+    expect(playRounds([...[5, 6, 7].map((number) => jobOf(number, waiting[0]!.spec.steps)), ordinary]).some(({ task }) => task.job === ordinary)).to.equal(true)
+  })
+
   it('starts due times beside each other, the oldest of a tier first', () => {
     const runs = playRounds([jobOf(1, [{ taskCount: 2 }], scheduled(1000, 1))])
     expect(runs).to.have.length(32)
--- a/packages/scheduler/src/lib/duties/ServiceScheduler.ts
+++ b/packages/scheduler/src/lib/duties/ServiceScheduler.ts
@@ -392,6 +392,7 @@
     const runs = round.place()
     for (const { job, error } of round.failedJobs) this.#progress.hold(job, error)
     if (round.isStartLimited) this.#orderWindow.recordFull()
+    if (round.hasMoreSteps) this.#pacer.request()
     for (const run of runs) this.#trackRun(run)
     this.#unplacedLog.write(round, nowMs)
     this.#ledger.reconcile(round.quota.shortages, nowMs)
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -20,6 +20,8 @@
 const WAITING_COUNT_INTERVAL_MS = 1000
 /** Interval at which the demand for machines is computed. It is written at once if another machine is needed. */
 const DEMAND_INTERVAL_MS = 100
+/** Least pause after a computation as a multiple of the time that it took, which grows with the ready steps of all jobs. */
+const PAUSE_PER_COMPUTATION = 20
 /** Minimum interval between writes of any other change of the demand. */
 const DEMAND_CHANGE_INTERVAL_MS = 400
 /** An unchanged demand is rewritten at this interval as a heartbeat. */
@@ -32,7 +34,7 @@
   #waitingWrittenMs = -Infinity
   #demandText = ''
   #writtenNeed = 0
-  #demandComputedMs = -Infinity
+  #demandDueMs = -Infinity
   #demandWrittenMs = -Infinity
   readonly #backlogPublisher: BacklogPublisher
 
@@ -51,7 +53,12 @@
    */
   write (jobs: readonly Job[], workers: WorkerTracker, nowMs: number): void {
     if (nowMs - this.#waitingWrittenMs >= WAITING_COUNT_INTERVAL_MS) this.#writeWaiting(jobs, nowMs)
-    if (nowMs - this.#demandComputedMs >= DEMAND_INTERVAL_MS) this.#writeDemand(jobs, workers, nowMs)
+    if (nowMs >= this.#demandDueMs) {
+      const startedMs = this.#options.clock.monotonicMs()
+      this.#writeDemand(jobs, workers, nowMs)
+      const tookMs = this.#options.clock.monotonicMs() - startedMs
+      this.#demandDueMs = nowMs + Math.max(DEMAND_INTERVAL_MS, tookMs * PAUSE_PER_COMPUTATION)
+    }
     this.#backlogPublisher.write(jobs, workers.links, nowMs, this.#options.clock.wallMs())
   }
 
@@ -71,7 +78,6 @@
 
   /** Writes the demand: at once if more machines are needed, otherwise no more often than its intervals allow. */
   #writeDemand (jobs: readonly Job[], workers: WorkerTracker, nowMs: number): void {
-    this.#demandComputedMs = nowMs
     const { service, clock, log, limitOf, availability, put } = this.#options
     const { links: workerViews } = workers
     const demand = computeServiceDemand({ ...availability, service, jobs, workerViews, limitOf, nowMs, wallMs: clock.wallMs() })
