Bound the memory of all accepted jobs at the door

Jobs that are each within all limits (many steps, long commands) are accepted in any number, kept by the holder of their service, and met again by each next one.

Cause: acceptance asked for nothing that a holder keeps; MAX_TASKS bounds one job.

Ruled out: a counter in the transaction of each acceptance (all submissions of a service would conflict), a share for each host (callers meet hosts unevenly).

Change: memoryOfJob estimates what a job takes, holders publish the sums, and all hosts refuse beyond four tenths of their heap: 429 with Retry-After, before anything is written. Large jobs may take a quarter of that; an account leaves as much to others as it takes itself.

Conclusion: the sum is bounded, but for what arrives before the holder's record is known and for services below 2 MB. Ended jobs are not bounded.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -14,6 +14,7 @@
 export { FleetReport, type DutyRow, type FleetReportSources, type JobExplanation, type ServiceRow, type ZoneReport } from './lib/jobs/FleetReport.js'
 export type { ZoneRow } from './lib/workers/listZones.js'
 export { BacklogWatcher, type BacklogWatcherOptions, type KnownBacklog } from './lib/pressure/BacklogWatcher.js'
+export { JobMemoryBound, type JobMemoryBoundOptions, type JobMemoryRefusal } from './lib/pressure/JobMemoryBound.js'
 export { JobAdmission, type AdmissionRefusal, type JobAdmissionOptions } from './lib/pressure/JobAdmission.js'
 export { accountsOf, type AccountDirectory } from './lib/accounts/AccountDirectory.js'
 export { hashKey, keyTagOf } from './lib/accounts/hashKey.js'
--- a/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
+++ b/packages/scheduler/src/lib/duties/ServiceSchedulerOptions.ts
@@ -56,6 +56,8 @@
   readonly managesPressure: boolean
   /** Tells whether the store has a record of the service's backlog, as far as this host knows; without it, a former holder's record stays. */
   readonly hasBacklogRecord?: (() => boolean) | undefined
+  /** Tells the same of the record of the memory that the service's jobs take. */
+  readonly hasJobMemoryRecord?: (() => boolean) | undefined
   /** Called when another holder has taken over. */
   readonly onDeposed: () => void
 }
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -11,7 +11,8 @@
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
 import { decodeProgress } from './jobProgress.js'
-import type { AdmissionRefusal, JobAdmission } from '../pressure/JobAdmission.js'
+import type { JobAdmission } from '../pressure/JobAdmission.js'
+import type { JobMemoryBound } from '../pressure/JobMemoryBound.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import { CallRetrier } from '../records/CallRetrier.js'
@@ -26,6 +27,8 @@
   readonly records: RecordReader
   /** Decides which jobs are of no use any more; without it, all are accepted. */
   readonly admission?: Pick<JobAdmission, 'decide' | 'report'> | undefined
+  /** Decides for which jobs there is memory; without it, for all. */
+  readonly memory?: Pick<JobMemoryBound, 'decide' | 'report' | 'add'> | undefined
   /** Longest value that the store takes, in bytes; no limit if left out. */
   readonly maxRecordBytes?: (() => number) | undefined
 }
@@ -87,10 +90,17 @@
    * @returns the outcome
    */
   async submit (spec: JobSpec, service: string, deadlineMs: number, terms: SubmissionTerms = {}): Promise<SubmitOutcome> {
-    const { log, admission } = this.#options
+    const { log, clock, admission, memory } = this.#options
     const { queue, configuration, onConfigurationChanged, otherServices = [] } = terms
-    const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
-    const refused = refusal === undefined ? undefined : await this.#refuse(spec, [service, ...otherServices], deadlineMs, refusal)
+    const memoryRefusal = memory?.decide(spec, clock.monotonicMs())
+    const refusal = memoryRefusal !== undefined || queue === undefined ? undefined : admission?.decide(spec, queue)
+    const { retryAfterMs } = memoryRefusal ?? refusal ?? {}
+    const refused = retryAfterMs === undefined
+      ? undefined
+      : await this.#refuse(spec, [service, ...otherServices], deadlineMs, retryAfterMs, () => {
+        if (memoryRefusal !== undefined) memory?.report(spec, service, memoryRefusal)
+        else if (refusal !== undefined) admission?.report(spec, service, refusal)
+      })
     if (refused !== undefined) return refused
     const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
     const changed = configuration === undefined ? undefined : findChange(configuration, written)
@@ -99,6 +109,7 @@
     const { jobId, queue: queueName, owner, configurationVersion: version } = spec
     const submission = { jobId, queue: queueName, service, account: owner?.account, keyTag: owner?.keyTag, version, isConditional: configuration !== undefined }
     const fields = { ...submission, outcome: typeof outcome === 'string' ? outcome : outcome.kind, tries: written.tries }
+    if (outcome === 'accepted' && written.existing === undefined) memory?.add(spec, clock.monotonicMs())
     if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: changed?.record?.modRevision }, 'job not taken in: the configuration has changed')
     else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
     else if (outcome !== 'accepted') log.warn({ ...fields, error: written.result.err ? written.result.val : undefined }, 'job not taken in')
@@ -106,9 +117,11 @@
     return outcome
   }
 
-  /** Refuses a job that would be of no use, unless it was accepted before: that is a promise, and its repeat is handled as always. */
-  async #refuse (spec: JobSpec, services: readonly string[], deadlineMs: number, refusal: AdmissionRefusal): Promise<SubmitOutcome | undefined> {
-    const { admission, store, log } = this.#options
+  /** Refuses a job that would be of no use or has no memory left, unless it was accepted before: that is a promise, and its repeat is handled as always. */
+  async #refuse (
+    spec: JobSpec, services: readonly string[], deadlineMs: number, retryAfterMs: number, report: () => void
+  ): Promise<SubmitOutcome | undefined> {
+    const { store, log } = this.#options
     const keys = [jobServiceKey(spec.jobId), ...services.map((service) => jobKey(service, spec.jobId))]
     const reads = await Promise.all(keys.map((key) => this.#calls.retry(deadlineMs, () => store.get(key))))
     const [service = ''] = services
@@ -118,8 +131,8 @@
       return 'refused'
     }
     if (reads.some(({ result }) => result.ok && result.val !== undefined)) return undefined
-    admission?.report(spec, service, refusal)
-    return { kind: 'overloaded', retryAfterMs: refusal.retryAfterMs }
+    report()
+    return { kind: 'overloaded', retryAfterMs }
   }
 
   #readJob (item: KeyValue): JobSpec | undefined {
--- a/packages/scheduler/src/lib/jobs/StatusWriter.ts
+++ b/packages/scheduler/src/lib/jobs/StatusWriter.ts
@@ -6,12 +6,13 @@
 import type { Clock } from '@quillscale/utils'
 import { type AvailabilityContext, computeServiceDemand, countUnavailable, type Job, machinesNeeded } from '@quillscale/policy'
 import { BacklogPublisher, type BacklogPublisherOptions } from '../pressure/BacklogPublisher.js'
+import { JobMemoryPublisher, type JobMemoryPublisherOptions } from '../pressure/JobMemoryPublisher.js'
 import { demandKey, encodeDemand } from '../records/serviceDemand.js'
 import { waitingKey } from '../records/storeKeys.js'
 import type { WorkerTracker } from '../workers/WorkerTracker.js'
 
 /** Dependencies of a {@link StatusWriter}. @public */
-export interface StatusWriterOptions extends BacklogPublisherOptions {
+export interface StatusWriterOptions extends BacklogPublisherOptions, JobMemoryPublisherOptions {
   readonly clock: Clock
   readonly availability: Omit<AvailabilityContext, 'nowMs'>
 }
@@ -37,11 +38,13 @@
   #demandDueMs = -Infinity
   #demandWrittenMs = -Infinity
   readonly #backlogPublisher: BacklogPublisher
+  readonly #jobMemoryPublisher: JobMemoryPublisher
 
   /** @param options - dependencies */
   constructor (options: StatusWriterOptions) {
     this.#options = options
     this.#backlogPublisher = new BacklogPublisher(options)
+    this.#jobMemoryPublisher = new JobMemoryPublisher(options)
   }
 
   /**
@@ -59,6 +62,7 @@
       const tookMs = this.#options.clock.monotonicMs() - startedMs
       this.#demandDueMs = nowMs + Math.max(DEMAND_INTERVAL_MS, tookMs * PAUSE_PER_COMPUTATION)
     }
+    this.#jobMemoryPublisher.write(jobs, nowMs)
     this.#backlogPublisher.write(jobs, workers.links, nowMs, this.#options.clock.wallMs())
   }
 
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -73,6 +73,10 @@
 export const BACKLOG_PREFIX = 'duty/backlog/'
 /** Key of the backlog of a service; written by its scheduler while new jobs have to wait long. @public */
 export const backlogKey = (service: string): string => `${BACKLOG_PREFIX}${service}`
+/** Prefix of the memory that the jobs of services take; below {@link DUTY_PREFIX} for the same reason. */
+export const JOB_MEMORY_PREFIX = 'duty/memory/'
+/** Key of the memory that the jobs of a service take; written by its scheduler while it matters. @public */
+export const jobMemoryKey = (service: string): string => `${JOB_MEMORY_PREFIX}${service}`
 /** Key of the machine duty: ordering maintenance and moves of machines. @public */
 export const MACHINE_DUTY_KEY = 'duty/machines'
 
