--- a/packages/scheduler/src/lib/jobs/FleetReport.ts
+++ b/packages/scheduler/src/lib/jobs/FleetReport.ts
@@ -12,7 +12,9 @@
 import { decodeBacklog } from '../pressure/backlogRecord.js'
 import type { RecordProblem } from '../records/RecordReader.js'
 import { DEMAND_PREFIX, decodeDemand } from '../records/serviceDemand.js'
-import { BACKLOG_PREFIX, backlogKey, cancelKey, DUTY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, progressPrefix, serviceDutyKey } from '../records/storeKeys.js'
+import {
+  BACKLOG_PREFIX, backlogKey, cancelKey, DUTY_PREFIX, JOB_MEMORY_PREFIX, jobKey, MACHINE_DUTY_KEY, progressKey, progressPrefix, serviceDutyKey
+} from '../records/storeKeys.js'
 import { listZones, type ZoneRow } from '../workers/listZones.js'
 
 /** The records of operators and workers, whose keys and formats the platform determines. @public */
@@ -290,8 +292,10 @@
   return [`${service} is under pressure: new jobs of its lowest priority wait ${waitS.toFixed(1)} s or longer`]
 }
 
-const toDutyRows = (items: readonly KeyValue[]): DutyRow[] => items.filter(({ key }) => !key.startsWith(BACKLOG_PREFIX)).map(({ key, value, modRevision }) =>
-  ({ duty: key.slice(DUTY_PREFIX.length), holder: value.split('#')[0] ?? '', fencingToken: modRevision }))
+/** Prefixes below that of the duties whose keys are none. */
+const NO_DUTY_PREFIXES = [BACKLOG_PREFIX, JOB_MEMORY_PREFIX]
+const toDutyRows = (items: readonly KeyValue[]): DutyRow[] => items.filter(({ key }) => !NO_DUTY_PREFIXES.some((prefix) => key.startsWith(prefix)))
+  .map(({ key, value, modRevision }) => ({ duty: key.slice(DUTY_PREFIX.length), holder: value.split('#')[0] ?? '', fencingToken: modRevision }))
 
 const formatResources = ({ cpuMillis, memoryMb, gpus }: Resources): string => `${cpuMillis} mcpu, ${memoryMb} MB${gpus === 0 ? '' : `, ${gpus} GPUs`}`
 
