The test of work that waits uses the test worker that exists

Cause: waitingWork.test.ts built workers of its own, as createTestWorker.ts does. Ruled out: none. Change: it calls that one; assertions are as they were. Conclusion: one copy.

--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -6,14 +6,14 @@
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { PlacementRound } from '../lib/placement/PlacementRound.js'
 import { StartBudget } from '../lib/placement/StartBudget.js'
-import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
-import type { WorkerView } from '../lib/placement/WorkerView.js'
+import { createTestWorker } from './createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 const WALL_MS = 1e12
 const MAX_STARTS_UNDER_WAY = 20
 const ROUNDS = 5
 const WORKERS = 4
+const CPU_MILLIS = 8000
 const configuration: FleetConfiguration = {
   version: 1,
   maxBodyBytes: 1000,
@@ -25,31 +25,9 @@
   jobId: testJobId(number), queue: 'q', command: '', submittedMs: WALL_MS - 1000, schedule, steps: steps.map((step) => ({ cpuMillis: 1000, estimateMs: 1000, ...step }))
 }))
 
-const createWorkers = (): WorkerView[] => Array.from({ length: WORKERS }, (_, index) => ({
-  instance: {
-    instanceId: `w${index}`,
-    machineId: `m${index}`,
-    service: 's',
-    address: '10.0.0.1',
-    port: 80,
-    availabilityZone: 'z',
-    state: 'ready',
-    labels: ['a'],
-    capacity: { cpuMillis: 8000, memoryMb: 10_000, gpus: 0 }
-  },
-  acceptsRuns: true,
-  runs: new Map(),
-  clock: { isKnown: true },
-  health: new WorkerHealth(),
-  refusingUntilMs: -Infinity,
-  coldUntilMs: -Infinity,
-  isRecordedSilent: false,
-  isAnswering: () => true
-}))
-
 /** Plays some placement rounds in which no run ends, and returns the runs. */
 function playRounds (jobs: readonly Job[]): Run[] {
-  const workerViews = createWorkers()
+  const workerViews = Array.from({ length: WORKERS }, (_, index) => createTestWorker(CPU_MILLIS, `w${index}`))
   const placed: Run[] = []
   for (let round = 0; round < ROUNDS; round++) {
     const runs = new PlacementRound({
@@ -66,8 +44,7 @@
     }).place()
     for (const run of runs) {
       run.phase = 'running'
-      const view = workerViews.find(({ instance }) => instance.instanceId === run.instanceId);
-      (view?.runs as Map<string, Run>).set(run.taskKey, run)
+      workerViews.find(({ instance }) => instance.instanceId === run.instanceId)?.runs.set(run.taskKey, run)
     }
     placed.push(...runs)
   }
