A job is not accepted once the cancellation of its id was acknowledged

Callers saw: a submission that lies in the sockets of a host that stands still; its client leaves, cancels at another host and gets 410.

Cause: a cancellation that found no job left nothing in the store, so the transaction that accepts the job later, from a host that stood still or carried out late by the store, had nothing to conflict with.

Ruled out: dropping requests whose connection was closed: the host reads the request before the end of the connection, and a late write has left the host long before. A condition of its own in the accepting transaction: it already requires that job-service/JOB is not there.

Change: EarlyCancellations records a cancellation that finds no job at job-service/JOB, under the condition that neither that nor a job record exists; 410 is answered once the store has it. JobRecorder writes nothing if it finds the record of a caller who may cancel the job, and the answer is 410. If the job was accepted in between, it is cancelled as usual.

Conclusion: the fact that forbids the start lies where the start is permitted.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,7 +9,7 @@
 } from './lib/jobs/crashes.js'
 export { createCrashRecord, type CrashRecord } from './lib/jobs/CrashRecord.js'
 export {
-  encodeJobSpec, isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, findDependencyProblem, MAX_STEPS, stepSpecSchema,
+  encodeJobSpec, isJobId, isOwnedBy, jobOwnerSchema, jobSpecSchema, findDependencyProblem, MAX_STEPS, restrictedOwner, stepSpecSchema,
   type JobId, type JobOwner, type JobSpec, type StepSpec
 } from './lib/jobs/JobSpec.js'
 export { createSubmissionId, type SubmissionId } from './lib/jobs/SubmissionId.js'
--- a/packages/policy/src/lib/jobs/JobSpec.ts
+++ b/packages/policy/src/lib/jobs/JobSpec.ts
@@ -117,6 +117,9 @@
   return caller !== undefined && (caller.account === owner.account || caller.keyTag === owner.keyTag)
 }
 
+/** @param job - a job @returns the only client account that may query or cancel it; `undefined` if every account may @public */
+export const restrictedOwner = ({ owner, isPublic }: Pick<JobSpec, 'owner' | 'isPublic'>): JobOwner | undefined => isPublic ? undefined : owner
+
 /** Most steps of a job: each takes some 1 KB where it is decoded, and a turn in each placement round of its service. @public */
 export const MAX_STEPS = 10_000
 
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -7,9 +7,10 @@
  */
 import { decodeJson, type Clock } from '@quillscale/utils'
 import type { KeyValue, PlatformError, QueueConfiguration, RevisionCondition } from '@quillscale/ports'
-import { isOwnedBy, jobSpecSchema, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
+import { isOwnedBy, jobSpecSchema, restrictedOwner, type JobId, type JobOwner, type JobSpec, type JobStatus, type StepSpec } from '@quillscale/policy'
 import * as z from 'zod'
 import type { EventLog } from '../duties/EventLog.js'
+import { EarlyCancellations } from './EarlyCancellations.js'
 import { decodeProgress } from './jobProgress.js'
 import type { JobAdmission } from '../pressure/JobAdmission.js'
 import type { JobMemoryBound } from '../pressure/JobMemoryBound.js'
@@ -35,11 +36,12 @@
 
 /**
  * Outcome of a submission. `refused`: this request has not written the job and never will. `unknown`: the job may or may not be written.
- * `taken`: the id belongs to a job of another account. `too-large`: the store takes no record of this size.
+ * `taken`: the id belongs to a job of another account. `cancelled`: the id was cancelled before, so this request has not written the job and never will.
+ * `too-large`: the store takes no record of this size.
  *
  * @public
  */
-export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | 'too-large' | OverloadedOutcome | OutdatedOutcome
+export type SubmitOutcome = 'accepted' | 'refused' | 'unknown' | 'taken' | 'cancelled' | 'too-large' | OverloadedOutcome | OutdatedOutcome
 /** This request has not written the job and never will, since the job would end too late to be of use. @public */
 export interface OverloadedOutcome { readonly kind: 'overloaded', readonly retryAfterMs: number }
 /** This request has not written the job and never will, since the configuration has changed. @public */
@@ -72,12 +74,14 @@
   readonly #options: JobApiOptions
   readonly #calls: CallRetrier
   readonly #recorder: JobRecorder
+  readonly #earlyCancellations: EarlyCancellations
 
   /** @param options - dependencies */
   constructor (options: JobApiOptions) {
     this.#options = options
     this.#calls = new CallRetrier(options)
     this.#recorder = new JobRecorder({ ...options, calls: this.#calls })
+    this.#earlyCancellations = new EarlyCancellations({ ...options, calls: this.#calls })
   }
 
   /**
@@ -112,6 +116,7 @@
     if (outcome === 'accepted' && written.existing === undefined) memory?.add(spec, clock.monotonicMs())
     if (typeof outcome !== 'string') log.info({ ...fields, expected: configuration?.modRevision, revision: changed?.record?.modRevision }, 'job not taken in: the configuration has changed')
     else if (outcome === 'taken') log.warn(fields, 'job refused: its id is another account\'s')
+    else if (outcome === 'cancelled') log.info(fields, 'job refused: its id was cancelled before')
     else if (outcome !== 'accepted') log.warn({ ...fields, error: written.result.err ? written.result.val : undefined }, 'job not taken in')
     else log.info({ ...fields, ...describeRecord(written), steps: spec.steps.map(describeStep) }, 'job taken in')
     return outcome
@@ -203,7 +208,8 @@
   }
 
   /**
-   * Requests the cancellation of a job; the scheduler of its service then stops the runs.
+   * Requests the cancellation of a job; the scheduler of its service then stops the runs. If there is no such job, a submission of it that is still
+   * under way is not accepted any more.
    *
    * @param jobId - the job to cancel
    * @param services - services that may have the job, the most likely one first
@@ -212,8 +218,15 @@
    * @returns the outcome
    */
   async cancel (jobId: JobId, services: readonly string[], deadlineMs: number, caller?: JobOwner): Promise<CancelOutcome> {
-    const outcome = await this.#search<CancelOutcome>(jobId, services, deadlineMs, (service) => this.#cancelIn(jobId, service, deadlineMs, caller))
-    if (outcome === 'no-such-job') this.#options.log.info({ jobId, services }, 'job cancellation refused: no such job')
+    const find = (): Promise<CancelOutcome> =>
+      this.#search<CancelOutcome>(jobId, services, deadlineMs, (service) => this.#cancelIn(jobId, service, deadlineMs, caller))
+    const found = await find()
+    if (found !== 'no-such-job') return found
+    const early = await this.#earlyCancellations.record(jobId, services, deadlineMs, caller)
+    if (early !== 'recorded' && early !== 'has-job') return this.#reportUnavailable(jobId, early)
+    // It was accepted in between, or belongs to another account.
+    const outcome = early === 'has-job' ? await find() : 'no-such-job'
+    if (outcome === 'no-such-job') this.#options.log.info({ jobId, services, isRecorded: early === 'recorded' }, 'job cancellation refused: no such job')
     return outcome
   }
 
@@ -295,9 +308,10 @@
 
 /** Returns the outcome of a submission from that of its recording. A job that this request wrote itself was admitted by the configuration of that time. */
 function submitOutcomeOf (
-  { owner }: JobSpec, { result, mayHaveEffect, existing, isOwn, isTooLarge }: RecordingOutcome, isOutdated: boolean
+  { owner }: JobSpec, { result, mayHaveEffect, existing, isOwn, isCancelled, isTooLarge }: RecordingOutcome, isOutdated: boolean
 ): Exclude<SubmitOutcome, OverloadedOutcome> {
   if (isTooLarge === true) return 'too-large'
+  if (isCancelled === true) return 'cancelled'
   if (result.err) return mayHaveEffect ? 'unknown' : 'refused'
   if (isOutdated && isOwn !== true) return { kind: 'outdated' }
   return existing === undefined || isOwnedBy(restrictedOwner(existing.spec), owner) ? 'accepted' : 'taken'
@@ -311,9 +325,6 @@
   return { isRepeat: true, isOwn, recordService: service, recordQueue, recordKeyTag: owner?.keyTag, revision: record.modRevision, recordVersion }
 }
 
-/** Returns the only client account that may access a job; `undefined` if every account may. */
-const restrictedOwner = ({ owner, isPublic }: JobSpec): JobOwner | undefined => isPublic ? undefined : owner
-
 /** Describes the requirements of a step for the log, so that operators can see why it waits. */
 function describeStep (step: StepSpec): string {
   const traits = [
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -14,6 +14,7 @@
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import { isServiceName, jobKey, jobServiceKey } from '../records/storeKeys.js'
+import { isCancelledEarly } from './EarlyCancellations.js'
 
 /** Dependencies of a {@link JobRecorder}. @public */
 export interface JobRecorderOptions {
@@ -43,6 +44,8 @@
   readonly existing?: RecordedJob | undefined
   /** Whether it was accepted by this request. */
   readonly isOwn?: boolean
+  /** Whether the id was cancelled before it was accepted; the job is not recorded then. */
+  readonly isCancelled?: boolean
   /** Whether the record is longer than the store ever takes. */
   readonly isTooLarge?: boolean
 }
@@ -97,9 +100,10 @@
       if (existing !== undefined || (configuration !== undefined && hasChanged(configuration, outcome.result.val))) {
         return { ...outcome, existing, isOwn: existing?.spec.submissionId === spec.submissionId }
       }
+      const recorded = current.find(({ key }) => key === jobServiceKey(jobId))?.value
+      if (recorded !== undefined && isCancelledEarly(recorded, spec)) return { ...outcome, isCancelled: true }
       if (round === MAX_ROUNDS) return { result: Err(RECORD_UNREADABLE), mayHaveEffect: true, tries }
       replaced = current
-      const recorded = current.find(({ key }) => key === jobServiceKey(jobId))?.value
       if (recorded === undefined || !isServiceName(recorded)) continue
       if (!services.includes(recorded)) services = [recorded, ...services].slice(0, MAX_SERVICES)
       home = current.some(({ key }) => key === jobKey(recorded, jobId)) ? recorded : service
