Due times that have begun take turns, so that a round visits a bounded number of their steps

Cause: a round listed the ready steps of each occurrence that has begun, and computed its critical path and work, over all its steps. 20 jobs of 1,000 steps in a row, each due 100 times, are 2 million steps, all accepted; isStepDone looked the occurrence up for each of them.

Ruled out: steps that are ready: they take turns since. Due times that have not begun: they are counted since. A profile of the round has 27 of 60 s in NumberRanges.endOf, the rest in readyStepsOf and outlookOf.

Change: doneStepsOf looks an occurrence up once for all its steps. Occurrences that have begun take turns, in each job by the same share, so that a round visits 200,000 of their steps; the next round goes on, as hasMore asks for it at once. Below that nothing changes. An occurrence is retired when its turn comes.

Conclusion: no turn of the loop of a round grows with due times that have begun. Demand and backlog still visit all of them.

--- a/packages/policy/src/lib/jobs/jobTasks.ts
+++ b/packages/policy/src/lib/jobs/jobTasks.ts
@@ -169,15 +169,25 @@
 /** @param tasks - the created tasks of a step @param taskCount - number of all its tasks @returns how many may be started, now or later @public */
 export const countOpen = (tasks: readonly Task[], taskCount: number): number => countIn(tasks, taskCount, isOpen)
 
-/** @param job - a job @param occurrence - index of an occurrence @param stepIndex - index of a step @returns whether all tasks of the step are done @public */
-export function isStepDone (job: Job, occurrence: number, stepIndex: number): boolean {
-  if (job.doneOccurrences.has(occurrence)) return true
-  const tasks = job.occurrences.get(occurrence)?.[stepIndex]
-  return tasks !== undefined && tasks.length === job.spec.steps[stepIndex]?.taskCount && firstUnfinishedIndex(tasks) === tasks.length
+/**
+ * Returns a function that tells which steps of an occurrence are done. The occurrence is looked up once for all of them.
+ *
+ * @param job - a job
+ * @param occurrence - index of an occurrence
+ * @returns a function of the index of a step: whether all of its tasks are done
+ */
+export function doneStepsOf (job: Job, occurrence: number): (stepIndex: number) => boolean {
+  if (job.doneOccurrences.has(occurrence)) return () => true
+  const steps = job.occurrences.get(occurrence)
+  return (stepIndex) => {
+    const tasks = steps?.[stepIndex]
+    return tasks !== undefined && tasks.length === job.spec.steps[stepIndex]?.taskCount && firstUnfinishedIndex(tasks) === tasks.length
+  }
 }
 
 function isOccurrenceDone (job: Job, occurrence: number): boolean {
-  return job.spec.steps.every((_, stepIndex) => isStepDone(job, occurrence, stepIndex))
+  const isDone = doneStepsOf(job, occurrence)
+  return job.spec.steps.every((_, stepIndex) => isDone(stepIndex))
 }
 
 /**
@@ -205,9 +215,17 @@
   return schedule.intervalMs <= 0 ? schedule.runs : Math.min(schedule.runs, Math.floor((wallMs - schedule.firstRunMs) / schedule.intervalMs) + 1)
 }
 
-/** @param job - a job @param due - number of due occurrences @returns those that have begun and are not done, in order @public */
-export function listBegun (job: Job, due: number): number[] {
-  return [...job.occurrences.keys()].filter((occurrence) => occurrence < due && !retireOccurrence(job, occurrence)).sort((a, b) => a - b)
+/**
+ * Lists due occurrences that have begun. Those that turn out to be done are retired and left out.
+ *
+ * @param job - a job
+ * @param due - number of its due occurrences
+ * @param select - selects some of them to visit; all if left out
+ * @returns the selected ones that are not done
+ */
+export function listBegun (job: Job, due: number, select: (begun: number[]) => number[] = (begun) => begun): number[] {
+  const begun = [...job.occurrences.keys()].filter((occurrence) => occurrence < due).sort((a, b) => a - b)
+  return select(begun).filter((occurrence) => !retireOccurrence(job, occurrence))
 }
 
 /**
@@ -248,8 +266,9 @@
 /** @param job - a job @param occurrence - an occurrence that is due @returns indices of its unfinished steps whose dependencies are done @public */
 export function readyStepsOf (job: Job, occurrence: number): number[] {
   const ready: number[] = []
+  const isDone = doneStepsOf(job, occurrence)
   job.spec.steps.forEach(({ dependsOn }, stepIndex) => {
-    if (dependsOn.every((earlier) => isStepDone(job, occurrence, earlier)) && !isStepDone(job, occurrence, stepIndex)) ready.push(stepIndex)
+    if (dependsOn.every(isDone) && !isDone(stepIndex)) ready.push(stepIndex)
   })
   return ready
 }
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -9,7 +9,7 @@
 import type { StepSpec } from './JobSpec.js'
 import { dueMs, type Job } from './JobState.js'
 import { criticalPathMs } from './criticalPathMs.js'
-import { countUnfinished, isStepDone, type StepOfOccurrence } from './jobTasks.js'
+import { countUnfinished, doneStepsOf, type StepOfOccurrence } from './jobTasks.js'
 import type { QueueTerms } from './QueueTerms.js'
 import type { RunTimeEstimator } from './RunTimeEstimator.js'
 
@@ -80,11 +80,14 @@
  * @param runTimes - learned run times
  * @returns its work and critical path
  */
-export const outlookOf = (job: Job, occurrence: number, runTimes: RunTimeEstimator): OccurrenceOutlook => ({
-  work: sumWork(job, occurrence, runTimes),
-  totalMs: criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)),
-  leftMs: criticalPathMs(job.spec.steps, (each, index) => isStepDone(job, occurrence, index) ? 0 : runTimes.expectedMs(each))
-})
+export function outlookOf (job: Job, occurrence: number, runTimes: RunTimeEstimator): OccurrenceOutlook {
+  const isDone = doneStepsOf(job, occurrence)
+  return {
+    work: sumWork(job, occurrence, runTimes),
+    totalMs: criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)),
+    leftMs: criticalPathMs(job.spec.steps, (each, index) => isDone(index) ? 0 : runTimes.expectedMs(each))
+  }
+}
 
 const objectiveMsOf = (queue: QueueTerms | undefined, { totalMs }: OccurrenceOutlook): number => (queue?.stretch ?? 1) * totalMs + (queue?.targetLatencyMs ?? 0)
 
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -106,7 +106,7 @@
     return this.#budget.isUsedUp
   }
 
-  /** Whether jobs have more ready steps than the round has listed; the next rounds list the others. */
+  /** Whether jobs have more steps than the round has listed or visited; the next rounds list the others. */
   get hasMoreSteps (): boolean {
     return this.#waitingSteps.hasMore
   }
--- a/packages/policy/src/lib/placement/WaitingSteps.ts
+++ b/packages/policy/src/lib/placement/WaitingSteps.ts
@@ -30,6 +30,11 @@
 /** The ready step with which the next round begins, for each job that has more than a round lists. */
 const nextListedSteps = new WeakMap<Job, number>()
 
+/** Steps that a round visits in occurrences that have begun, ready or not, of all jobs together. */
+const MAX_VISITED_STEPS = 200_000
+/** The position among the occurrences that have begun with which the next round begins, for each job that has more than a round visits. */
+const nextVisitedOccurrences = new WeakMap<Job, number>()
+
 /** Monotonic time at which a round first met each scheduled job. */
 const metSince = new WeakMap<Job, number>()
 
@@ -58,7 +63,7 @@
   readonly tasksToGiveUp: Task[] = []
   /** Jobs left out because their steps could not be listed. */
   readonly failedJobs: Array<{ readonly job: Job, readonly error: unknown }> = []
-  /** Whether jobs have more ready steps than were listed; the next rounds list the others. */
+  /** Whether jobs have more steps than were listed or visited; the next rounds list the others. */
   hasMore = false
   readonly #options: PlacementRoundOptions
   readonly #queues: ReadonlyMap<string, QueueConfiguration>
@@ -66,6 +71,8 @@
   readonly #newOccurrences = new Map<Job, Set<number>>()
   /** Ready steps that may be listed of each job. */
   #maxStepsOfJob = MAX_LISTED_STEPS
+  /** Share of the occurrences that have begun which this round visits. */
+  #visitedShare = 1
 
   /** @param options - state of the service */
   constructor (options: PlacementRoundOptions) {
@@ -78,6 +85,9 @@
     const waiting: WaitingStep[] = []
     const jobs = this.#options.jobs.filter((job) => !hasEnded(job))
     this.#maxStepsOfJob = Math.max(MIN_LISTED_STEPS_OF_JOB, Math.floor(MAX_LISTED_STEPS / Math.max(1, jobs.length)))
+    // The steps as created: a job whose specification cannot be read is left out below.
+    const steps = jobs.reduce((sum, { occurrences }) => sum + (occurrences.values().next().value?.length ?? 0) * occurrences.size, 0)
+    this.#visitedShare = Math.min(1, MAX_VISITED_STEPS / Math.max(1, steps))
     for (const job of jobs) {
       try {
         for (const step of this.#waitingStepsOfJob(job)) waiting.push(step)
@@ -94,7 +104,8 @@
     const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
     const due = countDue(job, wallMs)
     if (job.spec.schedule === undefined && !job.doneOccurrences.has(0)) createdTasksOf(job, 0)
-    const begun = listBegun(job, due).flatMap((occurrence) => this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
+    const visited = listBegun(job, due, (occurrences) => this.#takeOccurrencesInTurn(job, occurrences))
+    const begun = visited.flatMap((occurrence) => this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
     const first = nextUnbegun(job, 0, due)
     if (first === due) return begun
     const outlook = outlookOf(job, first, runTimes)
@@ -112,7 +123,7 @@
 
   #waitingStepsOf (job: Job, occurrence: number, queue: QueueTerms | undefined, outlook: OccurrenceOutlook, unbegun?: UnbegunOccurrences): WaitingStep[] {
     const { runTimes, wallMs } = this.#options
-    const ready = unbegun?.stepIndex === undefined ? this.#takeTurns(job, readyStepsOf(job, occurrence)) : [unbegun.stepIndex]
+    const ready = unbegun?.stepIndex === undefined ? this.#takeStepsInTurn(job, readyStepsOf(job, occurrence)) : [unbegun.stepIndex]
     return ready.flatMap((stepIndex) => {
       const { tasks, further } = this.#selectPlaceable(createTasks(job, occurrence, stepIndex, 1), unbegun !== undefined)
       if (tasks[0] === undefined) return []
@@ -122,12 +133,21 @@
   }
 
   /** Returns as many of the ready steps of a job as a round lists. Those of jobs with more take turns. */
-  #takeTurns (job: Job, ready: readonly number[]): readonly number[] {
-    if (ready.length <= this.#maxStepsOfJob) return ready
+  #takeStepsInTurn (job: Job, ready: readonly number[]): readonly number[] {
+    return this.#takeInTurn(job, ready, this.#maxStepsOfJob, nextListedSteps)
+  }
+
+  /** Returns as many of the occurrences of a job that have begun as a round visits. Those of jobs with more take turns. */
+  #takeOccurrencesInTurn (job: Job, begun: number[]): number[] {
+    return this.#takeInTurn(job, begun, Math.ceil(begun.length * this.#visitedShare), nextVisitedOccurrences)
+  }
+
+  #takeInTurn (job: Job, all: readonly number[], most: number, nextPositions: WeakMap<Job, number>): number[] {
+    if (all.length <= most) return [...all]
     this.hasMore = true
-    const from = (nextListedSteps.get(job) ?? 0) % ready.length
-    nextListedSteps.set(job, from + this.#maxStepsOfJob)
-    return [...ready.slice(from), ...ready.slice(0, from)].slice(0, this.#maxStepsOfJob)
+    const from = (nextPositions.get(job) ?? 0) % all.length
+    nextPositions.set(job, from + most)
+    return [...all.slice(from), ...all.slice(0, from)].slice(0, most)
   }
 
   /** Drops the tasks of new occurrences of which nothing was placed; called at the end of the round. */
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -132,6 +132,28 @@
     expect(playRounds([...[5, 6, 7].map((number) => jobOf(number, waiting[0]!.spec.steps)), ordinary]).some(({ task }) => task.job === ordinary)).to.equal(true)
   })
 
+  // Guards against a round that visits all steps of each due time that has begun, until the holder has lost the duty.
+  it('has due times that have begun and take turns, and all get theirs', () => {
+    const steps = Array.from({ length: 1000 }, (_, index) => ({ taskCount: 1, cpuMillis: 0, dependsOn: index === 0 ? [] : [index - 1] }))
+    for (const [count, begun] of [[1, 10], [1, 100], [10, 100]] as const) {
+      let looks = 0
+      const waiting = Array.from({ length: count }, (_, number) => jobOf(number + 1, steps, scheduled(begun, 1)))
+      for (const job of waiting) {
+        for (let occurrence = 0; occurrence < begun; occurrence++) createTasks(job, occurrence, 0, 1)[0]!.isDone = true
+        for (const step of job.spec.steps) {
+          const { dependsOn } = step
+          Object.defineProperty(step, 'dependsOn', { get: () => { looks++; return dependsOn } })
+        }
+      }
+      const startedBefore = looks
+      const placed = playRounds(waiting)
+      expect((looks - startedBefore) / ROUNDS, `${count} x ${begun}`).to.be.at.most(4 * 200_000)
+      // A round starts as many as may be under way, and begins with others each time.
+      expect(new Set(placed.map(({ task }) => `${task.job.spec.jobId} ${task.occurrence}`)).size, `${count} x ${begun}`).to.equal(Math.min(count * begun, ROUNDS * MAX_STARTS_UNDER_WAY))
+      expect(placed.every(({ task }) => task.stepIndex === 1)).to.equal(true)
+    }
+  })
+
   it('starts due times beside each other, the oldest of a tier first', () => {
     const runs = playRounds([jobOf(1, [{ taskCount: 2 }], scheduled(1000, 1))])
     expect(runs).to.have.length(32)
