Keys of the store: what the record of a job's service holds for a cancelled id

Cause: the comment of jobServiceKey did not name the record that EarlyCancellations leaves there.

Change: one sentence.

--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -15,6 +15,7 @@
 /**
  * Key of the service that a job belongs to, by the id of the job alone; written together with the job. It keeps the job with that service when its queue
  * moves to another one. It lies outside the inboxes, so that no scheduler lists or watches it.
+ * If the id was cancelled before it had a job, it holds a record of that instead (`EarlyCancellations`).
  *
  * @public
  */
