A soak seed in which a job is given up for two restarts of its workers is listed

Cause, by its log: the soak restarts several workers in a series. Two of them had been given the same finite task 255 and 301 ms before, and ran no other job the second time, so each loss counts as a crash by the task, and two such crashes suffice (CERTAIN_GIVE_UP_POINTS). The job was shown as failed.

Ruled out: the changes of this issue: the task was placed as it always was, and crash attribution is untouched.

Conclusion: open; what a restart and a crash by the task have in common can't be told apart by two losses.

--- a/packages/soak/src/lib/failedSeeds.ts
+++ b/packages/soak/src/lib/failedSeeds.ts
@@ -28,5 +28,6 @@
   { seed: 20_261_216, seconds: 10, cause: 'lasting jobs were given up for series of lost workers that none of their tasks had caused, over changes of the duty holder', kindCount: 31 },
   { seed: 1903873230, seconds: 15, cause: 'the next lifetime of a worker carried out a start that was ordered for the one before, and the run was taken for lost while it went on', kindCount: 31 },
   { seed: 264267409, seconds: 15, cause: 'a crashing task was started three times after its third crash, as its crashes counted as shared with other lost workers', kindCount: 33 },
-  { seed: 1537674854, seconds: 15, cause: 'the process of the soak stood still for 1.1 s; a planned stop cut three requests off meanwhile', kindCount: 33 }
+  { seed: 1537674854, seconds: 15, cause: 'the process of the soak stood still for 1.1 s; a planned stop cut three requests off meanwhile', kindCount: 33 },
+  { seed: 502358190, seconds: 15, cause: 'a finite job was given up, as two of several workers that were restarted had just started its task', kindCount: 33 }
 ]
