--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -17,7 +17,7 @@
   createJob, dueMs, hasEnded, isOpen, stepOf, taskOrdinal, tasksPerOccurrence, occurrenceCount,
   type Job, type JobFailure, type JobStatus, type Run, type RunPhase, type Task
 } from './lib/jobs/JobState.js'
-export { allTasks, createdTasksIn, findTask, gangOf, hasOpenTask, isJobDone, rangesBetween, retireOccurrence, tasksOf, type TaskRange } from './lib/jobs/jobTasks.js'
+export { allTasks, createdTasksIn, findTask, gangOf, hasOpenTask, isJobDone, rangesBetween, retireOccurrence, taskKeyOf, tasksOf, type TaskRange } from './lib/jobs/jobTasks.js'
 export { fitsMemory, memoryOfJob, type JobMemoryUse } from './lib/jobs/jobMemory.js'
 export { effectiveTerms, maxAttemptsOf, queueTermsOf, type QueueTerms } from './lib/jobs/QueueTerms.js'
 export { compareRanks, rankStep, RANK_TIERS, type StepRank } from './lib/jobs/rankStep.js'
--- a/packages/policy/src/lib/jobs/jobTasks.ts
+++ b/packages/policy/src/lib/jobs/jobTasks.ts
@@ -58,16 +58,19 @@
   return job.spec.steps.map(({ taskCount }, stepIndex) => createTasks(job, occurrence, stepIndex, taskCount))
 }
 
+const stepKeyOf = ({ spec: { jobId } }: Job, occurrence: number, stepIndex: number): string => `${jobId}.${occurrence}.${stepIndex}`
+
+/** @param job - a job @param occurrence - index @param stepIndex - index @param index - index in the step @returns the key of the task @public */
+export const taskKeyOf = (job: Job, occurrence: number, stepIndex: number, index: number): string => `${stepKeyOf(job, occurrence, stepIndex)}.${index}`
+
 function createTask (job: Job, stepIndex: number, occurrence: number, index: number): Task {
-  const stepKey = `${job.spec.jobId}.${occurrence}.${stepIndex}`
-  const key = `${stepKey}.${index}`
   return {
     job,
     stepIndex,
     occurrence,
     index,
-    key,
-    stepKey,
+    key: taskKeyOf(job, occurrence, stepIndex, index),
+    stepKey: stepKeyOf(job, occurrence, stepIndex),
     isDone: false,
     isGivenUp: false,
     lastRunNumber: 0,
--- a/packages/policy/src/lib/jobs/rankStep.ts
+++ b/packages/policy/src/lib/jobs/rankStep.ts
@@ -72,19 +72,23 @@
   readonly leftMs: number
 }
 
+/** @param job - a job @param runTimes - learned run times @returns the length of the critical path of each of its occurrences */
+export const totalPathMs = ({ spec: { steps } }: Job, runTimes: RunTimeEstimator): number => criticalPathMs(steps, (each) => runTimes.expectedMs(each))
+
 /**
  * Computes the outlook of an occurrence. All occurrences of a job that have not begun share one.
  *
  * @param job - a job
  * @param occurrence - index of the occurrence
  * @param runTimes - learned run times
+ * @param totalMs - length of the critical path, which all occurrences share
  * @returns its work and critical path
  */
-export function outlookOf (job: Job, occurrence: number, runTimes: RunTimeEstimator): OccurrenceOutlook {
+export function outlookOf (job: Job, occurrence: number, runTimes: RunTimeEstimator, totalMs = totalPathMs(job, runTimes)): OccurrenceOutlook {
   const isDone = doneStepsOf(job, occurrence)
   return {
     work: sumWork(job, occurrence, runTimes),
-    totalMs: criticalPathMs(job.spec.steps, (each) => runTimes.expectedMs(each)),
+    totalMs,
     leftMs: criticalPathMs(job.spec.steps, (each, index) => isDone(index) ? 0 : runTimes.expectedMs(each))
   }
 }
--- a/packages/policy/src/lib/placement/PlacementRound.ts
+++ b/packages/policy/src/lib/placement/PlacementRound.ts
@@ -114,12 +114,11 @@
   /** Places waiting tasks. @returns new runs in phase `recording`, already added to their tasks */
   place (): Run[] {
     const rooms = this.#availableRooms()
-    const waiting = this.#waitingSteps.list()
-    this.#waiting = [...waiting]
+    this.#waiting = this.#waitingSteps.list()
     // Runs placed for a job that ends in this round would be lost from its state, yet keep occupying workers.
     const givenUp = new Set(this.tasksToGiveUp.map(({ job }) => job))
     // A step that no worker can run takes no part: it would ask for advice and quota, reserve and preempt for nothing.
-    const placeable = waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
+    const placeable = this.#waiting.filter(({ tasks: [first] }) => first !== undefined && !givenUp.has(first.job) && this.#capacity.canRun(stepOf(first)))
     const groups = placeable.map((step) => this.#groupOf(step, rooms)).filter((group) => group !== undefined)
     this.#budget = new StartBudget(this.#options.maxStartsUnderWay ?? Infinity, this.#countStartsUnderWay(), groups, this.#runLimit())
     const placements = placeTasks(groups, rooms, this.quota, this.#budget)
@@ -149,7 +148,7 @@
       const task = step.tasks[0] as Task
       // Advice is not asked for a step that no worker can run.
       const group = this.#capacity.canRun(stepOf(task)) ? this.#groupOf(step, rooms) : { tasks: step.tasks, mayReserve: false }
-      const taskCount = countWaiting({ ...step, mayReserve: false })
+      const taskCount = countWaiting(step)
       const reason = this.quota.held.has(task) ? 'quota' : group === undefined ? 'advice' : 'workers'
       return { task, taskCount, waitedMs, reason, workers: countObstacles(task, group ?? { tasks: step.tasks, mayReserve: false }, rooms) }
     })
--- a/packages/policy/src/lib/placement/WaitingSteps.ts
+++ b/packages/policy/src/lib/placement/WaitingSteps.ts
@@ -13,7 +13,7 @@
   countDue, countUnbegun, createdTasksOf, createTasks, firstUnfinishedIndex, listBegun, nextUnbegun, readyStepsOf, uncreatedCount, type FurtherTasks
 } from '../jobs/jobTasks.js'
 import { effectiveTerms, type QueueTerms } from '../jobs/QueueTerms.js'
-import { compareRanks, divideByTier, outlookOf, rankStep, type OccurrenceOutlook, type OccurrenceRange, type StepRank } from '../jobs/rankStep.js'
+import { compareRanks, divideByTier, outlookOf, rankStep, totalPathMs, type OccurrenceOutlook, type OccurrenceRange, type StepRank } from '../jobs/rankStep.js'
 import type { PlacementRoundOptions } from './PlacementRound.js'
 
 /** A run without progress on an unresponsive worker gets a copy after this time; workers are polled at least every second. */
@@ -103,12 +103,14 @@
     const { runTimes, wallMs } = this.#options
     const queue = effectiveTerms(job.spec, this.#queues.get(job.spec.queue))
     const due = countDue(job, wallMs)
+    if (due === 0) return []
     if (job.spec.schedule === undefined && !job.doneOccurrences.has(0)) createdTasksOf(job, 0)
     const visited = listBegun(job, due, (occurrences) => this.#takeOccurrencesInTurn(job, occurrences))
-    const begun = visited.flatMap((occurrence) => this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes)))
+    const totalMs = totalPathMs(job, runTimes)
+    const begun = visited.flatMap((occurrence) => this.#waitingStepsOf(job, occurrence, queue, outlookOf(job, occurrence, runTimes, totalMs)))
     const first = nextUnbegun(job, 0, due)
     if (first === due) return begun
-    const outlook = outlookOf(job, first, runTimes)
+    const outlook = outlookOf(job, first, runTimes, totalMs)
     return [...begun, ...divideByTier(job, due, queue, wallMs, outlook).flatMap((range) => this.#firstUnbegunOf(job, { ...range, queue, outlook }))]
   }
 
--- a/packages/policy/src/lib/placement/WorkerRoom.ts
+++ b/packages/policy/src/lib/placement/WorkerRoom.ts
@@ -58,4 +58,4 @@
 }
 
 /** @param group - a step @returns how many of its tasks wait, whether they were created already or not @public */
-export const countWaiting = ({ tasks, further }: PlacementGroup): number => tasks.length + (further?.count ?? 0)
+export const countWaiting = ({ tasks, further }: Pick<PlacementGroup, 'tasks' | 'further'>): number => tasks.length + (further?.count ?? 0)
--- a/packages/policy/src/lib/placement/suitability.ts
+++ b/packages/policy/src/lib/placement/suitability.ts
@@ -5,7 +5,7 @@
  */
 import type { StepSpec } from '../jobs/JobSpec.js'
 import { stepOf, type Task } from '../jobs/JobState.js'
-import { fitsWithin, RESOURCE_KINDS, type Resources } from '../quotas/resources.js'
+import { countWithin, RESOURCE_KINDS, type Resources } from '../quotas/resources.js'
 import { allowsIsolation } from './isolation.js'
 import type { PlacementGroup, WorkerRoom } from './WorkerRoom.js'
 
@@ -55,11 +55,7 @@
  * @returns the number of tasks, infinite if they need nothing
  * @public
  */
-export function countFitting (step: StepSpec, free: Resources): number {
-  const demand = demandOf(step)
-  if (!fitsWithin(demand, free)) return 0
-  return Math.min(...RESOURCE_KINDS.map((kind) => demand[kind] === 0 ? Infinity : Math.floor(free[kind] / demand[kind])))
-}
+export const countFitting = (step: StepSpec, free: Resources): number => countWithin(demandOf(step), free)
 
 /**
  * Tells how much of a task's demand a worker has free.
--- a/packages/policy/src/lib/quotas/QuotaAdmission.ts
+++ b/packages/policy/src/lib/quotas/QuotaAdmission.ts
@@ -7,7 +7,7 @@
  */
 import type { AccountName } from '@quillscale/ports'
 import { stepOf, type Task } from '../jobs/JobState.js'
-import { fitsWithin, minus, NO_RESOURCES, plus, RESOURCE_KINDS, type Resources, resourcesOf, times } from './resources.js'
+import { countWithin, fitsWithin, minus, NO_RESOURCES, plus, type Resources, resourcesOf, times } from './resources.js'
 
 /** Quota of an account in this service. @public */
 export interface AccountQuota {
@@ -57,16 +57,6 @@
     return first === undefined || quota === undefined || fitsWithin(admissionUnitOf(first, taskCount), quota.left)
   }
 
-  /**
-   * Selects the tasks of a step that fit the quota, and records the others as waiting.
-   *
-   * @param tasks - tasks of one step; of a gang all members
-   * @returns the first tasks that fit; of a gang all or none
-   */
-  admit (tasks: readonly Task[]): readonly Task[] {
-    return tasks.slice(0, this.countAdmitted(tasks, tasks.length))
-  }
-
   /**
    * Counts the tasks of a step that fit the quota, and records the others as waiting.
    *
@@ -86,7 +76,7 @@
       return 0
     }
     const isGang = stepOf(first).isGang
-    const count = isGang ? (fitsWithin(unit, quota.left) ? taskCount : 0) : countFitting(resourcesOf(stepOf(first)), quota.left, taskCount)
+    const count = isGang ? (fitsWithin(unit, quota.left) ? taskCount : 0) : Math.min(taskCount, countWithin(resourcesOf(stepOf(first)), quota.left))
     if (count < taskCount) this.#recordShortage(quota.account, first, taskCount - count + laterTasks, unit)
     for (const task of tasks.slice(count)) this.held.add(task)
     return count
@@ -118,9 +108,3 @@
 function admissionUnitOf (first: Task, taskCount: number): Resources {
   return stepOf(first).isGang ? times(resourcesOf(stepOf(first)), taskCount) : resourcesOf(stepOf(first))
 }
-
-/** Counts how many tasks of equal size fit. */
-function countFitting (each: Resources, left: Resources, mostTasks: number): number {
-  if (!fitsWithin(each, left)) return 0
-  return RESOURCE_KINDS.reduce((count, kind) => each[kind] === 0 ? count : Math.min(count, Math.floor(left[kind] / each[kind])), mostTasks)
-}
--- a/packages/policy/src/lib/quotas/resources.ts
+++ b/packages/policy/src/lib/quotas/resources.ts
@@ -43,5 +43,11 @@
 /** @param limit - a limit, where 0 means none @returns the limit with 0 replaced by infinity @public */
 export const unlimitedWhereZero = (limit: Resources): Resources => mapResources((kind) => limit[kind] === 0 ? Infinity : limit[kind])
 
+/** @param each - amounts @param room - amounts available @returns how many times they are available, infinite if they are zero @public */
+export function countWithin (each: Resources, room: Resources): number {
+  if (!fitsWithin(each, room)) return 0
+  return Math.min(...RESOURCE_KINDS.map((kind) => each[kind] === 0 ? Infinity : Math.floor(room[kind] / each[kind])))
+}
+
 /** @param wanted - amounts @param room - amounts available @returns whether every wanted amount is available @public */
 export const fitsWithin = (wanted: Resources, room: Resources): boolean => RESOURCE_KINDS.every((kind) => wanted[kind] <= room[kind])
--- a/packages/policy/src/test/PressurePlay.ts
+++ b/packages/policy/src/test/PressurePlay.ts
@@ -14,7 +14,7 @@
 import type { Backlog } from '../lib/pressure/Backlog.js'
 import { computeBacklog } from '../lib/pressure/computeBacklog.js'
 import { decideAdmission } from '../lib/pressure/decideAdmission.js'
-import { createTestWorker } from './createTestWorker.js'
+import { createTestWorker } from '../testing/createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 /** The queue of jobs that may wait for seconds. */
--- a/packages/policy/src/test/computeServiceDemand.test.ts
+++ b/packages/policy/src/test/computeServiceDemand.test.ts
@@ -5,7 +5,7 @@
 import { computeServiceDemand } from '../lib/machines/computeServiceDemand.js'
 import { machinesNeeded } from '../lib/machines/planPools.js'
 import type { Resources } from '../lib/quotas/resources.js'
-import { createTestWorker } from './createTestWorker.js'
+import { createTestWorker } from '../testing/createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 const MACHINE: Resources = { cpuMillis: 16_000, memoryMb: 32_000, gpus: 2 }
--- a/packages/policy/src/test/pressure.test.ts
+++ b/packages/policy/src/test/pressure.test.ts
@@ -9,7 +9,7 @@
 import { computeBacklog } from '../lib/pressure/computeBacklog.js'
 import { decideAdmission, type AdmissionInput } from '../lib/pressure/decideAdmission.js'
 import { predictWaitMs } from '../lib/pressure/predictWaitMs.js'
-import { createTestWorker } from './createTestWorker.js'
+import { createTestWorker } from '../testing/createTestWorker.js'
 import { createTestRun, NO_RULES, playFlood, QUEUE, QUEUES } from './PressurePlay.js'
 import { testJobId } from './testJobId.js'
 
--- a/packages/policy/src/test/reservations.test.ts
+++ b/packages/policy/src/test/reservations.test.ts
@@ -7,7 +7,7 @@
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { NO_RESOURCES } from '../lib/quotas/resources.js'
 import { PlacementRound, type PlacementRoundOptions } from '../lib/placement/PlacementRound.js'
-import { createTestWorker } from './createTestWorker.js'
+import { createTestWorker } from '../testing/createTestWorker.js'
 import { testJobId } from './testJobId.js'
 
 const QUEUE = 'q'
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -3,10 +3,9 @@
 import { createJob, type Job, type Run } from '../lib/jobs/JobState.js'
 import { allTasks, createTasks } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type JobSpec, type StepSpec } from '../lib/jobs/JobSpec.js'
-import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
-import { PlacementRound } from '../lib/placement/PlacementRound.js'
 import { StartBudget } from '../lib/placement/StartBudget.js'
-import { createTestWorker } from './createTestWorker.js'
+import { createTestWorker } from '../testing/createTestWorker.js'
+import { playRound } from '../testing/playRound.js'
 import { testJobId } from './testJobId.js'
 
 const WALL_MS = 1e12
@@ -27,28 +26,9 @@
 
 /** Plays some placement rounds in which no run ends, and returns the runs. */
 function playRounds (jobs: readonly Job[]): Run[] {
-  const workerViews = Array.from({ length: WORKERS }, (_, index) => createTestWorker(CPU_MILLIS, `w${index}`))
-  const placed: Run[] = []
-  for (let round = 0; round < ROUNDS; round++) {
-    const runs = new PlacementRound({
-      configuration,
-      jobs,
-      workerViews,
-      runTimes: new RunTimeEstimator(),
-      advice: { ticketsFor: () => undefined },
-      accountQuotaOf: () => undefined,
-      availability: { isMachineDraining: () => false, isEvacuated: () => false },
-      maxStartsUnderWay: MAX_STARTS_UNDER_WAY,
-      nowMs: 1000 * round,
-      wallMs: WALL_MS + 1000 * round
-    }).place()
-    for (const run of runs) {
-      run.phase = 'running'
-      workerViews.find(({ instance }) => instance.instanceId === run.instanceId)?.runs.set(run.taskKey, run)
-    }
-    placed.push(...runs)
-  }
-  return placed
+  const workers = Array.from({ length: WORKERS }, (_, index) => createTestWorker(CPU_MILLIS, `w${index}`))
+  return Array.from({ length: ROUNDS }, (_, round) =>
+    playRound({ configuration, jobs, workers, maxStartsUnderWay: MAX_STARTS_UNDER_WAY, nowMs: 1000 * round, wallMs: WALL_MS + 1000 * round }).runs).flat()
 }
 
 /** Work that waits, in sizes that grow tenfold; `ready` is the number of its ready steps. */
--- a/packages/policy/src/test/createTestWorker.ts
+++ b/packages/policy/src/testing/createTestWorker.ts
@@ -2,8 +2,11 @@
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
 
-/** @param cpuMillis - capacity @param instanceId - its lifetime @returns a healthy worker without runs, with memory for all */
-export function createTestWorker (cpuMillis: number, instanceId = 'w'): WorkerView & { readonly runs: Map<string, Run> } {
+/** A worker whose runs a test adds and removes. */
+export type TestWorker = WorkerView & { readonly runs: Map<string, Run> }
+
+/** @param cpuMillis - capacity @param instanceId - its lifetime @param gpus - capacity @returns a healthy worker without runs, with memory for all */
+export function createTestWorker (cpuMillis: number, instanceId = 'w', gpus = 0): TestWorker {
   return {
     instance: {
       instanceId,
@@ -14,7 +17,7 @@
       availabilityZone: 'z',
       state: 'ready',
       labels: [],
-      capacity: { cpuMillis, memoryMb: 1e9, gpus: 0 }
+      capacity: { cpuMillis, memoryMb: 1e9, gpus }
     },
     acceptsRuns: true,
     runs: new Map(),
--- a/packages/scheduler/src/lib/jobs/EarlyCancellations.ts
+++ b/packages/scheduler/src/lib/jobs/EarlyCancellations.ts
@@ -12,7 +12,7 @@
 import { isOwnedBy, jobOwnerSchema, restrictedOwner, type JobId, type JobOwner, type JobSpec } from '@quillscale/policy'
 import type { CallRetrier } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
-import { jobKey, jobServiceKey } from '../records/storeKeys.js'
+import { acceptanceKeys, jobServiceKey } from '../records/storeKeys.js'
 
 /** Dependencies of {@link EarlyCancellations}. @public */
 export interface EarlyCancellationsOptions {
@@ -80,8 +80,7 @@
     const recordKey = jobServiceKey(jobId)
     const value = `${PREFIX}${caller === undefined ? '' : JSON.stringify(caller)}`
     // Program versions that record no service may have accepted the id too.
-    const keys = [recordKey, ...services.map((service) => jobKey(service, jobId))].slice(0, MAX_TRANSACTION_ENTRIES - 1)
-    const conditions = keys.map((key) => ({ key, modRevision: 0 }))
+    const conditions = acceptanceKeys(jobId, services).slice(0, MAX_TRANSACTION_ENTRIES - 1).map((key) => ({ key, modRevision: 0 }))
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const lease = await this.#sharedLease(deadlineMs)
       if (lease.err) return lease.val
--- a/packages/scheduler/src/lib/jobs/JobApi.ts
+++ b/packages/scheduler/src/lib/jobs/JobApi.ts
@@ -17,7 +17,7 @@
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
 import { CallRetrier } from '../records/CallRetrier.js'
-import { CANCEL_VALUE, cancelKey, inboxPrefix, isServiceName, jobKey, jobServiceKey, parseInboxKey, progressKey, progressPrefix, WAITING_PREFIX, waitingKey } from '../records/storeKeys.js'
+import { acceptanceKeys, CANCEL_VALUE, cancelKey, inboxPrefix, isServiceName, jobKey, jobServiceKey, parseInboxKey, progressKey, progressPrefix, WAITING_PREFIX, waitingKey } from '../records/storeKeys.js'
 import { hasChanged, JobRecorder, RECORD_UNREADABLE, type RecordingOutcome } from './JobRecorder.js'
 
 /** Dependencies of a {@link JobApi}. @public */
@@ -69,6 +69,9 @@
 
 const waitingSchema = z.object({ atMs: z.number(), counts: z.record(z.string(), z.number()) })
 
+/** Why a job is refused: when the caller may return, and how this is logged and counted. */
+interface Refusal { readonly retryAfterMs: number, readonly report: () => void }
+
 /** Submits, cancels, looks up and counts jobs for clients. @public */
 export class JobApi {
   readonly #options: JobApiOptions
@@ -94,17 +97,10 @@
    * @returns the outcome
    */
   async submit (spec: JobSpec, service: string, deadlineMs: number, terms: SubmissionTerms = {}): Promise<SubmitOutcome> {
-    const { log, clock, admission, memory } = this.#options
+    const { log, clock, memory } = this.#options
     const { queue, configuration, onConfigurationChanged, otherServices = [] } = terms
-    const memoryRefusal = memory?.decide(spec, clock.monotonicMs())
-    const refusal = memoryRefusal !== undefined || queue === undefined ? undefined : admission?.decide(spec, queue)
-    const { retryAfterMs } = memoryRefusal ?? refusal ?? {}
-    const refused = retryAfterMs === undefined
-      ? undefined
-      : await this.#refuse(spec, [service, ...otherServices], deadlineMs, retryAfterMs, () => {
-        if (memoryRefusal !== undefined) memory?.report(spec, service, memoryRefusal)
-        else if (refusal !== undefined) admission?.report(spec, service, refusal)
-      })
+    const refusal = this.#findRefusal(spec, service, queue)
+    const refused = refusal === undefined ? undefined : await this.#refuse(spec, [service, ...otherServices], deadlineMs, refusal)
     if (refused !== undefined) return refused
     const written = await this.#recorder.record(spec, { service, otherServices, configuration }, deadlineMs)
     const changed = configuration === undefined ? undefined : findChange(configuration, written)
@@ -122,13 +118,19 @@
     return outcome
   }
 
+  /** Returns why a job is to be refused, `undefined` to accept it. */
+  #findRefusal (spec: JobSpec, service: string, queue: QueueConfiguration | undefined): Refusal | undefined {
+    const { clock, admission, memory } = this.#options
+    const memoryRefusal = memory?.decide(spec, clock.monotonicMs())
+    if (memoryRefusal !== undefined) return { retryAfterMs: memoryRefusal.retryAfterMs, report: () => memory?.report(spec, service, memoryRefusal) }
+    const refusal = queue === undefined ? undefined : admission?.decide(spec, queue)
+    return refusal === undefined ? undefined : { retryAfterMs: refusal.retryAfterMs, report: () => admission?.report(spec, service, refusal) }
+  }
+
   /** Refuses a job that would be of no use or has no memory left, unless it was accepted before: that is a promise, and its repeat is handled as always. */
-  async #refuse (
-    spec: JobSpec, services: readonly string[], deadlineMs: number, retryAfterMs: number, report: () => void
-  ): Promise<SubmitOutcome | undefined> {
+  async #refuse (spec: JobSpec, services: readonly string[], deadlineMs: number, { retryAfterMs, report }: Refusal): Promise<SubmitOutcome | undefined> {
     const { store, log } = this.#options
-    const keys = [jobServiceKey(spec.jobId), ...services.map((service) => jobKey(service, spec.jobId))]
-    const reads = await Promise.all(keys.map((key) => this.#calls.retry(deadlineMs, () => store.get(key))))
+    const reads = await Promise.all(acceptanceKeys(spec.jobId, services).map((key) => this.#calls.retry(deadlineMs, () => store.get(key))))
     const [service = ''] = services
     for (const { result, tries } of reads) {
       if (result.ok) continue
--- a/packages/scheduler/src/lib/jobs/JobRecorder.ts
+++ b/packages/scheduler/src/lib/jobs/JobRecorder.ts
@@ -13,7 +13,7 @@
 import type { CallRetrier, RetryResult } from '../records/CallRetrier.js'
 import type { MonitoredStore } from '../records/MonitoredStore.js'
 import type { RecordReader } from '../records/RecordReader.js'
-import { isServiceName, jobKey, jobServiceKey } from '../records/storeKeys.js'
+import { acceptanceKeys, isServiceName, jobKey, jobServiceKey } from '../records/storeKeys.js'
 import { isCancelledEarly } from './EarlyCancellations.js'
 
 /** Dependencies of a {@link JobRecorder}. @public */
@@ -116,8 +116,7 @@
     replaced: readonly KeyValue[], deadlineMs: number
   ): Promise<RetryResult<TransactionOutcome>> {
     const { store, calls } = this.#options
-    const keys = [jobServiceKey(jobId), ...services.map((service) => jobKey(service, jobId))]
-    const conditions = keys.map((key) => ({ key, modRevision: replaced.find((item) => item.key === key)?.modRevision ?? 0 }))
+    const conditions = acceptanceKeys(jobId, services).map((key) => ({ key, modRevision: replaced.find((item) => item.key === key)?.modRevision ?? 0 }))
     return calls.retry(deadlineMs, () => store.transact({
       conditions: configuration === undefined ? conditions : [...conditions, configuration],
       puts: [{ key: jobKey(home, jobId), value: text }, { key: jobServiceKey(jobId), value: home }],
--- a/packages/scheduler/src/lib/jobs/JobRegistry.ts
+++ b/packages/scheduler/src/lib/jobs/JobRegistry.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { largestOf } from '@quillscale/utils'
-import type { Clock } from '@quillscale/utils'
+import { largestOf, type Clock } from '@quillscale/utils'
 import type { EndReport, RunEnd } from '@quillscale/ports'
 import { allTasks, gangOf, hasEnded, hasOpenTask, isJobDone, type Job, type JobId, type JobStatus, retireOccurrence, type Run, type RunTimeEstimator, stepOf, type Task } from '@quillscale/policy'
 import type { EventLog } from '../duties/EventLog.js'
--- a/packages/scheduler/src/lib/jobs/jobProgress.ts
+++ b/packages/scheduler/src/lib/jobs/jobProgress.ts
@@ -9,7 +9,7 @@
 import { decodeJson, type DecodeProblem, type Result } from '@quillscale/utils'
 import * as z from 'zod'
 import {
-  createCrashRecord, createdTasksIn, findTask, jobOwnerSchema, occurrenceCount, rangesBetween, retireOccurrence, taskOrdinal, tasksPerOccurrence,
+  createCrashRecord, createdTasksIn, findTask, jobOwnerSchema, occurrenceCount, rangesBetween, retireOccurrence, taskKeyOf, taskOrdinal, tasksPerOccurrence,
   type Job, type Run, type Task, type TaskRange
 } from '@quillscale/policy'
 
@@ -111,8 +111,9 @@
 }
 
 /** Encodes tasks of an occurrence that is done. They are never started again, so the number of their last run does not matter. */
-function encodeDoneTasks ({ spec: { jobId } }: Job, { occurrence, stepIndex, fromIndex, toIndex }: TaskRange): TaskProgress[] {
-  return Array.from({ length: toIndex - fromIndex }, (_, at) => ({ key: `${jobId}.${occurrence}.${stepIndex}.${fromIndex + at}`, isDone: true, lastRunNumber: 1 }))
+function encodeDoneTasks (job: Job, { occurrence, stepIndex, fromIndex, toIndex }: TaskRange): TaskProgress[] {
+  const keyOf = (at: number): string => taskKeyOf(job, occurrence, stepIndex, fromIndex + at)
+  return Array.from({ length: toIndex - fromIndex }, (_, at) => ({ key: keyOf(at), isDone: true, lastRunNumber: 1 }))
 }
 
 const encodeTask = (task: Task): TaskProgress => ({
--- a/packages/scheduler/src/lib/records/storeKeys.ts
+++ b/packages/scheduler/src/lib/records/storeKeys.ts
@@ -24,6 +24,9 @@
 const SERVICE_NAME_PATTERN = /^[^/]{1,120}$/
 /** @param value - value of a {@link jobServiceKey} @returns whether it can name a service; another writer may have left anything there @public */
 export const isServiceName = (value: string): boolean => SERVICE_NAME_PATTERN.test(value)
+/** @param jobId - an id @param services - services that may have a job of it @returns the keys of which one exists once the id was accepted @public */
+export const acceptanceKeys = (jobId: JobId, services: readonly string[]): string[] =>
+  [jobServiceKey(jobId), ...services.map((service) => jobKey(service, jobId))]
 /** Key of the cancellation of a job. @public */
 export const cancelKey = (service: string, jobId: JobId): string => `inbox/${service}/${jobId}/cancel`
 /** Prefix of the requests to drain machines of a service. @public */
--- a/packages/scheduler/src/test/QuotaLedger.test.ts
+++ b/packages/scheduler/src/test/QuotaLedger.test.ts
@@ -61,7 +61,7 @@
 
   round (nowMs: number): void {
     const quota = new QuotaAdmission((account) => this.ledger.quotaFor(account, nowMs))
-    const admitted = quota.admit(this.waiting)
+    const admitted = this.waiting.slice(0, quota.countAdmitted(this.waiting, this.waiting.length))
     for (const task of admitted) quota.consume(task)
     this.waiting = this.waiting.slice(admitted.length)
     for (const task of admitted) this.#start(task)
