--- a/packages/policy/src/test/PlacementRound.test.ts
+++ b/packages/policy/src/test/PlacementRound.test.ts
@@ -8,7 +8,7 @@
 import { PlacementRound, type PlacementRoundOptions } from '../lib/placement/PlacementRound.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const QUEUE = 'q'
 const NOW_MS = 100_000
--- a/packages/policy/src/test/PressurePlay.ts
+++ b/packages/policy/src/test/PressurePlay.ts
@@ -15,7 +15,7 @@
 import { computeBacklog } from '../lib/pressure/computeBacklog.js'
 import { decideAdmission } from '../lib/pressure/decideAdmission.js'
 import { createTestWorker } from '../testing/createTestWorker.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 /** The queue of jobs that may wait for seconds. */
 export const QUEUE: QueueConfiguration = {
--- a/packages/policy/src/test/QueueTerms.test.ts
+++ b/packages/policy/src/test/QueueTerms.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { jobSpecSchema } from '../lib/jobs/JobSpec.js'
 import { effectiveTerms, queueTermsOf, type QueueTerms } from '../lib/jobs/QueueTerms.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const RECORDED: QueueTerms = { priority: 1, attempts: 5, stretch: 2, targetLatencyMs: 100, advice: { decisionMs: 5, perWorkerMs: 1, validMs: 3000 } }
 const PRESENT: QueueTerms = { priority: 0, attempts: 3, stretch: 4, targetLatencyMs: 200 }
--- a/packages/policy/src/test/QuotaAdmission.test.ts
+++ b/packages/policy/src/test/QuotaAdmission.test.ts
@@ -9,7 +9,7 @@
 import { QuotaAdmission } from '../lib/quotas/QuotaAdmission.js'
 import { NO_RESOURCES, type Resources } from '../lib/quotas/resources.js'
 import { AccountTokenBuckets } from '../lib/quotas/AccountTokenBuckets.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const PRESS = 'press' as AccountName
 const HERALD = 'herald' as AccountName
--- a/packages/policy/src/test/accountFlood.test.ts
+++ b/packages/policy/src/test/accountFlood.test.ts
@@ -7,7 +7,7 @@
 import { compareRanks, rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
 import { AccountTokenBuckets } from '../lib/quotas/AccountTokenBuckets.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const QUEUE: QueueConfiguration = {
   name: 'q', service: 's', host: 'h', pathPrefix: '/', timeoutMs: 3000, priority: 0, attempts: 3, stretch: 1.6, targetLatencyMs: 600
--- a/packages/policy/src/test/computeServiceDemand.test.ts
+++ b/packages/policy/src/test/computeServiceDemand.test.ts
@@ -6,7 +6,7 @@
 import { machinesNeeded } from '../lib/machines/planPools.js'
 import type { Resources } from '../lib/quotas/resources.js'
 import { createTestWorker } from '../testing/createTestWorker.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const MACHINE: Resources = { cpuMillis: 16_000, memoryMb: 32_000, gpus: 2 }
 const ACCOUNT = 'press' as AccountName
--- a/packages/policy/src/test/evacuation.test.ts
+++ b/packages/policy/src/test/evacuation.test.ts
@@ -8,7 +8,7 @@
 import { countsAsCapacity, findUnavailability, type UnavailabilityReason } from '../lib/placement/unavailability.js'
 import { WorkerHealth } from '../lib/placement/WorkerHealth.js'
 import type { WorkerView } from '../lib/placement/WorkerView.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const NOW_MS = 100_000
 
--- a/packages/policy/src/test/jobTasks.test.ts
+++ b/packages/policy/src/test/jobTasks.test.ts
@@ -8,7 +8,7 @@
 import { listReadySteps } from './listReadySteps.js'
 import { rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const jobOf = (steps: ReadonlyArray<Partial<StepSpec>>, times?: number): Job => createJob(jobSpecSchema.parse({
   jobId: testJobId(1),
--- a/packages/policy/src/test/placeTasks.test.ts
+++ b/packages/policy/src/test/placeTasks.test.ts
@@ -6,7 +6,7 @@
 import { QuotaAdmission } from '../lib/quotas/QuotaAdmission.js'
 import { placeTasks } from '../lib/placement/placeTasks.js'
 import type { PlacementGroup, WorkerRoom } from '../lib/placement/WorkerRoom.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 /** A worker that counts reads of its remaining CPU. */
 class CountedRoom implements WorkerRoom {
--- a/packages/policy/src/test/planDrain.test.ts
+++ b/packages/policy/src/test/planDrain.test.ts
@@ -3,7 +3,7 @@
 import { tasksOf } from '../lib/jobs/jobTasks.js'
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { isDisruptionAllowed, planDrain } from '../lib/machines/planDrain.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const NOW_MS = 100_000
 
--- a/packages/policy/src/test/pressure.test.ts
+++ b/packages/policy/src/test/pressure.test.ts
@@ -11,7 +11,7 @@
 import { predictWaitMs } from '../lib/pressure/predictWaitMs.js'
 import { createTestWorker } from '../testing/createTestWorker.js'
 import { createTestRun, NO_RULES, playFlood, QUEUE, QUEUES } from './PressurePlay.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const NOW_MS = 100_000
 const TIMES = { nowMs: NOW_MS, wallMs: NOW_MS }
--- a/packages/policy/src/test/rankStep.test.ts
+++ b/packages/policy/src/test/rankStep.test.ts
@@ -5,7 +5,7 @@
 import { jobSpecSchema, type StepSpec } from '../lib/jobs/JobSpec.js'
 import { compareRanks, rankStep } from '../lib/jobs/rankStep.js'
 import { RunTimeEstimator } from '../lib/jobs/RunTimeEstimator.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const QUEUE: QueueConfiguration = { name: 'q', service: 's', host: 'h', pathPrefix: '/', timeoutMs: 1000, priority: 1, attempts: 2, stretch: 2, targetLatencyMs: 500 }
 /** 1 s of work, so that a job is in time until 2.5 s after its submission, and of some value until 7.5 s. */
--- a/packages/policy/src/test/reservations.test.ts
+++ b/packages/policy/src/test/reservations.test.ts
@@ -8,7 +8,7 @@
 import { NO_RESOURCES } from '../lib/quotas/resources.js'
 import { PlacementRound, type PlacementRoundOptions } from '../lib/placement/PlacementRound.js'
 import { createTestWorker } from '../testing/createTestWorker.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const QUEUE = 'q'
 const ADVISED_QUEUE = 'advised'
--- a/packages/policy/src/test/waitingWork.test.ts
+++ b/packages/policy/src/test/waitingWork.test.ts
@@ -6,7 +6,7 @@
 import { StartBudget } from '../lib/placement/StartBudget.js'
 import { createTestWorker } from '../testing/createTestWorker.js'
 import { playRound } from '../testing/playRound.js'
-import { testJobId } from './testJobId.js'
+import { testJobId } from '../testing/testJobId.js'
 
 const WALL_MS = 1e12
 const MAX_STARTS_UNDER_WAY = 20
--- a/packages/scheduler/src/test/BacklogPublisher.test.ts
+++ b/packages/scheduler/src/test/BacklogPublisher.test.ts
@@ -1,36 +1,15 @@
 import { expect } from 'chai'
-import { createJob, jobSpecSchema, RunTimeEstimator, WorkerHealth, type Job, type WorkerView } from '@quillscale/policy'
+import { createJob, jobSpecSchema, RunTimeEstimator, type Job } from '@quillscale/policy'
+import { createTestWorker, testJobId } from '@quillscale/policy/testing'
 import { BacklogPublisher } from '../lib/pressure/BacklogPublisher.js'
 import { decodeBacklog } from '../lib/pressure/backlogRecord.js'
 import { backlogKey } from '../lib/records/storeKeys.js'
-import { testJobId, TestLog } from './TestService.js'
+import { TestLog } from './TestService.js'
 
 const SERVICE = 's'
 const STEP_MS = 10
 const queue = { name: 'q', host: 'h', pathPrefix: '/', service: SERVICE, priority: 0, attempts: 2, stretch: 100, targetLatencyMs: 0, timeoutMs: 3000 }
 
-const workerOf = (number: number): WorkerView => ({
-  instance: {
-    instanceId: `w${number}`,
-    machineId: `m${number}`,
-    service: SERVICE,
-    address: '',
-    port: 80,
-    availabilityZone: 'z',
-    state: 'ready',
-    labels: [],
-    capacity: { cpuMillis: 1000, memoryMb: 1000, gpus: 0 }
-  },
-  acceptsRuns: true,
-  runs: new Map(),
-  clock: { isKnown: true },
-  health: new WorkerHealth(),
-  refusingUntilMs: -Infinity,
-  coldUntilMs: -Infinity,
-  isRecordedSilent: false,
-  isAnswering: () => true
-})
-
 const jobsOf = (count: number): Job[] => Array.from({ length: count }, (_, number) =>
   createJob(jobSpecSchema.parse({ jobId: testJobId(number), queue: 'q', command: '', submittedMs: 0, steps: [{ taskCount: 1, cpuMillis: 1000, estimateMs: 1000 }] })))
 
@@ -57,7 +36,7 @@
   /** Plays rounds with a number of waiting jobs and workers, and returns what was written meanwhile. */
   play (lengthMs: number, jobsAt: (elapsedMs: number) => number, workers = 1): ReadonlyArray<Fixture['puts'][number]> {
     const before = this.puts.length
-    const links = Array.from({ length: workers }, (_, number) => workerOf(number))
+    const links = Array.from({ length: workers }, (_, number) => createTestWorker(1000, `w${number}`))
     for (let elapsedMs = 0; elapsedMs < lengthMs; elapsedMs += STEP_MS, this.#nowMs += STEP_MS) {
       this.#publisher.write(jobsOf(jobsAt(elapsedMs)), links, this.#nowMs, 0)
     }
--- a/packages/scheduler/src/test/CrashTracker.test.ts
+++ b/packages/scheduler/src/test/CrashTracker.test.ts
@@ -2,7 +2,8 @@
 import { createCrashRecord, createJob, isCrashSuspect, jobSpecSchema, decidePlacement, hasSurvivedUntil, tasksOf, type Job, type Run, type Task, type PlacementDecision } from '@quillscale/policy'
 import { clearCrashRecord } from '../lib/jobs/clearCrashRecord.js'
 import { CrashTracker } from '../lib/jobs/CrashTracker.js'
-import { QUEUE, testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { QUEUE, TestLog } from './TestService.js'
 
 /** A worker that ends at some time, and the tasks that ran on it, each with the time since its start. */
 interface Loss {
--- a/packages/scheduler/src/test/EvacuationFuzz.test.ts
+++ b/packages/scheduler/src/test/EvacuationFuzz.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { delay } from '@quillscale/utils'
-import { testJobId, TestService } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestService } from './TestService.js'
 
 /** One worker with room for four tasks in each. */
 const ZONES = ['z0', 'z1', 'z2']
--- a/packages/scheduler/src/test/LateCallPlay.ts
+++ b/packages/scheduler/src/test/LateCallPlay.ts
@@ -8,7 +8,8 @@
 import type { HoldRequest, RunOrderError } from '@quillscale/ports'
 import type { StepSpec } from '@quillscale/policy'
 import type { StandInWorker } from '@quillscale/standins'
-import { testJobId, TestService } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestService } from './TestService.js'
 
 /** Results in leases of 6.5 s, as in production. */
 export const MAX_LEASE_MS = 10_000
--- a/packages/scheduler/src/test/QuotaLedger.test.ts
+++ b/packages/scheduler/src/test/QuotaLedger.test.ts
@@ -7,7 +7,8 @@
 import { encodeQuotaRecord, quotaKey } from '../lib/accounts/quotaRecord.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
-import { FaultyStore, testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { FaultyStore, TestLog } from './TestService.js'
 
 const PRESS = 'press' as AccountName
 const TASK_MILLIS = 100
--- a/packages/scheduler/src/test/RunStarter.test.ts
+++ b/packages/scheduler/src/test/RunStarter.test.ts
@@ -3,7 +3,7 @@
 import type { JobRegistry } from '../lib/jobs/JobRegistry.js'
 import { RunStarter } from '../lib/jobs/RunStarter.js'
 import { runKey, type WorkerLink } from '../lib/workers/WorkerLink.js'
-import { testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
 
 interface Worker { readonly cpuMillis: number, readonly memoryMb?: number, readonly gpus?: number }
 
--- a/packages/scheduler/src/test/StopSlots.test.ts
+++ b/packages/scheduler/src/test/StopSlots.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createJob, jobSpecSchema, OrderWindow, type Job } from '@quillscale/policy'
 import { StopSlots } from '../lib/workers/StopSlots.js'
-import { testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
 
 const jobOf = (number: number): Job => createJob(jobSpecSchema.parse({ jobId: testJobId(number), queue: 'q', command: '', submittedMs: 0, steps: [{ taskCount: 1, cpuMillis: 1 }] }))
 
--- a/packages/scheduler/src/test/TestService.ts
+++ b/packages/scheduler/src/test/TestService.ts
@@ -11,6 +11,7 @@
 import { MemoryKeyValueStore } from '@quillscale/platform-memory'
 import { StandInRuns, type StandInCommand, type StandInWorker } from '@quillscale/standins'
 import { type JobId, type JobOwner, type JobSpec, jobSpecSchema, type StepSpec } from '@quillscale/policy'
+import { testJobId } from '@quillscale/policy/testing'
 import * as z from 'zod'
 import { FleetReport } from '../lib/jobs/FleetReport.js'
 import { JobApi } from '../lib/jobs/JobApi.js'
@@ -144,14 +145,6 @@
   }
 }
 
-/**
- * Creates a job id from a number.
- *
- * @param number - the number
- * @returns the job id
- */
-export const testJobId = (number: number): JobId => number.toString(16).padStart(16, '0') as JobId
-
 /** The time for which one scheduler holds the duty. */
 export interface Tenure {
   readonly scheduler: ServiceScheduler
--- a/packages/scheduler/src/test/UnplacedLog.test.ts
+++ b/packages/scheduler/src/test/UnplacedLog.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { createJob, jobSpecSchema, tasksOf, type Task, type UnplacedStep } from '@quillscale/policy'
 import { UnplacedLog } from '../lib/jobs/UnplacedLog.js'
-import { TestLog, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 const SPEC = { queue: 'q', command: '', submittedMs: 0, steps: [{ taskCount: 1, memoryMb: 64_000 }] }
 
--- a/packages/scheduler/src/test/WorkerLink.test.ts
+++ b/packages/scheduler/src/test/WorkerLink.test.ts
@@ -2,20 +2,11 @@
 import { delay, Err, Ok, systemClock } from '@quillscale/utils'
 import type { HoldRequest, RunOrderError, RunOrders, WorkerInstance } from '@quillscale/ports'
 import type { Run } from '@quillscale/policy'
+import { createTestWorker } from '@quillscale/policy/testing'
 import type { StopSlots } from '../lib/workers/StopSlots.js'
 import { WorkerLink } from '../lib/workers/WorkerLink.js'
 
-const INSTANCE: WorkerInstance = {
-  instanceId: 'w',
-  machineId: 'm',
-  service: 's',
-  address: '10.0.0.1',
-  port: 80,
-  availabilityZone: 'z',
-  state: 'ready',
-  labels: [],
-  capacity: { cpuMillis: 1, memoryMb: 1, gpus: 0 }
-}
+const { instance: INSTANCE } = createTestWorker(1)
 const HOLD_WAIT_MS = 1000
 const SEND_AT_ONCE: Pick<StopSlots, 'use'> = { use: (_job, send) => send() }
 
--- a/packages/scheduler/src/test/WorkerTracker.test.ts
+++ b/packages/scheduler/src/test/WorkerTracker.test.ts
@@ -4,7 +4,8 @@
 import type { FencingTokens } from '../lib/workers/FencingTokens.js'
 import type { SilentWorkers } from '../lib/workers/SilentWorkers.js'
 import { WorkerTracker, type WorkerTrackerOptions } from '../lib/workers/WorkerTracker.js'
-import { testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 const INSTANCE: WorkerInstance = {
   instanceId: 'w0/1',
--- a/packages/scheduler/src/test/admission.test.ts
+++ b/packages/scheduler/src/test/admission.test.ts
@@ -8,7 +8,8 @@
 import { BacklogWatcher } from '../lib/pressure/BacklogWatcher.js'
 import { ADVISORY_AGE_MS, createReplica } from '../lib/records/createReplica.js'
 import { backlogKey, DUTY_PREFIX, jobKey, serviceDutyKey } from '../lib/records/storeKeys.js'
-import { QUEUE, SERVICE, testJobId, TestService } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 const BACKLOG: Backlog = { roomMillis: 1000, freeMillis: 0, largestFreeMillis: 0, ahead: [{ priority: -1, waitMs: 60_000, taskMillis: 1 }], runTimes: [] }
 const SPEC = jobSpecSchema.parse({ jobId: testJobId(1), queue: QUEUE, command: '', submittedMs: 0, steps: [{ taskCount: 1, cpuMillis: 100, estimateMs: 100 }] })
--- a/packages/scheduler/src/test/coldWorkers.test.ts
+++ b/packages/scheduler/src/test/coldWorkers.test.ts
@@ -4,7 +4,8 @@
 import { createJob, jobSpecSchema, RunTimeEstimator, tasksOf, type Run } from '@quillscale/policy'
 import { JobRegistry } from '../lib/jobs/JobRegistry.js'
 import { WorkerLink, type WorkerLinkOptions } from '../lib/workers/WorkerLink.js'
-import { TestLog, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 /** A worker registers at 1000 ms and again at 2000 ms. */
 const cases: ReadonlyArray<{ name: string, warmups: readonly [number | undefined, number | undefined], startedMs: number, isCounted: boolean }> = [
--- a/packages/scheduler/src/test/configurationOrder.test.ts
+++ b/packages/scheduler/src/test/configurationOrder.test.ts
@@ -2,7 +2,8 @@
 import { delay } from '@quillscale/utils'
 import type { AccountName, ClientAccount, FleetConfiguration, QueueConfiguration } from '@quillscale/ports'
 import { jobSpecSchema } from '@quillscale/policy'
-import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 const EXISTING_QUEUE: QueueConfiguration = {
   name: QUEUE, host: 'h', pathPrefix: '/q/', service: SERVICE, priority: 0, attempts: 2, stretch: 2, targetLatencyMs: 100, timeoutMs: 3000
--- a/packages/scheduler/src/test/decoders.test.ts
+++ b/packages/scheduler/src/test/decoders.test.ts
@@ -5,7 +5,7 @@
 import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
 import { decodeMachineDutyRecord, encodeMachineDutyRecord } from '../lib/machines/machineDutyRecord.js'
 import { decodeDemand, encodeDemand } from '../lib/records/serviceDemand.js'
-import { testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
 
 const JOB = { jobId: testJobId(1), queue: 'q', command: 'c', submittedMs: 1, steps: [{ taskCount: 2, cpuMillis: 1000 }] }
 const MACHINE_RECORD = {
--- a/packages/scheduler/src/test/earlyCancellations.test.ts
+++ b/packages/scheduler/src/test/earlyCancellations.test.ts
@@ -7,7 +7,8 @@
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
 import { cancelKey, jobKey, jobServiceKey } from '../lib/records/storeKeys.js'
-import { FaultyStore, QUEUE, SERVICE, testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { FaultyStore, QUEUE, SERVICE, TestLog } from './TestService.js'
 
 const JOB_ID = testJobId(7)
 const OWNER: JobOwner = { account: 'press' as AccountName, keyTag: 'tag-press' }
--- a/packages/scheduler/src/test/evacuation.test.ts
+++ b/packages/scheduler/src/test/evacuation.test.ts
@@ -3,7 +3,8 @@
 import type { StandInWorker } from '@quillscale/standins'
 import type { EvacuationState, StepSpec } from '@quillscale/policy'
 import { progressPrefix } from '../lib/records/storeKeys.js'
-import { SERVICE, testJobId, TestService } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { SERVICE, TestService } from './TestService.js'
 
 /** Workers 0, 2 and so on are in zone `z0`, which is evacuated; each has room for four tasks. */
 const WORKERS = 4
--- a/packages/scheduler/src/test/foreignRecords.test.ts
+++ b/packages/scheduler/src/test/foreignRecords.test.ts
@@ -3,7 +3,8 @@
 import type { JobId } from '@quillscale/policy'
 import { demandKey } from '../lib/records/serviceDemand.js'
 import { cancelKey, chainKey, inboxPrefix, jobKey, progressKey, silentWorkersKey, vacatedKey, vacateKey, waitingKey } from '../lib/records/storeKeys.js'
-import { QUEUE, SERVICE, TestService, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { QUEUE, SERVICE, TestService } from './TestService.js'
 
 const DEADLINE_MS = 2000
 const JUNK = ['', '{', 'null', '[]', '7', '"text"', '{"status":"paused","tasks":[]}', '{"jobId":7}', '\uFFFD\uFFFD']
--- a/packages/scheduler/src/test/gangCheckpoints.test.ts
+++ b/packages/scheduler/src/test/gangCheckpoints.test.ts
@@ -5,7 +5,8 @@
 import { JobRegistry } from '../lib/jobs/JobRegistry.js'
 import { RunStarter } from '../lib/jobs/RunStarter.js'
 import type { WorkerLink } from '../lib/workers/WorkerLink.js'
-import { testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 const MEMBERS = 4
 
--- a/packages/scheduler/src/test/jobMemory.test.ts
+++ b/packages/scheduler/src/test/jobMemory.test.ts
@@ -6,7 +6,8 @@
 import { jobMemoryKey } from '../lib/records/storeKeys.js'
 import { RecordReader } from '../lib/records/RecordReader.js'
 import { SchedulerMetrics } from '../lib/duties/SchedulerMetrics.js'
-import { TestLog, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 const MB = 1024 * 1024
 const MOST_BYTES = 80 * MB
--- a/packages/scheduler/src/test/largeJobs.test.ts
+++ b/packages/scheduler/src/test/largeJobs.test.ts
@@ -2,7 +2,8 @@
 import { allTasks, createJob, jobSpecSchema, type Job, type Run, tasksOf } from '@quillscale/policy'
 import { countParts, decodeProgress, encodePart, encodeProgress, joinProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
 import { progressKey, progressPrefix } from '../lib/records/storeKeys.js'
-import { SERVICE, testJobId, TestService } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { SERVICE, TestService } from './TestService.js'
 
 /** The largest value that the platform's store keeps. */
 const VALUE_BYTES = 1_048_576
--- a/packages/scheduler/src/test/lateCalls.test.ts
+++ b/packages/scheduler/src/test/lateCalls.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
-import { testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
 import { MAX_LEASE_MS, playAll, taskShapes, type LateCall, type LateCallCase, type TaskShape } from './LateCallPlay.js'
 
 /** Calls without an answer are carried out up to this much later. */
--- a/packages/scheduler/src/test/lateCallsAfterAnyDelay.test.ts
+++ b/packages/scheduler/src/test/lateCallsAfterAnyDelay.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from 'chai'
 import { delay } from '@quillscale/utils'
-import { testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
 import { MAX_LEASE_MS, playAll, taskShapes, type LateCall, type LateCallCase, type TaskShape } from './LateCallPlay.js'
 
 /** The longest lease of another deployment, where leases are granted for a larger part of it. */
--- a/packages/scheduler/src/test/otherLifetimes.test.ts
+++ b/packages/scheduler/src/test/otherLifetimes.test.ts
@@ -6,7 +6,8 @@
 import { openFencedBatchWriter } from '../lib/records/openFencedBatchWriter.js'
 import { chainKey, serviceDutyKey } from '../lib/records/storeKeys.js'
 import { LateCallPlay, MAX_LEASE_MS, taskShapes, type TaskShape } from './LateCallPlay.js'
-import { FaultyStore, SERVICE, testJobId } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { FaultyStore, SERVICE } from './TestService.js'
 
 const lasting = taskShapes[0] as TaskShape
 const UNANSWERED_MS = 30
--- a/packages/scheduler/src/test/placementAdvice.test.ts
+++ b/packages/scheduler/src/test/placementAdvice.test.ts
@@ -3,7 +3,8 @@
 import type { PlatformError, StepAdvice } from '@quillscale/ports'
 import { createJob, jobSpecSchema, type Task, tasksOf } from '@quillscale/policy'
 import { PlacementAdviceCache } from '../lib/workers/PlacementAdviceCache.js'
-import { testJobId, TestLog } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { TestLog } from './TestService.js'
 
 const ROUND_MS = 20
 const CALL_ROUNDS = 5
--- a/packages/scheduler/src/test/silentWatches.test.ts
+++ b/packages/scheduler/src/test/silentWatches.test.ts
@@ -2,7 +2,8 @@
 import { delay } from '@quillscale/utils'
 import type { JobId, StepSpec } from '@quillscale/policy'
 import { cancelKey, CANCEL_VALUE, inboxPrefix } from '../lib/records/storeKeys.js'
-import { SERVICE, TestService, testJobId, WORKERS_PREFIX } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { SERVICE, TestService, WORKERS_PREFIX } from './TestService.js'
 
 const JOB_COUNT = 4
 /** Steps one after the other, so that a start follows each end until the job is cancelled. */
--- a/packages/scheduler/src/test/takeOvers.test.ts
+++ b/packages/scheduler/src/test/takeOvers.test.ts
@@ -4,7 +4,8 @@
 import { createJob, jobSpecSchema } from '@quillscale/policy'
 import { decodeProgress, encodeProgress, restoreProgress } from '../lib/jobs/jobProgress.js'
 import { silentWorkersKey } from '../lib/records/storeKeys.js'
-import { SERVICE, testJobId, TestService, type Tenure } from './TestService.js'
+import { testJobId } from '@quillscale/policy/testing'
+import { SERVICE, TestService, type Tenure } from './TestService.js'
 
 /** Results in leases of 6.5 s, as in production. */
 const MAX_LEASE_MS = 10_000
